--- /dev/null
+++ b/internal/peerpb/doc.go
@@ -0,0 +1,4 @@
+// Package peerpb has the generated messages between entry hosts.
+package peerpb
+
+//go:generate sh generate.sh
--- /dev/null
+++ b/pkg/keys/keys.go
@@ -0,0 +1,192 @@
+// Package keys has the types that identify what is owned and who owns it.
+//
+// A key of a service is hashed into a 64-bit space. Ranges of hashes, not
+// keys, are assigned to backend servers, so that the size of the assignment
+// does not depend on the number of keys.
+//
+// # Usage
+//
+//	h := keys.Of("ledger", "tin-0042")
+//	r := keys.NewRange(0, 1<<63)
+//	if r.Contains(h) { ... }
+//
+// A Fence orders the grants of a range. Its high part is the term of the
+// assigner that issued it, its low part a sequence number within the term.
+package keys
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Names of the things that the router deals with.
+type (
+	// Host names an entry host.
+	Host string
+	// Server names a backend server.
+	Server string
+	// Service names a service.
+	Service string
+	// DataCentre names a data centre.
+	DataCentre string
+)
+
+// Cell identifies a part of a service's hash space that has one assigner.
+type Cell struct {
+	Service    Service    `json:"service"`
+	DataCentre DataCentre `json:"dataCentre"`
+	Index      int        `json:"index"`
+}
+
+// String returns the name under which the cell is stored.
+func (c Cell) String() string {
+	return fmt.Sprintf("%s.%s.%d", c.Service, c.DataCentre, c.Index)
+}
+
+// Hash is the position of a key in the hash space of its service.
+type Hash uint64
+
+// MaxHash is the last position of the hash space.
+const MaxHash Hash = math.MaxUint64
+
+// Of returns the hash of a key of a service.
+func Of(s Service, key string) Hash {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(string(s))
+	d.Write([]byte{0}) // separates the name from the key
+	d.WriteString(key)
+	return Hash(d.Sum64())
+}
+
+// String returns h in hexadecimal.
+func (h Hash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
+
+// MarshalText implements encoding.TextMarshaler. JSON numbers can't carry all
+// 64-bit values, so hashes are written in hexadecimal.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *Hash) UnmarshalText(b []byte) error {
+	n, err := strconv.ParseUint(string(b), 16, 64)
+	if err != nil {
+		return fmt.Errorf("keys.Hash: %w", err)
+	}
+	*h = Hash(n)
+	return nil
+}
+
+// Range is an interval of the hash space; both ends belong to it.
+type Range struct {
+	lo, hi Hash
+}
+
+// NewRange returns the range from lo to hi. The ends are swapped if needed.
+func NewRange(lo, hi Hash) Range {
+	return Range{lo: min(lo, hi), hi: max(lo, hi)}
+}
+
+// Full returns the range that covers the whole hash space.
+func Full() Range { return Range{hi: MaxHash} }
+
+// Lo returns the first hash of r.
+func (r Range) Lo() Hash { return r.lo }
+
+// Hi returns the last hash of r.
+func (r Range) Hi() Hash { return r.hi }
+
+// Contains reports whether h belongs to r.
+func (r Range) Contains(h Hash) bool { return r.lo <= h && h <= r.hi }
+
+// Overlaps reports whether r and o have a hash in common.
+func (r Range) Overlaps(o Range) bool { return r.lo <= o.hi && o.lo <= r.hi }
+
+// Width returns the share of the hash space that r covers, from 0 to 1.
+func (r Range) Width() float64 { return (float64(r.hi-r.lo) + 1) / math.Pow(2, 64) }
+
+// Split cuts r before at, which must be above r's first hash and not above
+// its last.
+func (r Range) Split(at Hash) (left, right Range) {
+	return Range{lo: r.lo, hi: at - 1}, Range{lo: at, hi: r.hi}
+}
+
+// Divide cuts r into n parts of almost equal width.
+func (r Range) Divide(n int) []Range {
+	n = max(n, 1)
+	if span := uint64(r.hi - r.lo); span < uint64(n) {
+		n = int(span) + 1
+	}
+	parts := make([]Range, 0, n)
+	step, lo := uint64(r.hi-r.lo)/uint64(n), r.lo
+	for i := range n {
+		hi := lo + Hash(step)
+		if i == n-1 {
+			hi = r.hi
+		}
+		parts = append(parts, Range{lo: lo, hi: hi})
+		lo = hi + 1
+	}
+	return parts
+}
+
+// String returns the range as "lo-hi" in hexadecimal.
+func (r Range) String() string { return r.lo.String() + "-" + r.hi.String() }
+
+type rangeJSON struct {
+	Lo Hash `json:"lo"`
+	Hi Hash `json:"hi"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r Range) MarshalJSON() ([]byte, error) { return json.Marshal(rangeJSON{r.lo, r.hi}) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *Range) UnmarshalJSON(b []byte) error {
+	var v rangeJSON
+	if err := json.Unmarshal(b, &v); err != nil {
+		return fmt.Errorf("keys.Range: %w", err)
+	}
+	*r = NewRange(v.Lo, v.Hi)
+	return nil
+}
+
+// Fence is a fencing token: of two grants of the same range, the one with the
+// higher fence is the newer.
+type Fence uint64
+
+// NewFence returns the fence with the given term and sequence number.
+func NewFence(term, seq uint32) Fence { return Fence(uint64(term)<<32 | uint64(seq)) }
+
+// Term returns the term of the assigner that issued f.
+func (f Fence) Term() uint32 { return uint32(f >> 32) }
+
+// Seq returns the sequence number of f within its term.
+func (f Fence) Seq() uint32 { return uint32(f) }
+
+// String returns f as "term.seq".
+func (f Fence) String() string { return fmt.Sprintf("%d.%d", f.Term(), f.Seq()) }
+
+// ParseFence parses the result of Fence.String.
+func ParseFence(s string) (f Fence, err error) {
+	var term, seq uint32
+	if _, err = fmt.Sscanf(s, "%d.%d", &term, &seq); err != nil {
+		return 0, fmt.Errorf("keys.ParseFence: %q is not term.seq: %w", s, err)
+	}
+	if f = NewFence(term, seq); f.String() != s {
+		return 0, fmt.Errorf("keys.ParseFence: %q is not term.seq", s)
+	}
+	return f, nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Fence) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fence) UnmarshalText(b []byte) (err error) {
+	*f, err = ParseFence(string(b))
+	return err
+}
