Test the store client and the fakes under each fault

Cause: the fakes are the oracle of later tests, so their faults must occur when they are set and only then. They found that a watch that was about to wait missed an outage set at that moment; the fake now reads its channels before the outage.

--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -187,7 +187,11 @@
 	end := time.NewTimer(clock.Span(wait).Std())
 	defer end.Stop()
 	for {
+		// The channels are read before the outage, so that none is missed.
 		c, written, fault := s.changes(q.Get("prefix"), since)
+		if !s.pass(w, r) {
+			return
+		}
 		if len(c.Changes) > 0 {
 			send(w, c)
 			return
@@ -195,9 +199,6 @@
 		select {
 		case <-written:
 		case <-fault: // an outage ends the watches that wait
-			if !s.pass(w, r) {
-				return
-			}
 		case <-end.C:
 			send(w, c)
 			return
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,56 @@
+package store
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a 5xx answer of a gateway, a redirect or an answer without a
+// version being taken for proof that a write did not take effect, and against
+// reading an answer without a bound.
+func TestPutAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"gateway's 503", 503, "try later", ErrUnsure},
+		{"store's 503", 503, `{"code":"unavailable"}`, ErrUnavailable},
+		{"500", 500, "", ErrUnsure},
+		{"502", 502, "", ErrUnsure},
+		{"504", 504, "", ErrUnsure},
+		{"408", 408, "", ErrUnsure},
+		{"redirect", 307, "", ErrUnsure},
+		{"no ETag", 200, "", ErrUnsure},
+		{"endless answer", 200, string(make([]byte, 9<<20)), ErrUnsure},
+		{"forbidden", 403, "", ErrRejected},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n++
+				w.Header().Set("Location", "/other")
+				w.WriteHeader(tt.status)
+				w.Write([]byte(tt.body))
+			}))
+			c, err := New(Config{URL: srv.URL})
+			is.NoErr(err)
+			_, err = c.Put(t.Context(), "a", nil, 0)
+			is.True(errors.Is(err, tt.want))
+			c.Close()
+			srv.Close()
+			is.Equal(n, 1) // never repeated
+
+			_, err = c.Put(t.Context(), "a", nil, 0) // the dial fails
+			is.True(errors.Is(err, ErrUnavailable))
+			is.True(!errors.Is(err, ErrUnsure))
+		})
+	}
+}
