--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,231 @@
+// Package peers carries messages between entry hosts.
+//
+// Messages to the same host that are waiting at the same time travel in one
+// batch. Delivery is best effort: a message may be lost, and one that was
+// given up on may still arrive, so that receivers must accept messages late or
+// twice. Answers are messages of their own.
+//
+// # Usage
+//
+//	p := peers.New(self, boot, receive, log)
+//	p.SetAddresses(map[keys.Host]string{"north-1-b": "10.0.0.2:7003"})
+//	go p.Run(ctx)
+//	p.Send("north-1-b", msg)
+//	peerpb.RegisterPeerServer(grpcServer, p)
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/peerpb"
+	"github.com/laburnummux/laburnummux/internal/ring"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// sendTimeout bounds one exchange. It is below the renewal period's double,
+	// so that an unreachable host delays only messages that are stale anyway.
+	sendTimeout = 150 * time.Millisecond
+	// queueSize bounds the messages that wait for one host.
+	queueSize = 256
+	// batchSize bounds the messages in one batch.
+	batchSize = 64
+	// MaxBatch bounds the bytes of a batch. It holds a full configuration
+	// (below 1 MiB) and a cell's deduplication records.
+	MaxBatch = 16 << 20
+)
+
+// The library's default delay before a reconnection grows to 120 s, and a key
+// must be served again within 1 s of a loss.
+var connectParams = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 200 * time.Millisecond},
+	MinConnectTimeout: 200 * time.Millisecond,
+}
+
+// Receive handles a message from another host. It must not block.
+type Receive func(from keys.Host, boot uint64, m *peerpb.Message)
+
+// Peers sends and receives batches.
+type Peers struct {
+	peerpb.UnimplementedPeerServer
+
+	self    keys.Host
+	boot    uint64
+	receive Receive
+	log     *zap.Logger
+	creds   credentials.TransportCredentials
+
+	mu    sync.Mutex
+	ctx   context.Context // nil until Run
+	links map[keys.Host]*link
+
+	sent, received, failed, sentBytes atomic.Uint64
+}
+
+// link is the outgoing side towards one host.
+type link struct {
+	p       *Peers
+	to      keys.Host
+	address string
+	out     *ring.Ring[*peerpb.Message]
+	cancel  context.CancelFunc
+	up      bool
+}
+
+// New returns Peers for the host self, whose present run is boot.
+func New(self keys.Host, boot uint64, receive Receive, log *zap.Logger) *Peers {
+	return &Peers{
+		self: self, boot: boot, receive: receive, log: log.Named("peers"),
+		creds: insecure.NewCredentials(), links: make(map[keys.Host]*link),
+	}
+}
+
+// Run sends messages until ctx ends.
+func (p *Peers) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	for _, l := range p.links {
+		p.start(l)
+	}
+	p.mu.Unlock()
+	<-ctx.Done()
+	p.mu.Lock()
+	p.ctx = nil
+	p.mu.Unlock()
+	return ctx.Err()
+}
+
+// SetAddresses replaces the addresses of the other hosts. Messages to a host
+// that isn't listed are dropped.
+func (p *Peers) SetAddresses(addrs map[keys.Host]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for h, l := range p.links {
+		if addrs[h] != l.address {
+			if l.cancel != nil {
+				l.cancel()
+			}
+			delete(p.links, h)
+		}
+	}
+	for h, a := range addrs {
+		if h == p.self || a == "" || p.links[h] != nil {
+			continue
+		}
+		l := &link{p: p, to: h, address: a, out: ring.New[*peerpb.Message](queueSize)}
+		p.links[h] = l
+		if p.ctx != nil {
+			p.start(l)
+		}
+	}
+}
+
+func (p *Peers) start(l *link) {
+	var ctx context.Context
+	ctx, l.cancel = context.WithCancel(p.ctx)
+	go l.loop(ctx)
+}
+
+// Send queues m for the host to. The oldest message is dropped when the queue
+// is full.
+func (p *Peers) Send(to keys.Host, m *peerpb.Message) {
+	p.mu.Lock()
+	l := p.links[to]
+	p.mu.Unlock()
+	if l != nil {
+		l.out.Replace(m)
+	}
+}
+
+// Exchange implements the gRPC service.
+func (p *Peers) Exchange(_ context.Context, b *peerpb.Batch) (*peerpb.Batch, error) {
+	if b.GetFrom() == "" {
+		return nil, status.Error(codes.InvalidArgument, "peers: batch without a sender")
+	}
+	p.received.Add(uint64(len(b.GetMessages())))
+	for _, m := range b.GetMessages() {
+		p.receive(keys.Host(b.GetFrom()), b.GetBoot(), m)
+	}
+	return &peerpb.Batch{From: string(p.self), Boot: p.boot}, nil
+}
+
+// Counters has the totals of messages since the start.
+type Counters struct {
+	Sent      uint64 `json:"sent"`
+	SentBytes uint64 `json:"sentBytes"`
+	Received  uint64 `json:"received"`
+	Failed    uint64 `json:"failed"`
+}
+
+// Counters returns the totals.
+func (p *Peers) Counters() Counters {
+	return Counters{p.sent.Load(), p.sentBytes.Load(), p.received.Load(), p.failed.Load()}
+}
+
+func (l *link) loop(ctx context.Context) {
+	conn, err := grpc.NewClient("passthrough:///"+l.address,
+		grpc.WithTransportCredentials(l.p.creds),
+		grpc.WithConnectParams(connectParams),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxBatch)))
+	if err != nil {
+		l.p.log.Error("invalid peer address", zap.String("host", string(l.to)), zap.Error(err))
+		return
+	}
+	defer conn.Close()
+	client := peerpb.NewPeerClient(conn)
+	for {
+		m, ok := l.out.Pop(ctx)
+		if !ok {
+			return
+		}
+		b := &peerpb.Batch{From: string(l.p.self), Boot: l.p.boot, Messages: []*peerpb.Message{m}}
+		for len(b.Messages) < batchSize {
+			if m, ok = l.out.TryPop(); !ok {
+				break
+			}
+			b.Messages = append(b.Messages, m)
+		}
+		l.note(l.send(ctx, client, b))
+	}
+}
+
+func (l *link) send(ctx context.Context, c peerpb.PeerClient, b *peerpb.Batch) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("peers.send: %w", err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if _, err = c.Exchange(ctx, b, grpc.WaitForReady(true)); err != nil {
+		l.p.failed.Add(uint64(len(b.Messages)))
+		return err
+	}
+	l.p.sent.Add(uint64(len(b.Messages)))
+	l.p.sentBytes.Add(uint64(protoSize(b)))
+	return nil
+}
+
+// note logs when a host becomes reachable or unreachable.
+func (l *link) note(err error) {
+	if up := err == nil; up != l.up {
+		l.up = up
+		if up {
+			l.p.log.Info("peer reachable", zap.String("host", string(l.to)))
+		} else {
+			l.p.log.Warn("peer unreachable", zap.String("host", string(l.to)), zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,63 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/peerpb"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+)
+
+func serve(t *testing.T, address string, p *Peers) (*grpc.Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(MaxBatch))
+	peerpb.RegisterPeerServer(s, p)
+	go s.Serve(ln)
+	t.Cleanup(s.Stop)
+	return s, ln.Addr().String()
+}
+
+// Guards against messages that stay lost after a host restarts at the same
+// address: leases could then never be renewed again.
+func TestDeliveryResumesAfterRestart(t *testing.T) {
+	is := is.New(t)
+	got := make(chan uint64, 1000)
+	receive := func(_ keys.Host, boot uint64, m *peerpb.Message) { got <- boot }
+	first, addr := serve(t, "127.0.0.1:0", New("b", 2, receive, zap.NewNop()))
+
+	a := New("a", 77, nil, zap.NewNop())
+	a.SetAddresses(map[keys.Host]string{"a": "127.0.0.1:1", "b": addr})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go a.Run(ctx)
+
+	m := &peerpb.Message{Body: &peerpb.Message_TableAsk{TableAsk: &peerpb.TableAsk{}}}
+	sendUntil := func() {
+		for {
+			a.Send("b", m)
+			select {
+			case boot := <-got:
+				is.Equal(boot, uint64(77))
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			is.NoErr(t.Context().Err())
+		}
+	}
+	sendUntil()
+	first.Stop()
+	serve(t, addr, New("b", 3, receive, zap.NewNop()))
+	for len(got) > 0 {
+		<-got
+	}
+	sendUntil()
+}
--- /dev/null
+++ b/internal/proxy/header.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/laburnummux/laburnummux/pkg/answer"
+)
+
+// hopHeaders concern one connection and are never passed on (RFC 9110,
+// section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+func dropHopHeaders(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// FromCaller returns a copy of a caller's header for the next hop, without
+// headers of the connection and those that the system itself uses.
+func FromCaller(h http.Header) http.Header {
+	c := FromHost(h)
+	for name := range c {
+		if strings.HasPrefix(name, answer.HeaderPrefix) {
+			delete(c, name)
+		}
+	}
+	return c
+}
+
+// FromHost returns a copy of the header of a request that another entry host
+// sent.
+func FromHost(h http.Header) http.Header {
+	c := h.Clone()
+	dropHopHeaders(c)
+	return c
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,202 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/matryer/is"
+)
+
+var limits = Limits{Idle: 2, Total: 4, Connect: time.Second}
+
+func newRequest(t *testing.T, method, body string) Request {
+	t.Helper()
+	b, err := NewBody(strings.NewReader(body), int64(len(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Request{Method: method, URL: &url.URL{Path: "/ledger/k"}, Header: http.Header{}, Body: b, Attempt: "7"}
+}
+
+// rawServer answers every request on a connection with the next of answers,
+// and closes the connection after the last.
+func rawServer(t *testing.T, runs *atomic.Int64, answers ...string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(c, runs, answers)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func answerAll(c net.Conn, runs *atomic.Int64, answers []string) {
+	defer c.Close()
+	buf := make([]byte, 64<<10)
+	for _, a := range answers {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+		runs.Add(1)
+		io.WriteString(c, a)
+	}
+}
+
+// Guards against the transport's own repetition of a GET on a connection that
+// broke after the request was sent: a non-idempotent GET would run twice.
+func TestLostRequestIsNotRepeated(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			p := NewPool(rawServer(t, &runs, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""), limits)
+			res := p.Send(t.Context(), newRequest(t, method, ""))
+			is.Equal(res.Failure(), OK)
+			res = p.Send(t.Context(), newRequest(t, method, "")) // reuses the connection
+			is.Equal(res.Failure(), Lost)
+			is.Equal(runs.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against a partial or foreign answer that is passed on as whole.
+func TestBadAnswers(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		want         Failure
+	}{
+		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok", Truncated},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", Truncated},
+		{"of another attempt", "HTTP/1.1 200 OK\r\nLaburnummux-Attempt: 6\r\nContent-Length: 2\r\n\r\nok", Mismatched},
+		{"header cut off", "HTTP/1.1 200 OK\r\nContent-Le", Lost},
+		{"not HTTP", "hello\r\n\r\n", Lost},
+		{"complete chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", OK},
+		{"empty", "HTTP/1.1 204 No Content\r\n\r\n", OK},
+		{"own attempt", "HTTP/1.1 200 OK\r\nLaburnummux-Attempt: 7\r\nContent-Length: 2\r\n\r\nok", OK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			p := NewPool(rawServer(t, &runs, tt.answer), limits)
+			is.Equal(p.Send(t.Context(), newRequest(t, "GET", "")).Failure(), tt.want)
+		})
+	}
+}
+
+// Guards against a long answer that breaks off in the middle and reaches the
+// caller with a regular end.
+func TestLongAnswerBrokenOff(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	p := NewPool(rawServer(t, &runs, "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n"+strings.Repeat("x", 30000)), limits)
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := p.Send(r.Context(), newRequest(t, "GET", "")).WriteTo(w); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer front.Close()
+	resp, err := http.Get(front.URL)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil)
+}
+
+// Guards against telling a caller that a request may have run though no
+// connection was made, and the reverse.
+func TestFailureKinds(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	ln.Close()
+	is.Equal(NewPool(addr, limits).Send(t.Context(), newRequest(t, "GET", "")).Failure(), DialFailed)
+
+	hang := make(chan struct{})
+	entered := make(chan struct{}, 2)
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { entered <- struct{}{}; <-hang }))
+	defer s.Close()
+	defer close(hang)
+	p := NewPool(strings.TrimPrefix(s.URL, "http://"), limits)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.Equal(p.Send(ctx, newRequest(t, "GET", "")).Failure(), TimedOut)
+	<-entered
+	ctx, cancel = context.WithCancel(t.Context())
+	go func() { <-entered; cancel() }()
+	is.Equal(p.Send(ctx, newRequest(t, "GET", "")).Failure(), Cancelled)
+}
+
+// Guards against a body that is consumed by a server that refuses the request:
+// it could not be sent elsewhere then.
+func TestRefusalKeepsLongBody(t *testing.T) {
+	is := is.New(t)
+	refuse := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	defer refuse.Close()
+	accept := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n, " ", err)
+	}))
+	defer accept.Close()
+	const size = 300 << 10
+	tests := []struct {
+		name   string
+		length int64
+	}{{"announced length", size}, {"unknown length", -1}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, err := NewBody(bytes.NewReader(make([]byte, size)), tt.length)
+			is.NoErr(err)
+			r := newRequest(t, "POST", "")
+			r.Body = b
+			res := NewPool(strings.TrimPrefix(refuse.URL, "http://"), limits).Send(t.Context(), r)
+			is.Equal(res.Status(), http.StatusMisdirectedRequest)
+			is.True(b.Replayable())
+			r.Header = http.Header{}
+			res = NewPool(strings.TrimPrefix(accept.URL, "http://"), limits).Send(t.Context(), r)
+			is.Equal(res.Failure(), OK)
+			got, whole := res.Whole()
+			is.True(whole)
+			is.Equal(string(got), fmt.Sprint(size, " ", nil))
+			is.True(!b.Replayable())
+		})
+	}
+}
+
+// Guards against callers who set headers that only entry hosts may set.
+func TestFromCaller(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{}
+	h.Set(answer.HeaderFence, "1.1")
+	h.Set("laburnummux-server", "s")
+	h.Set("Connection", "close, X-Per-Hop")
+	h.Set("X-Per-Hop", "1")
+	h.Set("X-Kept", "1")
+	c := FromCaller(h)
+	is.Equal(c, http.Header{"X-Kept": {"1"}})
+	is.Equal(h.Get(answer.HeaderFence), "1.1") // the original is unchanged
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,271 @@
+// Package route decides where a request goes.
+//
+// A service's hash space is divided into cells by its layout, which follows
+// from the configuration. Each cell has a routing table, published by the
+// cell's assigner, that maps ranges of hashes to backend servers and their
+// dispatchers. An entry host keeps the tables of the cells that it uses.
+//
+// # Usage
+//
+//	s := route.New(seed)
+//	s.SetLayout("ledger", route.NewLayout("ledger", weights))
+//	s.Update(table)
+//	target, miss := s.Lookup("ledger", keys.Of("ledger", key))
+//
+// For a service without keys, Pick chooses a server by the host's own
+// measurements:
+//
+//	target, ok := s.Pick(now, "catalogue", "north-1")
+//
+// The package is pure: it has no clock, no I/O and no goroutine. Its owner
+// guards it with a mutex.
+package route
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+//go:generate go tool stringer -type=Miss -linecomment -output=route_string.go
+
+// Miss says why a lookup found no target.
+type Miss int
+
+// Reasons of a lookup without a target.
+const (
+	Hit       Miss = iota // hit
+	NoService             // no-service
+	NoTable               // no-table
+	NoOwner               // no-owner
+)
+
+// Backend is a backend server as a routing table lists it.
+type Backend struct {
+	Name       keys.Server
+	Dispatcher keys.Host
+	Leaving    bool
+}
+
+// Row assigns a range to the backend server with the given index.
+type Row struct {
+	Range   keys.Range
+	Fence   keys.Fence
+	Backend int
+}
+
+// Table is a version of a cell's assignment.
+type Table struct {
+	cell     keys.Cell
+	term     uint32
+	version  uint32
+	assigner keys.Host
+	stored   bool
+	backends []Backend
+	rows     []Row
+}
+
+// NewTable returns a table. Rows are sorted by range; rows whose index names
+// no backend server are dropped.
+func NewTable(c keys.Cell, term, version uint32, assigner keys.Host, stored bool, backends []Backend, rows []Row) *Table {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.Backend < 0 || r.Backend >= len(backends) })
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Range.Lo(), b.Range.Lo()) })
+	return &Table{cell: c, term: term, version: version, assigner: assigner, stored: stored, backends: backends, rows: rows}
+}
+
+// Cell returns the cell that the table belongs to.
+func (t *Table) Cell() keys.Cell { return t.cell }
+
+// Term returns the term of the assigner that published the table.
+func (t *Table) Term() uint32 { return t.term }
+
+// Version returns the table's version within its term.
+func (t *Table) Version() uint32 { return t.version }
+
+// Assigner returns the host that published the table.
+func (t *Table) Assigner() keys.Host { return t.assigner }
+
+// Stored reports whether the store has this assignment.
+func (t *Table) Stored() bool { return t.stored }
+
+// Backends returns the cell's backend servers. The caller must not change it.
+func (t *Table) Backends() []Backend { return t.backends }
+
+// Rows returns the assignment sorted by range. The caller must not change it.
+func (t *Table) Rows() []Row { return t.rows }
+
+// Newer reports whether t replaces the version given by term and version.
+func (t *Table) Newer(term, version uint32) bool {
+	return t.term > term || t.term == term && t.version > version
+}
+
+func (t *Table) find(h keys.Hash) (Row, bool) {
+	i, ok := slices.BinarySearchFunc(t.rows, h, func(r Row, h keys.Hash) int {
+		switch {
+		case r.Range.Hi() < h:
+			return -1
+		case r.Range.Lo() > h:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return Row{}, false
+	}
+	return t.rows[i], true
+}
+
+// Target is where a request is sent.
+type Target struct {
+	Cell       keys.Cell
+	Server     keys.Server
+	Dispatcher keys.Host
+	Hash       keys.Hash
+	Fence      keys.Fence
+	Term       uint32
+	Version    uint32
+}
+
+// State holds layouts, tables and the host's own measurements of servers.
+type State struct {
+	layouts map[keys.Service]Layout
+	tables  map[keys.Cell]*Table
+	loads   map[keys.Server]*load
+	rng     *rand.Rand
+}
+
+// New returns an empty state. The seed drives the choice between servers.
+func New(seed uint64) *State {
+	return &State{
+		layouts: make(map[keys.Service]Layout),
+		tables:  make(map[keys.Cell]*Table),
+		loads:   make(map[keys.Server]*load),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// SetLayouts replaces the layouts of all services. Tables of cells that no
+// layout has any more are dropped.
+func (s *State) SetLayouts(ls map[keys.Service]Layout) {
+	s.layouts = ls
+	for c := range s.tables {
+		if !slices.ContainsFunc(ls[c.Service], func(p Part) bool { return p.Cell == c }) {
+			delete(s.tables, c)
+		}
+	}
+}
+
+// Layout returns the cells of a service.
+func (s *State) Layout(name keys.Service) Layout { return s.layouts[name] }
+
+// Update adopts t unless the state has a newer version, and reports whether
+// it did.
+func (s *State) Update(t *Table) bool {
+	if old := s.tables[t.cell]; old != nil && !t.Newer(old.term, old.version) {
+		return false
+	}
+	s.tables[t.cell] = t
+	return true
+}
+
+// Table returns the table of a cell, or nil.
+func (s *State) Table(c keys.Cell) *Table { return s.tables[c] }
+
+// Tables returns all tables sorted by cell.
+func (s *State) Tables() []*Table {
+	ts := make([]*Table, 0, len(s.tables))
+	for _, t := range s.tables {
+		ts = append(ts, t)
+	}
+	slices.SortFunc(ts, func(a, b *Table) int { return cmp.Compare(a.cell.String(), b.cell.String()) })
+	return ts
+}
+
+// Lookup returns the target of a hash. With NoTable, the target names the
+// cell whose table is needed.
+func (s *State) Lookup(name keys.Service, h keys.Hash) (Target, Miss) {
+	c, ok := s.layouts[name].Find(h)
+	if !ok {
+		return Target{}, NoService
+	}
+	t := s.tables[c]
+	if t == nil {
+		return Target{Cell: c, Hash: h}, NoTable
+	}
+	r, ok := t.find(h)
+	if !ok {
+		return Target{Cell: c, Hash: h, Term: t.term, Version: t.version}, NoOwner
+	}
+	return t.target(r, h), Hit
+}
+
+func (t *Table) target(r Row, h keys.Hash) Target {
+	b := t.backends[r.Backend]
+	return Target{
+		Cell: t.cell, Server: b.Name, Dispatcher: b.Dispatcher,
+		Hash: h, Fence: r.Fence, Term: t.term, Version: t.version,
+	}
+}
+
+// Pick chooses a server for a request that any server may answer. It draws
+// two servers of the caller's data centre and takes the one with the lower
+// expected wait; servers elsewhere are used when the data centre has none.
+// Servers in avoid are passed over while others are left.
+func (s *State) Pick(now clock.Time, name keys.Service, dc keys.DataCentre, avoid ...keys.Server) (Target, bool) {
+	var local, remote []Target
+	for _, p := range s.layouts[name] {
+		t := s.tables[p.Cell]
+		if t == nil {
+			continue
+		}
+		if p.Cell.DataCentre == dc {
+			local = t.appendPerServer(local)
+		} else {
+			remote = t.appendPerServer(remote)
+		}
+	}
+	for _, ts := range [][]Target{without(local, avoid), without(remote, avoid), local, remote} {
+		if len(ts) > 0 {
+			return s.better(now, ts), true
+		}
+	}
+	return Target{}, false
+}
+
+// appendPerServer appends one target for each server that owns a range and
+// isn't leaving.
+func (t *Table) appendPerServer(ts []Target) []Target {
+	seen := make([]bool, len(t.backends))
+	for _, r := range t.rows {
+		if b := r.Backend; !seen[b] && !t.backends[b].Leaving {
+			seen[b] = true
+			ts = append(ts, t.target(r, r.Range.Lo()))
+		}
+	}
+	return ts
+}
+
+func without(ts []Target, avoid []keys.Server) []Target {
+	if len(avoid) == 0 {
+		return ts
+	}
+	var kept []Target
+	for _, t := range ts {
+		if !slices.Contains(avoid, t.Server) {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
+func (s *State) better(now clock.Time, ts []Target) Target {
+	a := ts[s.rng.IntN(len(ts))]
+	b := ts[s.rng.IntN(len(ts))]
+	if s.cost(now, b.Server) < s.cost(now, a.Server) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/matryer/is"
+)
+
+// Guards against a layout with gaps or overlaps: a hash in no cell has no
+// owner, one in two cells has two.
+func TestLayout(t *testing.T) {
+	tests := []struct {
+		name   string
+		shares []Share
+		cells  int
+	}{
+		{"one data centre", []Share{{"north-1", 1, 1}}, 1},
+		{"three equal", []Share{{"north-3", 1, 1}, {"north-1", 1, 1}, {"north-2", 1, 1}}, 3},
+		{"unequal, several cells", []Share{{"north-1", 3, 4}, {"north-2", 1, 2}}, 6},
+		{"one without weight", []Share{{"north-1", 1, 1}, {"north-2", 0, 1}}, 1},
+		{"all without weight", []Share{{"north-1", 0, 1}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewLayout("ledger", tt.shares)
+			is.Equal(len(l), tt.cells)
+			for i, p := range l {
+				if i == 0 {
+					is.Equal(p.Range.Lo(), keys.Hash(0))
+				} else {
+					is.Equal(p.Range.Lo(), l[i-1].Range.Hi()+1)
+				}
+			}
+			if len(l) > 0 {
+				is.Equal(l[len(l)-1].Range.Hi(), keys.MaxHash)
+			}
+		})
+	}
+}
+
+func newTestState(term, version uint32) *State {
+	s := New(1)
+	l := NewLayout("ledger", []Share{{"north-1", 1, 1}})
+	s.SetLayouts(map[keys.Service]Layout{"ledger": l})
+	parts := keys.Full().Divide(2)
+	s.Update(NewTable(l[0].Cell, term, version, "a", true,
+		[]Backend{{Name: "s1", Dispatcher: "a"}, {Name: "s2", Dispatcher: "b"}},
+		[]Row{{parts[1], 2, 1}, {parts[0], 1, 0}, {parts[0], 1, 9}}))
+	return s
+}
+
+// Guards against a late message that takes routing back to an older table.
+func TestUpdateKeepsNewest(t *testing.T) {
+	tests := []struct {
+		name          string
+		term, version uint32
+		adopted       bool
+	}{
+		{"older term", 1, 99, false},
+		{"same version", 2, 5, false},
+		{"older version", 2, 4, false},
+		{"newer version", 2, 6, true},
+		{"newer term", 3, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestState(2, 5)
+			c := s.Layout("ledger")[0].Cell
+			is.Equal(s.Update(NewTable(c, tt.term, tt.version, "b", true, nil, nil)), tt.adopted)
+		})
+	}
+}
+
+// Guards against requests that reach a server that doesn't own the key.
+func TestLookup(t *testing.T) {
+	is := is.New(t)
+	s := newTestState(1, 1)
+	tg, miss := s.Lookup("ledger", 0)
+	is.Equal(miss, Hit)
+	is.Equal(tg.Server, keys.Server("s1"))
+	tg, miss = s.Lookup("ledger", keys.MaxHash)
+	is.Equal(miss, Hit)
+	is.Equal(tg.Server, keys.Server("s2"))
+	is.Equal(tg.Dispatcher, keys.Host("b"))
+	_, miss = s.Lookup("orderdesk", 0)
+	is.Equal(miss, NoService)
+	s.SetLayouts(map[keys.Service]Layout{"ledger": NewLayout("ledger", []Share{{"north-2", 1, 1}})})
+	_, miss = s.Lookup("ledger", 0)
+	is.Equal(miss, NoTable) // the table of a removed cell isn't used
+}
+
+// Guards against sending lookups to a slow server as often as to a fast one.
+func TestPickPrefersFastServer(t *testing.T) {
+	is := is.New(t)
+	s := newTestState(1, 1)
+	for range 20 {
+		s.Started("s1")
+		s.Ended(0, "s1", 200, true)
+		s.Started("s2")
+		s.Ended(0, "s2", 2, true)
+	}
+	n := map[keys.Server]int{}
+	for range 1000 {
+		tg, ok := s.Pick(0, "ledger", "north-1")
+		is.True(ok)
+		n[tg.Server]++
+	}
+	is.True(n["s2"] > 2*n["s1"])
+	is.True(n["s1"] > 0) // the slow one is still measured
+	tg, _ := s.Pick(0, "ledger", "north-1", "s2")
+	is.Equal(tg.Server, keys.Server("s1"))
+	// After a while without samples the slow server counts as unknown again.
+	is.True(s.cost(clock.Time(60*clock.Second), "s1") <= 4)
+}
