Add the decoder, the checks, the wire form and the merge

Cause: operators' files must be refused with every problem and its line, and a site's configuration is made of a base and an overlay. Change: a value tree that keeps positions, a reader that reports all problems, checks across fields, canonical JSON, Revision, Merge, Review. Conclusion: other packages can decode and merge configurations.

--- /dev/null
+++ b/internal/config/revision.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Revision is an accepted configuration of all sites. Its number grows with
+// every change.
+type Revision struct {
+	number uint64
+	author string
+	time   time.Time // wall clock of the operator's host, for display only
+	note   string
+	sites  map[keys.DataCentre]Config
+}
+
+// NewRevision returns a revision. It fails if a configuration was merged for
+// another site than its own, or if the sites disagree on the cells, the path or
+// the keyed flag of a service: two sites could then each own a key.
+func NewRevision(number uint64, author string, t time.Time, note string, sites map[keys.DataCentre]Config) (Revision, error) {
+	r := Revision{
+		number: number,
+		author: author,
+		time:   t.UTC().Truncate(time.Millisecond),
+		note:   note,
+		sites:  maps.Clone(sites),
+	}
+	if err := r.check(); err != nil {
+		return Revision{}, fmt.Errorf("config.NewRevision: %w", err)
+	}
+	return r, nil
+}
+
+// Number returns the number of the revision.
+func (r Revision) Number() uint64 { return r.number }
+
+// Author returns who applied the revision.
+func (r Revision) Author() string { return r.author }
+
+// Time returns when the revision was applied, in UTC and whole milliseconds.
+func (r Revision) Time() time.Time { return r.time }
+
+// Note returns the author's remark.
+func (r Revision) Note() string { return r.note }
+
+// Sites returns the names of all sites, sorted.
+func (r Revision) Sites() []keys.DataCentre { return sortedSites(r.sites) }
+
+// Site returns the configuration of a site.
+func (r Revision) Site(name keys.DataCentre) (Config, bool) {
+	c, ok := r.sites[name]
+	return c, ok
+}
+
+func sortedSites(sites map[keys.DataCentre]Config) []keys.DataCentre {
+	return slices.Sorted(maps.Keys(sites))
+}
+
+func (r Revision) check() error {
+	var probs Problems
+	add := func(site keys.DataCentre, field, msg string) {
+		p := Problem{Origin: Origin{wireName, 1}, Field: Join("sites", string(site)) + "." + field, Message: msg}
+		probs = append(probs, p)
+	}
+	for _, site := range r.Sites() {
+		if own := r.sites[site].site; own != site {
+			add(site, "site", fmt.Sprintf("is %q; a configuration merged for %s is required", own, site))
+		}
+	}
+	checkSites(r.sites, add)
+	return probs.Err()
+}
+
+type wireRevision struct {
+	Number uint64                              `json:"number"`
+	Author string                              `json:"author"`
+	Time   time.Time                           `json:"time"`
+	Note   string                              `json:"note"`
+	Sites  map[keys.DataCentre]json.RawMessage `json:"sites"`
+}
+
+// EncodeRevision returns the canonical JSON of r. It fails when the result is
+// larger than a value of the store may be.
+func EncodeRevision(r Revision) ([]byte, error) {
+	w := wireRevision{r.number, r.author, r.time, r.note, make(map[keys.DataCentre]json.RawMessage, len(r.sites))}
+	for site, c := range r.sites {
+		b, err := json.Marshal(c)
+		if err != nil {
+			return nil, fmt.Errorf("config.EncodeRevision: %w", err)
+		}
+		w.Sites[site] = b
+	}
+	return encode("config.EncodeRevision", w)
+}
+
+// DecodeRevision returns the Revision that EncodeRevision wrote.
+func DecodeRevision(b []byte) (r Revision, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("config.DecodeRevision: %w", err)
+		}
+	}()
+	if len(b) > MaxBytes {
+		return Revision{}, TooLargeError{Bytes: len(b)}
+	}
+	var w wireRevision
+	if err := json.Unmarshal(b, &w); err != nil {
+		return Revision{}, err
+	}
+	sites := make(map[keys.DataCentre]Config, len(w.Sites))
+	for site, raw := range w.Sites {
+		if sites[site], err = Decode(raw); err != nil {
+			return Revision{}, fmt.Errorf("site %s: %w", site, err)
+		}
+	}
+	return NewRevision(w.Number, w.Author, w.Time, w.Note, sites)
+}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -99,7 +99,7 @@
 	if share == 0 {
 		return 0
 	}
-	return max(1, int(float64(slots)*share))
+	return max(1, int(float64(slots)*share+1e-9)) // 0.29 of 100 is 28.999... in floating point
 }
 
 // QueuePerSlot returns how many requests may wait for each slot of a server.
