--- a/cmd/laburnummux/main.go
+++ b/cmd/laburnummux/main.go
@@ -19,6 +19,10 @@
 		Usage:                 "route requests to backend servers that own their keys",
 		Version:               version,
 		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			checkCommand(),
+			showCommand(),
+		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "laburnummux:", err)
--- a/internal/config/decode_settings.go
+++ b/internal/config/decode_settings.go
@@ -11,22 +11,12 @@
 
 // LoadSettings reads the settings of a host. The error may be Problems.
 func LoadSettings(file string) (s Settings, err error) {
-	d, err := Load(file)
+	d, probs, err := Load(file)
 	if err != nil {
 		return Settings{}, err
 	}
-	s, probs := d.Settings()
-	return s, probs.Err()
-}
-
-// ParseSettings parses the settings of a host.
-func ParseSettings(file string, data []byte) (Settings, Problems) {
-	d, probs := Parse(file, data)
-	if probs.Err() != nil && d.root.kind != Object {
-		return Settings{}, probs
-	}
 	s, more := d.Settings()
-	return s, append(probs, more...)
+	return s, append(probs, more...).Err()
 }
 
 // Settings decodes the document as settings of a host. They are to be used
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -33,14 +33,14 @@
 // Root returns the value of the whole document.
 func (d Document) Root() Value { return d.root }
 
-// Load reads and parses a file. The error may be Problems.
-func Load(file string) (d Document, err error) {
+// Load reads and parses a file. The error tells that it could not be read.
+func Load(file string) (d Document, probs Problems, err error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return Document{}, fmt.Errorf("config.Load: %w", err)
+		return Document{}, nil, fmt.Errorf("config.Load: %w", err)
 	}
-	d, probs := Parse(filepath.Clean(file), data)
-	return d, probs.Err()
+	d, probs = Parse(filepath.Clean(file), data)
+	return d, probs, nil
 }
 
 // Parse parses JSON with comments. A file that isn't JSON has one problem;
