--- a/cmd/laburnummux/check.go
+++ b/cmd/laburnummux/check.go
@@ -56,7 +56,7 @@
 			return fmt.Errorf("check: %w", err)
 		}
 		probs = append(probs, more...)
-		if doc.Root().Kind() == config.Null {
+		if doc.Root().Kind() == config.Null && more.Err() != nil {
 			continue // not JSON at all, which is among the problems
 		}
 		kind, err := kindOf(doc, cmd.String("kind"))
--- a/internal/config/decode_settings.go
+++ b/internal/config/decode_settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
@@ -11,12 +13,22 @@
 
 // LoadSettings reads the settings of a host. The error may be Problems.
 func LoadSettings(file string) (s Settings, err error) {
-	d, probs, err := Load(file)
+	data, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, err
+		return Settings{}, fmt.Errorf("config.LoadSettings: %w", err)
+	}
+	s, probs := ParseSettings(filepath.Clean(file), data)
+	return s, probs.Err()
+}
+
+// ParseSettings parses the settings of a host.
+func ParseSettings(file string, data []byte) (Settings, Problems) {
+	d, probs := Parse(file, data)
+	if d.root.kind == Null && probs.Err() != nil {
+		return Settings{}, probs // not JSON at all
 	}
 	s, more := d.Settings()
-	return s, append(probs, more...).Err()
+	return s, append(probs, more...)
 }
 
 // Settings decodes the document as settings of a host. They are to be used
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"unicode"
 
 	"github.com/tailscale/hujson"
 )
@@ -18,6 +19,8 @@
 const (
 	MaxBytes = 1 << 20
 	maxDepth = 32
+	// maxMessage bounds a syntax error, which quotes the whole literal.
+	maxMessage = 200
 )
 
 var plainName = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9-]*$`)
@@ -50,7 +53,7 @@
 	p := parser{file: file}
 	if len(data) > MaxBytes {
 		p.add(1, "", fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(data), MaxBytes))
-		return Document{}, p.problems
+		return p.failed(), p.problems
 	}
 	for i, c := range data {
 		if c == '\n' {
@@ -59,13 +62,13 @@
 	}
 	if at := tooDeep(data); at >= 0 {
 		p.add(p.line(at), "", fmt.Sprintf("values are nested more than %d deep", maxDepth))
-		return Document{}, p.problems
+		return p.failed(), p.problems
 	}
 	v, err := hujson.Parse(data)
 	if err != nil {
 		line, msg := splitSyntaxError(err)
 		p.add(line, "", msg)
-		return Document{}, p.problems
+		return p.failed(), p.problems
 	}
 	return Document{root: p.value("", v)}, p.problems
 }
@@ -73,7 +76,10 @@
 // splitSyntaxError takes the line out of an error of hujson, which has no type
 // of its own.
 func splitSyntaxError(err error) (line int, msg string) {
-	msg = strings.TrimPrefix(err.Error(), "hujson: ")
+	msg = strings.Map(printable, strings.TrimPrefix(err.Error(), "hujson: "))
+	if len(msg) > maxMessage {
+		msg = strings.ToValidUTF8(msg[:maxMessage], "") + "..."
+	}
 	if _, scanErr := fmt.Sscanf(msg, "line %d,", &line); scanErr != nil {
 		return 1, msg
 	}
@@ -81,6 +87,15 @@
 	return line, "not JSON: " + msg
 }
 
+// printable replaces line ends, which an invalid string may bring into a
+// message, so that each problem stays on one line.
+func printable(r rune) rune {
+	if !unicode.IsPrint(r) {
+		return ' '
+	}
+	return r
+}
+
 // tooDeep returns the offset at which the nesting exceeds maxDepth, or -1. It
 // skips strings and comments.
 func tooDeep(b []byte) int {
@@ -127,6 +142,12 @@
 	p.problems = append(p.problems, Problem{Origin: Origin{p.file, line}, Field: field, Message: msg})
 }
 
+// failed returns a document without content, so that later problems have a
+// line, too.
+func (p *parser) failed() Document {
+	return Document{root: Value{origin: p.problems[0].Origin}}
+}
+
 func (p *parser) line(offset int) int { return 1 + sort.SearchInts(p.newlines, offset) }
 
 func (p *parser) value(path string, v hujson.Value) Value {
--- a/internal/merge/merge.go
+++ b/internal/merge/merge.go
@@ -115,9 +115,13 @@
 	}
 	var members []config.Member
 	for _, b := range base.Members() {
-		if _, ok := overlay.Get(b.Name); !ok {
-			members = append(members, b)
+		if _, ok := overlay.Get(b.Name); ok {
+			continue
+		}
+		if b.Value.Kind() == config.Object { // sorts the fields below
+			b.Value = g.values("", b.Value, config.NewObject(config.Origin{}, nil))
 		}
+		members = append(members, b)
 	}
 	for _, o := range overlay.Members() {
 		field := config.Join(path, o.Name)
