--- a/cmd/laburnummux/show.go
+++ b/cmd/laburnummux/show.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return fmt.Errorf("show: %w", err)
 	}
-	overlay := config.NewDocument(config.NewObject(config.Origin{}, nil))
+	var overlay config.Document
 	if file := cmd.String("overlay"); file != "" {
 		doc, more, err := config.Load(file)
 		if err != nil {
--- a/internal/merge/merge.go
+++ b/internal/merge/merge.go
@@ -75,9 +75,13 @@
 
 // Merge applies the overlay of a site to the base. The result is refused, that
 // is an error is among the problems, if it isn't a valid configuration or if
-// the overlay changes what all sites must agree on.
+// the overlay changes what all sites must agree on. The zero Document stands
+// for an overlay that states nothing.
 func Merge(base, overlay Document) (m Merged, probs []Problem) {
 	g := merger{}
+	if r := overlay.Root(); r.Kind() == config.Null && r.Origin() == (config.Origin{}) {
+		overlay = config.NewDocument(config.NewObject(config.Origin{}, nil))
+	}
 	m.doc = config.NewDocument(g.values("", base.Root(), overlay.Root()))
 	g.checkShared(base.Root(), overlay.Root())
 	cfg, invalid := m.doc.Config()
--- a/internal/merge/merge_test.go
+++ b/internal/merge/merge_test.go
@@ -135,7 +135,7 @@
 				t.Fatalf("%s is from %v, want %v", path, l.Value.Origin(), wantOrigin)
 			}
 		}
-		same, _ := Merge(b, config.NewDocument(config.NewObject(config.Origin{}, nil)))
+		same, _ := Merge(b, Document{})
 		if !same.Document().Root().Equal(b.Root()) {
 			t.Fatalf("without overlay got %v, want %v", same.Document().Root(), b.Root())
 		}
