--- /dev/null
+++ b/internal/dedup/id.go
@@ -0,0 +1,71 @@
+package dedup
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/laburnummux/laburnummux/internal/clock"
+)
+
+// Wall is a wall-clock time in milliseconds since the Unix epoch.
+type Wall int64
+
+// Add returns w+d.
+func (w Wall) Add(d clock.Span) Wall { return w + Wall(d) }
+
+// ID is the id of a request, a UUID of version 7.
+type ID [16]byte
+
+// ErrNoTime is the error for ids that are UUIDs but don't carry a time.
+var ErrNoTime = errors.New("not a UUID of version 7")
+
+// ParseID reads an id in the canonical form of 36 characters. Other forms of
+// a UUID are refused, so that one id has one spelling.
+func ParseID(s string) (id ID, err error) {
+	if len(s) != 36 {
+		return ID{}, fmt.Errorf("dedup.ParseID: %d characters instead of 36", len(s))
+	}
+	u, err := uuid.Parse(s)
+	if err != nil {
+		return ID{}, fmt.Errorf("dedup.ParseID: %w", err)
+	}
+	if id = ID(u); !id.valid() {
+		return ID{}, fmt.Errorf("dedup.ParseID: %s: %w", s, ErrNoTime)
+	}
+	return id, nil
+}
+
+// NewID returns a new id stamped with the time of the local wall clock.
+func NewID() (ID, error) {
+	u, err := uuid.NewV7()
+	if err != nil {
+		return ID{}, fmt.Errorf("dedup.NewID: %w", err)
+	}
+	return ID(u), nil
+}
+
+// Stamp returns the time in the id.
+func (id ID) Stamp() (w Wall) {
+	for _, b := range id[:6] {
+		w = w<<8 | Wall(b)
+	}
+	return w
+}
+
+// String returns the canonical form.
+func (id ID) String() string { return uuid.UUID(id).String() }
+
+// MarshalText implements encoding.TextMarshaler.
+func (id ID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *ID) UnmarshalText(b []byte) (err error) {
+	*id, err = ParseID(string(b))
+	return err
+}
+
+func (id ID) valid() bool {
+	u := uuid.UUID(id)
+	return u.Version() == 7 && u.Variant() == uuid.RFC4122
+}
