--- a/internal/dedup/cover.go
+++ b/internal/dedup/cover.go
@@ -134,6 +134,15 @@
 	return b
 }
 
+// Uncover ends the coverage of r without a successor, when its lease is lost.
+func (s *State) Uncover(r keys.Range, fence keys.Fence) {
+	s.cover.update(r, func(g *segment) {
+		if g.owned && fence >= g.fence {
+			g.owned, g.fence = false, fence
+		}
+	})
+}
+
 // Import takes over the records of a planned move and covers the ranges of
 // the batch, except parts for which the State has seen the batch's fence or a
 // later one: such a batch is a duplicate or late, and requests may have run
