--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,168 @@
+package limit
+
+import (
+	"testing"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/matryer/is"
+)
+
+func started(acts []Action) (ids []uint64) {
+	for _, a := range acts {
+		if s, ok := a.(Start); ok {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// Guards against an order other than: interactive first, callers in turn, and
+// within a round the earliest deadline first.
+func TestOrder(t *testing.T) {
+	tests := []struct {
+		name  string
+		queue []Request
+		want  []uint64
+	}{
+		{"interactive before bulk", []Request{{ID: 1, Class: Bulk}, {ID: 2}}, []uint64{2, 1}},
+		{"callers in turn", []Request{{ID: 1, Caller: "a"}, {ID: 2, Caller: "a"}, {ID: 3, Caller: "b"}}, []uint64{1, 3, 2}},
+		{"earliest deadline in a round", []Request{
+			{ID: 1, Caller: "a", Deadline: 900}, {ID: 2, Caller: "b", Deadline: 300}, {ID: 3, Caller: "b", Deadline: 200},
+		}, []uint64{2, 1, 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Slots: 1})
+			s.Offer(0, Request{ID: 99})
+			for _, r := range tt.queue {
+				v, _ := s.Offer(0, r)
+				is.Equal(v.Decision, Queued)
+			}
+			last := uint64(99)
+			for _, want := range tt.want {
+				is.Equal(started(s.Done(1, last, Result{Took: 5})), []uint64{want})
+				last = want
+			}
+		})
+	}
+}
+
+// Guards against a caller with one request at a time that gets every other
+// turn although three callers wait.
+func TestReturningCallerWaitsForRound(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1})
+	s.Offer(0, Request{ID: 1, Caller: "z"})
+	for i, c := range []string{"a", "b", "c"} {
+		s.Offer(0, Request{ID: uint64(10 + i), Caller: c})
+		s.Offer(0, Request{ID: uint64(20 + i), Caller: c})
+	}
+	is.Equal(started(s.Done(1, 1, Result{})), []uint64{10})
+	s.Offer(1, Request{ID: 2, Caller: "z"})
+	is.Equal(started(s.Done(2, 10, Result{})), []uint64{11})
+	is.Equal(started(s.Done(2, 11, Result{})), []uint64{12})
+}
+
+// Guards against requests that wait in vain: one expected to miss its deadline
+// is refused at once, a queued one when its deadline passes.
+func TestDeadlines(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 2, Estimate: 20})
+	s.Offer(0, Request{ID: 1})
+	s.Offer(0, Request{ID: 2})
+	v, _ := s.Offer(0, Request{ID: 3, Deadline: 29}) // 20/2 wait + 20 service
+	is.Equal(v, Verdict{Refused, answer.DeadlineTooNear})
+	v, _ = s.Offer(0, Request{ID: 4, Deadline: 30})
+	is.Equal(v.Decision, Queued)
+	at, ok := s.Next(0)
+	is.True(ok)
+	is.Equal(at, clock.Time(30))
+	is.Equal(len(s.Expire(29)), 0)
+	is.Equal(s.Expire(30), []Action{Refuse{4, answer.DeadlinePassed}})
+	v, _ = s.Offer(30, Request{ID: 5, Deadline: 30})
+	is.Equal(v, Verdict{Refused, answer.DeadlinePassed})
+	for id := uint64(1); id <= 2; id++ { // shorter measurements lower the estimate
+		s.Done(30, id, Result{Took: 1})
+		s.Offer(30, Request{ID: 10 + id})
+	}
+	v, _ = s.Offer(30, Request{ID: 6, Deadline: 59})
+	is.Equal(v.Decision, Queued)
+}
+
+// Guards against a cold server that gets its full load at once, and against
+// waiting requests that don't use a slot that has grown.
+func TestRamp(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 6, Ramp: 1000})
+	s.Cold(0)
+	for id := uint64(1); id <= 6; id++ {
+		s.Offer(0, Request{ID: id})
+	}
+	is.Equal(s.Running(), 1)
+	at, _ := s.Next(0)
+	is.Equal(at, clock.Time(200))
+	is.Equal(started(s.Expire(199)), nil)
+	is.Equal(started(s.Expire(200)), []uint64{2})
+	is.Equal(len(started(s.Expire(1000))), 4)
+}
+
+// Guards against a server that sheds and gets the same load again, against
+// several shrinks for one overload, and against slots that never come back.
+func TestShed(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 6, Regrow: 100})
+	for id := uint64(1); id <= 6; id++ {
+		s.Offer(0, Request{ID: id})
+	}
+	s.Done(10, 1, Result{Shed: true})
+	s.Done(10, 2, Result{Shed: true}) // of the same overload
+	is.Equal(s.Slots(10), 4)
+	is.Equal(s.Slots(90), 5) // 4.2 + 80/100
+	is.Equal(s.Slots(190), 6)
+	v, _ := s.Offer(10, Request{ID: 7})
+	is.Equal(v.Decision, Queued)
+	at, _ := s.Next(10)
+	is.Equal(at, clock.Time(90))
+	is.Equal(started(s.Expire(at)), []uint64{7})
+}
+
+// Guards against a flood of one caller or of bulk requests that fills the
+// queue for all others, and against a displaced request that isn't told.
+func TestFullQueue(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1, QueuePerSlot: 3})
+	s.Offer(0, Request{ID: 1})
+	for id := uint64(2); id <= 4; id++ {
+		s.Offer(0, Request{ID: id, Class: Bulk, Caller: "a"})
+	}
+	v, _ := s.Offer(0, Request{ID: 5, Class: Bulk, Caller: "a"})
+	is.Equal(v, Verdict{Refused, answer.QueueFull})
+	v, acts := s.Offer(0, Request{ID: 6, Class: Bulk, Caller: "b"})
+	is.Equal(v.Decision, Queued)
+	is.Equal(acts, []Action{Refuse{4, answer.QueueFull}})
+	v, acts = s.Offer(0, Request{ID: 7, Caller: "a"})
+	is.Equal(v.Decision, Queued)
+	is.Equal(acts, []Action{Refuse{3, answer.QueueFull}})
+}
+
+// Guards against a cancelled request whose slot is given away while the server
+// still works on it, and against work for a server that is leaving.
+func TestCancelAndDrain(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1})
+	s.Offer(0, Request{ID: 1})
+	s.Offer(0, Request{ID: 2})
+	s.Offer(0, Request{ID: 3})
+	removed, _ := s.Cancel(0, 1)
+	is.True(!removed)
+	is.Equal(s.Running(), 1)
+	removed, _ = s.Cancel(0, 2)
+	is.True(removed)
+	is.Equal(s.Drain(answer.Stopping), []Action{Refuse{3, answer.Stopping}})
+	v, _ := s.Offer(0, Request{ID: 4})
+	is.Equal(v, Verdict{Refused, answer.Stopping})
+	is.Equal(started(s.Done(1, 1, Result{})), nil)
+	is.Equal(s.Running(), 0)
+}
--- a/internal/limit/slots.go
+++ b/internal/limit/slots.go
@@ -13,6 +13,9 @@
 	// weight of a new measurement in the moving mean: about the last 20
 	// requests count, so a change shows within a second at 2 slots and 10 ms.
 	weight = 0.1
+	// rounding in slots, because 6*0.7+0.8 is a little less than 5 in floating
+	// point. It is far below what a slot gains in 1 ms.
+	rounding = 1e-6
 )
 
 // Slots returns the effective concurrency limit: the configured one, reduced
@@ -25,7 +28,7 @@
 	if s.hasShed {
 		n = min(n, s.regrown(now))
 	}
-	return max(int(n), 1)
+	return max(int(n+rounding), 1)
 }
 
 func (s *State) ramped(now clock.Time) float64 {
@@ -113,7 +116,7 @@
 // grown returns the time after which a limit that starts at from and gains a
 // slot per span exceeds the whole slots of n by one.
 func grown(n, from, per float64) clock.Span {
-	return clock.Span(math.Ceil((math.Floor(n) + 1 - from) * per))
+	return clock.Span(math.Ceil((math.Floor(n+rounding) + 1 - rounding - from) * per))
 }
 
 // Waiting returns the number of queued requests.
