--- a/internal/dedup/dedup.go
+++ b/internal/dedup/dedup.go
@@ -209,11 +209,13 @@
 	return v
 }
 
+// repeat decides about an id that has a record. An id that is used with other
+// content is refused, except beside an "unknown" record: its run may have ended
+// as "not run" after it was exported, and the other content may have run since.
 func (s *State) repeat(r *record, hash keys.Hash, digest Digest) Verdict {
-	if r.Hash != hash || r.Digest != digest {
-		return s.verdict(Refused, answer.BadID)
-	}
 	switch {
+	case r.Status != Unsure && (r.Hash != hash || r.Digest != digest):
+		return s.verdict(Refused, answer.BadID)
 	case r.Status == Running:
 		r.attached++
 		v := s.verdict(Wait, answer.StillRunning)
--- /dev/null
+++ b/internal/dedup/dedup_test.go
@@ -0,0 +1,154 @@
+package dedup
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/matryer/is"
+)
+
+var one = keys.NewFence(1, 1)
+
+func covered(cfg Config) *State {
+	s := New(cfg)
+	s.SetFloor(keys.Full(), one, epoch)
+	return s
+}
+
+// Guards against wrong limits of an id's time, and against "not run" for an id
+// that may have run.
+func TestBeginLimits(t *testing.T) {
+	v4 := makeID(epoch+1, 1)
+	v4[6] = 0x40
+	tests := []struct {
+		name string
+		id   ID
+		wall Wall
+		want Decision
+		why  answer.Reason
+	}{
+		{"new", makeID(epoch+1, 1), epoch + 1, Run, answer.ReasonNone},
+		{"at the floor", makeID(epoch, 1), epoch + 1, Unknown, answer.EarlierAttempt},
+		{"at the floor and in the future", makeID(epoch, 1), epoch - 1000, Unknown, answer.EarlierAttempt},
+		{"250 ms ahead", makeID(epoch+251, 1), epoch + 1, Run, answer.ReasonNone},
+		{"251 ms ahead", makeID(epoch+252, 1), epoch + 1, Refused, answer.BadID},
+		{"9 min old", makeID(epoch+1, 1), epoch + 540_001, Run, answer.ReasonNone},
+		{"more than 9 min old", makeID(epoch+1, 1), epoch + 540_002, Unknown, answer.EarlierAttempt},
+		{"without a time", v4, epoch + 1, Refused, answer.BadID},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			v := covered(Config{}).Begin(0, tt.wall, tt.id, 1, 1)
+			is.Equal(v.Decision, tt.want)
+			is.Equal(v.Reason, tt.why)
+		})
+	}
+	is.New(t).Equal(New(Config{}).Begin(0, epoch, makeID(epoch, 1), 1, 1).Decision, Unknown) // nothing is covered
+}
+
+// Guards against a repeat that runs, that gets something other than the first
+// answer, or that is lost while the first request is in flight.
+func TestRepeat(t *testing.T) {
+	is := is.New(t)
+	s := covered(Config{MaxAnswer: 4})
+	id := makeID(epoch+1, 1)
+	begin := func(d Digest) Verdict { return s.Begin(0, epoch+1, id, 1, d) }
+	first := begin(1)
+	is.Equal(begin(1).Decision, Wait)
+	is.Equal(begin(2), Verdict{Decision: Refused, Reason: answer.BadID})
+	n, ok := s.Finish(0, first.Token, answer.NotRun, Answer{})
+	is.True(ok)
+	is.Equal(n, 1)
+	second := begin(1)
+	is.Equal(second.Decision, Run) // the id was freed
+	_, ok = s.Finish(0, first.Token, answer.NotRun, Answer{})
+	is.True(!ok) // late
+	is.Equal(begin(1).Decision, Wait)
+	s.Finish(0, second.Token, answer.Answered, Answer{Status: 201, Body: []byte("four")})
+	v := begin(1)
+	is.Equal(v.Decision, Replay)
+	is.Equal(v.Answer.Status, 201)
+
+	id = makeID(epoch+1, 2)
+	s.Finish(0, begin(1).Token, answer.Answered, Answer{Body: []byte("large")})
+	is.Equal(begin(1), Verdict{Decision: Unknown, Reason: answer.EarlierAttempt})
+}
+
+// Guards against memory without bound, and against an evicted or expired id
+// that runs again. Only the range of the evicted record may be affected.
+func TestEviction(t *testing.T) {
+	is := is.New(t)
+	s := covered(Config{MaxBytes: 3 * recordBytes})
+	halves := keys.Full().Divide(2)
+	is.True(s.SetFloor(halves[1], keys.NewFence(1, 2), epoch))
+	for n := range uint16(4) {
+		v := s.Begin(0, epoch+10, makeID(epoch+Wall(n)+5, n), halves[0].Lo(), 1)
+		s.Finish(0, v.Token, answer.Answered, Answer{})
+	}
+	is.Equal(s.Records(), 3)
+	is.Equal(s.Begin(0, epoch+10, makeID(epoch+5, 0), halves[0].Lo(), 1).Decision, Unknown)
+	is.Equal(s.Begin(0, epoch+10, makeID(epoch+5, 9), halves[1].Lo(), 1).Decision, Run)
+	at := clock.Time(DefaultKeep)
+	is.Equal(s.Begin(at, epoch+10, makeID(epoch+8, 3), halves[0].Lo(), 1).Decision, Unknown) // wall clock stands still
+	is.Equal(s.Counts().Expired, uint64(3))
+}
+
+// Guards against records or floors that are lost on the way, and against a
+// late batch that covers a range again with an old floor.
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	a, b := covered(Config{}), New(Config{})
+	id, open := makeID(epoch+1, 1), makeID(epoch+1, 2)
+	v := a.Begin(0, epoch+1, id, 1, 1)
+	a.Finish(0, v.Token, answer.Answered, Answer{Status: 200, Body: []byte("x")})
+	a.Begin(0, epoch+1, open, 1, 1)
+
+	raw, err := json.Marshal(a.Export(keys.Full(), one))
+	is.NoErr(err)
+	var batch Batch
+	is.NoErr(json.Unmarshal(raw, &batch))
+	is.True(b.Import(0, batch))
+	is.Equal(string(b.Begin(0, epoch+1, id, 1, 1).Answer.Body), "x")
+	is.Equal(b.Begin(0, epoch+1, open, 1, 1).Decision, Unknown)
+	is.Equal(b.Begin(0, epoch+1, makeID(epoch, 3), 1, 1).Decision, Unknown) // the floor came along
+	is.Equal(b.Begin(0, epoch+1, makeID(epoch+1, 3), 1, 1).Decision, Run)
+
+	b.Export(keys.Full(), keys.NewFence(1, 2))
+	is.True(!b.Import(0, batch))
+	is.True(!b.SetFloor(keys.Full(), one, epoch))
+	is.Equal(b.Begin(0, epoch+1, makeID(epoch+1, 4), 1, 1).Reason, answer.NotDispatcher)
+	is.True(a.SetFloor(keys.Full(), keys.NewFence(1, 3), epoch+500))
+	a.Uncover(keys.Full(), keys.NewFence(1, 3))
+	is.Equal(a.Begin(0, epoch+1, makeID(epoch+501, 5), 1, 1).Reason, answer.NotDispatcher)
+	is.Equal(len(a.Dump().Coverage), 0)
+}
+
+func BenchmarkBeginFinish(b *testing.B) {
+	s := covered(Config{MaxRecords: 1 << 14})
+	b.ReportAllocs()
+	for i := range b.N {
+		wall := epoch + 1 + Wall(i/8)
+		id := makeID(wall, uint16(i))
+		v := s.Begin(clock.Time(i/8), wall, id, keys.Hash(i), 1)
+		if v.Decision != Run {
+			b.Fatalf("%v", v)
+		}
+		s.Finish(clock.Time(i/8), v.Token, answer.Answered, Answer{Status: 200})
+	}
+}
+
+func BenchmarkReplay(b *testing.B) {
+	s := covered(Config{})
+	id := makeID(epoch+1, 1)
+	s.Finish(0, s.Begin(0, epoch+1, id, 1, 1).Token, answer.Answered, Answer{Status: 200})
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.Begin(0, epoch+1, id, 1, 1).Decision != Replay {
+			b.Fatal("not replayed")
+		}
+	}
+}
