--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -19,6 +19,10 @@
 	// waits to run alone. Longer than most requests in flight, and short
 	// enough for a server to recover if the suspect never comes.
 	DefaultReserve = 200 * clock.Millisecond
+	// pause in reservations after one that was not used. A long request in
+	// flight can outlast many of them; with this pause they take at most a
+	// fifth of the server's time.
+	pause = 4
 	// transit is deducted from an imported entry's time. Without it each
 	// transfer would add its delay, and two hosts could keep an entry alive by
 	// sending it back and forth.
@@ -129,10 +133,13 @@
 		return false
 	}
 	if !suspect {
+		if reserved { // it was cleared elsewhere
+			l.reservedTo = 0
+		}
 		return !q.alone(now, l)
 	}
 	if len(l.running) > 0 {
-		if !reserved {
+		if l.reservedTo == 0 || !now.Before(l.reservedTo.Add(pause*q.cfg.Reserve)) {
 			l.reserved, l.reservedTo = sig, now.Add(q.cfg.Reserve)
 		}
 		return false
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,200 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/matryer/is"
+)
+
+// Guards against a result that gets another outcome or reason than the table
+// of the design states.
+func TestOutcome(t *testing.T) {
+	tests := []struct {
+		r    Result
+		want answer.Outcome
+		why  answer.Reason
+	}{
+		{DialFailed{}, answer.NotRun, answer.Unreachable},
+		{ServerRefused{StaleFence}, answer.NotRun, answer.StaleFence},
+		{ServerRefused{Shed}, answer.NotRun, answer.Shed},
+		{ServerRefused{Draining}, answer.NotRun, answer.Draining},
+		{WrongDispatcher{}, answer.NotRun, answer.NotDispatcher},
+		{Lost{Sent: false}, answer.NotRun, answer.ServerLost},
+		{Lost{Sent: true}, answer.Unknown, answer.ServerLost},
+		{Truncated{}, answer.Unknown, answer.Truncated},
+		{Mismatched{}, answer.Unknown, answer.Mismatched},
+		{TimedOut{Sent: false}, answer.NotRun, answer.DeadlinePassed},
+		{TimedOut{Sent: true}, answer.Unknown, answer.DeadlinePassed},
+		{Complete{}, answer.Answered, answer.ReasonNone},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		o, why := Outcome(tt.r)
+		is.Equal(o, tt.want)
+		is.Equal(why, tt.why)
+	}
+}
+
+// Guards against delays that don't grow or don't repeat with the same seed,
+// and against redirects that wait or use the budget.
+func TestDelays(t *testing.T) {
+	is := is.New(t)
+	delays := func() (ds []clock.Span) {
+		s := New(Config{Burst: 9, Attempts: 8, Base: 8, Max: 50, Seed: 5, Redirects: 1})
+		c := s.Call(0, Op{}, 0)
+		for range 5 {
+			ds = append(ds, s.Decide(0, &c, DialFailed{}).After)
+		}
+		d := s.Decide(0, &c, WrongDispatcher{})
+		is.True(d.Retry)
+		is.Equal(d.After, clock.Span(0))
+		is.Equal(s.Dump().Tokens, 4.0)
+		return ds
+	}
+	ds := delays()
+	is.Equal(ds, delays())
+	for i, top := range []clock.Span{8, 16, 32, 50, 50} {
+		is.True(ds[i] >= top/2 && ds[i] <= top)
+	}
+}
+
+// Guards against hedges before the 95th percentile, of operations that may not
+// run twice, or on too few measurements.
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	s := New(Defaults(1))
+	for i := range clock.Span(100) {
+		c := s.Call(0, Op{Idempotent: true}, 0)
+		_, ok := s.HedgeAfter(&c)
+		is.Equal(ok, i >= enough)
+		s.Decide(0, &c, Complete{Took: i})
+	}
+	p := s.Dump().P95
+	is.True(p >= 94 && p <= 94*5/4)
+	c, once := s.Call(0, Op{Idempotent: true}, 0), s.Call(0, Op{}, 0)
+	is.True(!s.Hedge(clock.Time(p)-1, &c))
+	is.True(!s.Hedge(clock.Time(p), &once))
+	is.True(s.Hedge(clock.Time(p), &c))
+	is.True(!s.Hedge(clock.Time(p), &c)) // only one
+	is.True(s.Decide(200, &c, Truncated{}).Pending)
+	is.Equal(s.Decide(200, &c, Complete{Took: 200}).Outcome, answer.Answered)
+}
+
+// Guards against a histogram whose buckets overlap or leave a gap.
+func TestBuckets(t *testing.T) {
+	is := is.New(t)
+	for d := clock.Span(0); d < 10_000; d++ {
+		b := bucket(d)
+		is.True(d <= upper(b) && (b == 0 || d > upper(b-1)))
+	}
+}
+
+// Guards against suspects that run beside others, that never get their turn at
+// a busy server, or that remain suspects after they completed elsewhere.
+func TestSuspectRunsAlone(t *testing.T) {
+	is := is.New(t)
+	a, b, other := Signature{Op: "a"}, Signature{Op: "b"}, Signature{Op: "c"}
+	q := NewQuarantine(QuarantineConfig{})
+	q.Start(0, "s1", a)
+	q.Start(0, "s1", b)
+	is.Equal(q.Crashed(0, "s1"), nil)
+
+	busy := q.Start(0, "s2", other)
+	is.True(q.Start(1, "s2", a).Wait)
+	is.True(q.Start(2, "s2", other).Wait) // s2 is reserved for a
+	q.End(3, busy.Ticket, true)
+	alone := q.Start(4, "s2", a)
+	is.True(alone.Run)
+	is.True(q.Start(5, "s2", other).Wait)
+	is.True(q.Start(5, "s2", b).Wait)
+	q.End(6, alone.Ticket, true)
+	is.True(q.Start(7+clock.Time(DefaultReserve), "s2", a).Run)     // cleared
+	is.True(q.Start(7+clock.Time(DefaultReserve), "s2", other).Run) // beside it
+
+	again := q.Start(8, "s3", b)
+	is.True(again.Run)
+	is.Equal(q.Crashed(9, "s3"), []Signature{b})
+	is.Equal(q.Start(10, "s1", b).Reason, answer.Quarantined)
+	q.End(10, again.Ticket, true) // void
+	is.Equal(q.Start(11, "s1", b).Reason, answer.Quarantined)
+	after := clock.Time(9).Add(DefaultSpan)
+	is.True(q.Start(after, "s1", b).Run)
+	is.Equal(q.Crashed(after, "s1"), []Signature{b}) // one more crash suffices
+}
+
+// Guards against a suspect that keeps a server from all other requests while a
+// long request stays in flight there.
+func TestReservationLapses(t *testing.T) {
+	is := is.New(t)
+	sus, other := Signature{Op: "a"}, Signature{Op: "c"}
+	q := NewQuarantine(QuarantineConfig{Reserve: 100})
+	q.Start(0, "s1", sus)
+	q.Crashed(0, "s1")
+	q.Start(0, "s2", other) // long
+	admitted := 0
+	for now := clock.Time(1); now <= 1000; now++ {
+		is.True(q.Start(now, "s2", sus).Wait)
+		if v := q.Start(now, "s2", other); v.Run {
+			admitted++
+			q.End(now, v.Ticket, true)
+		}
+	}
+	is.Equal(admitted, 800)
+}
+
+// Guards against an entry that two hosts keep alive by exchanging it, a
+// clearance that is undone, and a table without bound.
+func TestShare(t *testing.T) {
+	is := is.New(t)
+	sig := Signature{Op: "a"}
+	x, y := NewQuarantine(QuarantineConfig{}), NewQuarantine(QuarantineConfig{Table: 2})
+	x.Start(0, "s", sig)
+	x.Crashed(0, "s")
+	for now := clock.Time(0); now < 2*clock.Time(DefaultSpan); now += 100 {
+		y.Import(now+100, x.Export(now)) // 100 ms on the way
+		x.Import(now+100, y.Export(now))
+	}
+	is.Equal(len(x.Export(2*clock.Time(DefaultSpan))), 0)
+
+	now := 2 * clock.Time(DefaultSpan)
+	x.Start(now, "s", sig)
+	x.Crashed(now, "s")
+	suspected := x.Export(now)
+	y.Import(now, suspected)
+	is.Equal(y.Export(now)[0].Crashes, 1)
+	y.End(now, y.Start(now, "s", sig).Ticket, true)
+	y.Import(now, suspected)
+	is.Equal(y.Export(now)[0].Crashes, 0)
+	x.Import(now, y.Export(now))
+	is.Equal(x.Export(now)[0].Crashes, 0)
+
+	y.Import(now, []Suspicion{{Signature: Signature{Op: "q"}, Crashes: 2, Quarantined: true, Left: DefaultSpan}})
+	for i := range 5 {
+		y.Import(now, []Suspicion{{Signature: Signature{Op: "b", Key: keys.Hash(i)}, Crashes: 1, Left: DefaultSpan}})
+	}
+	is.Equal(len(y.Export(now)), 2)
+	is.True(y.Export(now)[1].Quarantined) // suspects make room first
+}
+
+func BenchmarkDecide(b *testing.B) {
+	s := New(Defaults(1))
+	b.ReportAllocs()
+	for b.Loop() {
+		c := s.Call(0, Op{Idempotent: true}, 0)
+		s.Decide(0, &c, Complete{Took: 3})
+	}
+}
+
+func BenchmarkQuarantine(b *testing.B) {
+	q := NewQuarantine(QuarantineConfig{})
+	for i := range 5 {
+		q.Start(0, "s", Signature{Op: "book", Key: keys.Hash(i)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.End(0, q.Start(0, "s", Signature{Op: "book", Key: 9}).Ticket, true)
+	}
+}
