--- a/internal/limit/fuzz_test.go
+++ b/internal/limit/fuzz_test.go
@@ -116,6 +116,9 @@
 			}
 			o.started(a.ID)
 		case Refuse:
+			if a.Reason == answer.DeadlineTooNear && o.waiting(o.reqs[a.ID].Class) < 2 {
+				o.Fatalf("request %d was given up although no other waits for the slot", a.ID)
+			}
 			o.refused(o.reqs[a.ID], a.Reason)
 			o.dequeue(a.ID)
 			delete(o.reqs, a.ID)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -27,7 +27,8 @@
 //     request has the earliest deadline goes first. The requests of one caller
 //     and class start in the order in which they came.
 //   - A request that is expected to miss its deadline in the queue is refused
-//     at once; a queued request is refused when its deadline passes.
+//     at once; a queued request is refused when its deadline passes, or when its
+//     turn comes too late to meet it and another request waits for the slot.
 //   - A full queue makes room for an interactive request by refusing the
 //     newest bulk request, and for a caller with few requests by refusing the
 //     newest request of the caller that has the most.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -91,6 +91,19 @@
 	is.Equal(v.Decision, Queued)
 }
 
+// Guards against a slot that serves a request whose answer would come too late
+// while another waits, and against giving it up when no other does.
+func TestTurnTooLate(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1, Estimate: 20})
+	s.Offer(0, Request{ID: 1})
+	s.Offer(0, Request{ID: 2, Deadline: 50})
+	s.Offer(0, Request{ID: 3, Deadline: 70})
+	is.Equal(s.Done(31, 1, Result{Took: 20}), []Action{Refuse{2, answer.DeadlineTooNear}, Start{3}})
+	s.Offer(31, Request{ID: 4, Deadline: 71})
+	is.Equal(s.Done(60, 3, Result{Took: 20}), []Action{Start{4}})
+}
+
 // Guards against a cold server that gets its full load at once, and against
 // waiting requests that don't use a slot that has grown.
 func TestRamp(t *testing.T) {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -123,12 +123,18 @@
 }
 
 // take removes the request that has the next turn and ends its caller's turn.
-func (q *queue) take() *entry {
-	e := q.first()
+func (q *queue) take(e *entry) {
 	q.round = max(q.round, e.line.round)
 	e.line.round = q.round + 1
 	q.remove(e)
-	return e
+}
+
+// hopeless reports whether e is expected to end after its deadline while
+// others wait for the slot. Under overload most requests would otherwise start
+// just before their deadline, and their answers would come too late.
+func (s *State) hopeless(now clock.Time, e *entry) bool {
+	c := e.req.Class
+	return s.queues[c].size > 1 && now.Add(clock.Span(math.Round(s.mean[c]))).After(due(e))
 }
 
 // ahead counts the requests that start before a new one of the caller.
@@ -199,7 +205,12 @@
 	}
 	for c := range Class(classes) {
 		for s.queues[c].size > 0 && s.mayStart(now, c) {
-			e := s.queues[c].take()
+			e := s.queues[c].first()
+			if s.hopeless(now, e) {
+				s.drop(e, answer.DeadlineTooNear)
+				continue
+			}
+			s.queues[c].take(e)
 			s.start(now, e)
 			s.acts = append(s.acts, Start{ID: e.req.ID})
 		}
