--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -151,7 +151,7 @@
 	case Released:
 		s.released(now, ev)
 	case PeerBoot:
-		s.sighted(now, Voter{ev.Host, ev.Boot})
+		s.sighted(now, Voter(ev))
 	}
 	s.campaign(now)
 	s.probe(now)
--- a/internal/elect/holder.go
+++ b/internal/elect/holder.go
@@ -30,9 +30,10 @@
 // heldState is the role as it is held. Its role may be older than the known
 // one, until the voters of the known one support this host.
 type heldState struct {
-	ok   bool
-	term uint32
-	role Role
+	ok    bool
+	since clock.Time
+	term  uint32
+	role  Role
 }
 
 // sent is a request whose reply is awaited.
@@ -123,6 +124,7 @@
 	known := max(s.bid.known, s.voter.highest, s.held.term)
 	term := max(known+1, s.role.Epoch<<countBits)
 	if epochOf(term) != s.role.Epoch { // no count is left or the role is old
+		s.store.wantRead = s.store.wantRead || epochOf(known) > s.role.Epoch
 		s.bid.on = s.held.ok
 		return
 	}
@@ -149,8 +151,15 @@
 	if s.held.ok && s.held.term == s.bid.term || !s.supported(now, s.role, s.bid.term) {
 		return
 	}
+	if epochOf(s.bid.term) != s.role.Epoch {
+		return // the epochs keep terms of different voters apart
+	}
 	s.bid.fails = 0
-	s.held = heldState{ok: true, term: s.bid.term, role: *s.copyRole()}
+	since := s.held.since
+	if !s.held.ok {
+		since = now
+	}
+	s.held = heldState{ok: true, since: since, term: s.bid.term, role: s.role}
 	s.emit(Became{Term: s.bid.term})
 }
 
@@ -179,11 +188,11 @@
 		s.bid.support[v] = g
 		s.send(now, v, s.bid.term, g.version)
 	}
-	maps.DeleteFunc(s.asks, func(_ uint64, a sent) bool { return now.Sub(a.at) > silence })
 }
 
 // send asks v, with the role unless v is known to have it.
 func (s *State) send(now clock.Time, v Voter, term uint32, version uint64) {
+	maps.DeleteFunc(s.asks, func(_ uint64, a sent) bool { return now.Sub(a.at) > Promise })
 	s.nonce++
 	s.asks[s.nonce] = sent{to: v, term: term, at: now}
 	a := Ask{To: v.Host, ToBoot: v.Boot, Term: term, Nonce: s.nonce, Version: s.version}
@@ -200,7 +209,7 @@
 		s.adopt(now, *ev.Role, ev.Version)
 	}
 	a, ok := s.asks[ev.Nonce]
-	if !ok || a.to.Host != ev.From {
+	if !ok || a.to.Host != ev.From || ev.ToBoot != s.cfg.Boot {
 		return
 	}
 	delete(s.asks, ev.Nonce)
--- a/internal/elect/message.go
+++ b/internal/elect/message.go
@@ -62,6 +62,7 @@
 	Replied struct {
 		From     keys.Host
 		FromBoot uint64
+		ToBoot   uint64
 		Nonce    uint64
 		Granted  bool
 		Highest  uint32
@@ -108,9 +109,12 @@
 		Version uint64
 		Role    *Role
 	}
-	// Reply answers Asked. Role is set if the asker has an older version.
+	// Reply answers Asked. Role is set if the asker has an older version. ToBoot
+	// keeps a later run of the asker from counting it as the reply to its own
+	// request of the same nonce.
 	Reply struct {
 		To      keys.Host
+		ToBoot  uint64
 		Nonce   uint64
 		Term    uint32
 		Granted bool
--- a/internal/elect/role.go
+++ b/internal/elect/role.go
@@ -31,6 +31,10 @@
 		return
 	}
 	first, old := !s.found, s.role
+	candidate := s.bid.on && !s.held.ok && old.Epoch != r.Epoch
+	if candidate || s.bid.on && !slices.Contains(r.Voters, s.me) {
+		s.abandon(now)
+	}
 	s.role, s.version, s.found = r, version, true
 	s.store.absent = false
 	s.pruneEnded()
@@ -43,12 +47,7 @@
 	}
 	s.dead = false
 	s.repairAt = now.Add(s.delay())
-	switch {
-	case !slices.Contains(r.Voters, s.me) || s.bid.on && !s.held.ok:
-		if s.bid.on {
-			s.abandon(now)
-		}
-	case s.held.ok:
+	if s.held.ok {
 		s.setBid()
 	}
 	s.voter.standAt = max(s.voter.standAt, now.Add(s.delay()))
@@ -263,7 +262,9 @@
 		return slices.ContainsFunc(vs, func(v Voter) bool { return v.Host == l.Host })
 	})
 	for i, v := range vs {
-		if slices.Contains(live, v) && !s.ended[v] {
+		// What was heard before this host held the role may be incomplete.
+		silent := !slices.Contains(live, v) && now.Sub(s.held.since) >= silence
+		if !silent && !s.ended[v] {
 			continue
 		}
 		j := slices.IndexFunc(live, func(l Voter) bool { return l.Host == v.Host && s.ended[v] })
--- a/internal/elect/voter.go
+++ b/internal/elect/voter.go
@@ -52,7 +52,10 @@
 		s.bid.fails = 0
 		s.promise(now, from, ev.Term, ev.Nonce)
 	}
-	r := Reply{To: ev.From, Nonce: ev.Nonce, Term: ev.Term, Granted: ok, Highest: s.voter.highest, Version: s.version}
+	r := Reply{
+		To: ev.From, ToBoot: ev.FromBoot, Nonce: ev.Nonce, Term: ev.Term,
+		Granted: ok, Highest: s.voter.highest, Version: s.version,
+	}
 	if s.found && ev.Version < s.version {
 		r.Role = s.copyRole()
 	}
