--- a/internal/elect/sim_test.go
+++ b/internal/elect/sim_test.go
@@ -237,7 +237,7 @@
 		case ReadRole:
 			w.shop(n, func() Event {
 				return RoleRead{a.Op, w.stored, w.version, w.version > 0}
-			}, RoleFailed{a.Op})
+			}, RoleFailed(a))
 		case WriteRole:
 			w.shop(n, func() Event { return w.write(a) }, RoleUnsure{a.Op})
 		}
