elect: fuzz holders and voter changes more densely

Change: actions strike the holder's links in sequence, split the hosts with a bridge, let a voter age; clock rates are extreme; links can be slow one way.

--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -37,49 +37,96 @@
 func TestFuzz(t *testing.T) {
 	steps, terms, runs := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 7).Draw(t, "hosts"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5, 2, 3, 4, 5, 7}).Draw(t, "hosts"))
 		host := rapid.IntRange(0, len(w.nodes)-1)
 		pick := func() *node { return w.nodes[host.Draw(t, "host")] }
-		pass := func() { w.advance(micros(rapid.IntRange(1, 150).Draw(t, "ms")) * ms) }
-		w.advance(micros(rapid.IntRange(0, 1500).Draw(t, "quiet")) * ms)
-		t.Repeat(map[string]func(*rapid.T){
-			"pass": func(*rapid.T) { pass() },
-			"rest": func(*rapid.T) { w.advance(micros(rapid.IntRange(300, 4000).Draw(t, "ms")) * ms) },
-			"cut": func(*rapid.T) {
-				w.cut[[2]int{host.Draw(t, "from"), host.Draw(t, "to")}] = true
-				pass()
-			},
-			"isolate": func(*rapid.T) {
-				i := host.Draw(t, "host")
+		wait := func(lo, hi int) { w.advance(micros(rapid.IntRange(lo, hi).Draw(t, "ms")) * ms) }
+		chance := func(s string) bool { return rapid.Bool().Draw(t, s) }
+		holder := func() int { return max(w.holding(), 0) }
+		split := func() { // some hosts stay connected to both sides
+			side := rapid.IntRange(0, 1<<len(w.nodes)-1).Draw(t, "side")
+			both := rapid.SampledFrom([]int{-1, -1, 0, 1, 2}).Draw(t, "both")
+			for i := range w.nodes {
 				for j := range w.nodes {
-					w.cut[[2]int{i, j}], w.cut[[2]int{j, i}] = true, true
+					if side>>i&1 != side>>j&1 && i != both && j != both {
+						w.cut[[2]int{i, j}] = true
+					}
 				}
-				pass()
-			},
-			"heal":  func(*rapid.T) { w.heal(); pass() },
-			"links": func(*rapid.T) { clear(w.cut); pass() },
-			"pause": func(*rapid.T) { pick().paused = true; pass() },
-			"pauseHolder": func(*rapid.T) {
-				if i := w.holding(); i >= 0 {
-					w.nodes[i].paused = true
+			}
+		}
+		for _, n := range w.nodes {
+			n.down = rapid.IntRange(0, 3).Draw(t, "late") == 0
+		}
+		wait(0, 1500)
+		for _, n := range w.nodes {
+			if n.down {
+				w.start(n)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":  func(*rapid.T) { wait(1, 150) },
+			"rest":  func(*rapid.T) { wait(300, 3500) },
+			"split": func(*rapid.T) { split(); wait(1, 800) },
+			"links": func(*rapid.T) { clear(w.cut); clear(w.slow); wait(1, 400) },
+			"heal":  func(*rapid.T) { w.heal(); wait(1, 1500) },
+			// A holder that stops hearing or being heard, one host after the
+			// other, and is paused with replies in its queue.
+			"strike": func(*rapid.T) {
+				h := holder()
+				for range rapid.IntRange(1, 6).Draw(t, "blows") {
+					i := host.Draw(t, "to")
+					switch rapid.IntRange(0, 6).Draw(t, "blow") {
+					case 0, 1:
+						w.cut[[2]int{h, i}] = true
+					case 2:
+						w.cut[[2]int{i, h}] = true
+					case 3:
+						w.slow[[2]int{i, h}] = micros(rapid.IntRange(20, 250).Draw(t, "slow")) * ms
+					case 4:
+						w.nodes[h].paused = true
+					case 5:
+						for j := range w.nodes {
+							w.cut[[2]int{h, j}] = true
+						}
+					case 6:
+						w.resume(w.nodes[h])
+					}
+					wait(0, 150)
 				}
-				pass()
+				wait(0, 400)
+				w.resume(w.nodes[h])
+			},
+			// A voter that only the holder can't hear is replaced; then the old
+			// and the new voters are kept apart.
+			"age": func(*rapid.T) {
+				h, i := holder(), host.Draw(t, "silent")
+				clear(w.cut)
+				w.cut[[2]int{h, i}], w.cut[[2]int{i, h}] = true, true
+				wait(2900, 3300)
+				split()
+				wait(1, 1000)
 			},
-			"resume": func(*rapid.T) {
-				if n := pick(); n.paused {
-					w.resume(n)
+			"pause":  func(*rapid.T) { pick().paused = true; wait(1, 150) },
+			"resume": func(*rapid.T) { w.resume(pick()); wait(1, 150) },
+			"restart": func(*rapid.T) {
+				n := pick()
+				if n.down = chance("later"); n.down {
+					wait(1, 1000)
 				}
-				pass()
+				if chance("again") {
+					w.start(n)
+				}
+				wait(1, 400)
 			},
-			"restart": func(*rapid.T) { w.start(pick()); pass() },
-			"lose":    func(*rapid.T) { pick().down = true; pass() },
 			"network": func(*rapid.T) {
-				w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
-				w.delay = micros(rapid.SampledFrom([]int{2, 30, 200}).Draw(t, "delay")) * ms
-				pass()
+				w.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss")
+				w.delay = micros(rapid.SampledFrom([]int{0, 2, 2, 30, 200}).Draw(t, "delay")) * ms
+			},
+			"store": func(*rapid.T) {
+				w.mode = storeMode(max(0, rapid.IntRange(-2, int(storeModes)-1).Draw(t, "mode")))
+				wait(1, 150)
 			},
-			"store":     func(*rapid.T) { w.mode = storeMode(rapid.IntRange(0, int(storeModes)-1).Draw(t, "mode")); pass() },
-			"storeLink": func(*rapid.T) { n := pick(); n.noShop = !n.noShop; pass() },
+			"storeLink": func(*rapid.T) { n := pick(); n.noShop = !n.noShop; wait(1, 150) },
 			"": func(t *rapid.T) {
 				if w.fault != "" {
 					t.Fatal(w.fault)
--- a/internal/elect/sim_test.go
+++ b/internal/elect/sim_test.go
@@ -70,6 +70,7 @@
 	todo   agenda
 	nodes  []*node
 	cut    map[[2]int]bool
+	slow   map[[2]int]micros // added delay of a link
 	loss   float64
 	delay  micros // greatest message delay
 	boots  uint64
@@ -84,10 +85,10 @@
 
 func newWorld(seed uint64, hosts int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, holder: map[uint32]Voter{}, delay: 2 * ms,
+		rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, slow: map[[2]int]micros{}, holder: map[uint32]Voter{}, delay: 2 * ms,
 	}
 	for i := range hosts {
-		n := &node{name: keys.Host(fmt.Sprintf("h%d", i)), ppm: w.rng.Int64N(1001) - 500, offset: w.rng.Int64N(1 << 20)}
+		n := &node{name: keys.Host(fmt.Sprintf("h%d", i)), ppm: 500 * (w.rng.Int64N(3) - 1), offset: w.rng.Int64N(1 << 20)}
 		w.nodes = append(w.nodes, n)
 	}
 	for i, n := range w.nodes {
@@ -212,7 +213,7 @@
 		if w.rng.Float64() < w.loss {
 			continue
 		}
-		d := ms/2 + micros(w.rng.Int64N(int64(w.delay)))
+		d := w.slow[[2]int{i, j}] + micros(w.rng.Int64N(int64(max(w.delay, ms/50))))
 		if w.loss > 0 && w.rng.IntN(20) == 0 {
 			d += micros(w.rng.Int64N(int64(700 * ms))) // older than a promise
 		}
@@ -282,6 +283,7 @@
 // heal ends all faults but lost hosts.
 func (w *world) heal() {
 	clear(w.cut)
+	clear(w.slow)
 	w.loss, w.delay, w.mode = 0, 2*ms, storeUp
 	for _, n := range w.nodes {
 		n.noShop = false
