elect: add table tests of each rule and a test of the margin

Cause: the fuzz rarely meets an overlap of under one millisecond. Change: tests of voter, holder, role, first role, release and collision; TestMargin searches the overlap that the margin prevents.

--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -189,3 +189,34 @@
 		})
 	}
 }
+
+// Guards against a holder that counts a promise for as long as the voter does:
+// its clock may be slower, and both round to milliseconds.
+func TestMargin(t *testing.T) {
+	is := is.New(t)
+	successions := 0
+	for seed := range 300 {
+		w := newWorld(uint64(seed), 3)
+		w.advance(700 * ms)
+		h := w.holding()
+		is.True(h >= 0)
+		for i, n := range w.nodes { // the clocks go on from their readings
+			ppm := int64(500)
+			if i == h {
+				ppm = -500
+			}
+			n.offset += int64(w.now) * (n.ppm - ppm) / 1_000_000
+			n.ppm = ppm
+		}
+		w.delay = 0
+		w.cut[[2]int{h, (h + 1) % 3}] = true
+		w.advance(micros(150+seed%100) * ms)
+		w.cut[[2]int{h, (h + 2) % 3}] = true
+		w.advance(600 * ms)
+		is.Equal(w.fault, "")
+		if i := w.holding(); i >= 0 && i != h {
+			successions++
+		}
+	}
+	is.True(successions > 250) // the overlap was looked for
+}
--- /dev/null
+++ b/internal/elect/rules_test.go
@@ -0,0 +1,289 @@
+package elect
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+var group = []keys.Host{"a", "b", "c", "d", "e"}
+
+// one returns the action of type T, of which there must be at most one.
+func one[T Action](t *testing.T, as []Action) (found T, ok bool) {
+	t.Helper()
+	for _, a := range as {
+		if a, is := a.(T); is {
+			if ok {
+				t.Fatalf("two actions %T", a)
+			}
+			found, ok = a, true
+		}
+	}
+	return found, ok
+}
+
+// known returns host a, boot 1, with a role read at time 0.
+func known(t *testing.T, r Role) *State {
+	s := New(Config{Self: "a", Boot: 1, Group: group})
+	read, ok := one[ReadRole](t, s.Step(0, Tick{}))
+	if !ok {
+		t.Fatal("a host doesn't read the role when it starts")
+	}
+	s.Step(0, RoleRead{Op: read.Op, Role: r, Version: 7, Found: true})
+	return s
+}
+
+func voters(hosts ...keys.Host) (vs []Voter) {
+	for _, h := range hosts {
+		vs = append(vs, Voter{h, 1})
+	}
+	return vs
+}
+
+// answer lets the given voters grant every request until time end, and returns
+// the other actions.
+func answer(s *State, from, end clock.Time, granting ...Voter) (rest []Action) {
+	for now := from; now <= end; now += 10 {
+		rest = append(rest, answerAt(s, now, Tick{}, granting)...)
+	}
+	return rest
+}
+
+func answerAt(s *State, now clock.Time, ev Event, granting []Voter) (rest []Action) {
+	for todo := s.Step(now, ev); len(todo) > 0; todo = todo[1:] {
+		ask, ok := todo[0].(Ask)
+		if !ok {
+			rest = append(rest, todo[0])
+		}
+		for _, v := range granting {
+			if ok && v.Host == ask.To {
+				granted := v.Boot == ask.ToBoot && ask.Term > 0
+				todo = append(todo, s.Step(now, Replied{
+					From: v.Host, FromBoot: v.Boot, ToBoot: 1, Nonce: ask.Nonce, Granted: granted, Version: ask.Version,
+				})...)
+			}
+		}
+	}
+	return rest
+}
+
+// Guards against a voter that supports two hosts at once, supports two under
+// one term, goes back to a lower term, or answers for its former run.
+func TestVoter(t *testing.T) {
+	tests := []struct {
+		name string
+		at   clock.Time
+		ev   Event
+		want bool
+	}{
+		{"first request", 0, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: 10, Nonce: 4}, true},
+		{"another host during the promise", 299, Asked{From: "c", FromBoot: 1, ToBoot: 1, Term: 11, Nonce: 1}, false},
+		{"renewal", 100, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: 10, Nonce: 5}, true},
+		{"lower term", 100, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: 9, Nonce: 6}, false},
+		{"restarted holder during the promise", 100, Asked{From: "b", FromBoot: 2, ToBoot: 1, Term: 11, Nonce: 1}, false},
+		{"same term for another host afterwards", 300, Asked{From: "c", FromBoot: 1, ToBoot: 1, Term: 10, Nonce: 1}, false},
+		{"same term for a restarted holder", 300, Asked{From: "b", FromBoot: 2, ToBoot: 1, Term: 10, Nonce: 1}, false},
+		{"higher term afterwards", 300, Asked{From: "c", FromBoot: 1, ToBoot: 1, Term: 11, Nonce: 1}, true},
+		{"request to an earlier run", 0, Asked{From: "b", FromBoot: 1, ToBoot: 9, Term: 11, Nonce: 6}, false},
+		{"probe", 0, Asked{From: "b", FromBoot: 1, ToBoot: 1, Nonce: 6}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Self: "a", Boot: 1, Group: group})
+			s.Step(0, tests[0].ev)
+			r, ok := one[Reply](t, s.Step(tt.at, tt.ev))
+			is.True(ok)
+			is.Equal(r.Granted, tt.want)
+			is.Equal(r.Highest, max(10, map[bool]uint32{true: r.Term}[tt.want]))
+		})
+	}
+}
+
+// Guards against a late Release that ends a promise which was renewed after it.
+func TestRelease(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		nonce uint64
+		want  bool
+	}{{"late", 4, false}, {"current", 5, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(Config{Self: "a", Boot: 1, Group: group})
+			s.Step(0, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: 10, Nonce: 5})
+			s.Step(0, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: 10, Nonce: 3})
+			s.Step(10, Released{From: "b", FromBoot: 1, Nonce: tt.nonce})
+			r, _ := one[Reply](t, s.Step(20, Asked{From: "c", FromBoot: 1, ToBoot: 1, Term: 11, Nonce: 1}))
+			is.New(t).Equal(r.Granted, tt.want)
+		})
+	}
+}
+
+// Guards against a role held with too few promises, beyond their time, or with
+// a reply to an earlier run of the holder.
+func TestHolder(t *testing.T) {
+	abc := Role{Epoch: 2, Holder: "a", Voters: voters("a", "b", "c")}
+	joint := Role{Epoch: 2, Holder: "a", Voters: voters("a", "b", "d"), Previous: voters("a", "c", "e")}
+	tests := []struct {
+		name     string
+		role     Role
+		granting []Voter
+		want     bool
+	}{
+		{"majority", abc, voters("b"), true},
+		{"alone", abc, nil, false},
+		{"restarted voter", abc, []Voter{{"b", 2}, {"c", 2}}, false},
+		{"majority of the new voters only", joint, voters("b", "d"), false},
+		{"majority of the previous voters only", joint, voters("c", "e"), false},
+		{"majorities of both", joint, voters("b", "e"), true},
+		{"not a voter", Role{Epoch: 2, Voters: voters("b", "c", "d")}, voters("b", "c", "d"), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := known(t, tt.role)
+			answer(s, 0, 200, tt.granting...)
+			term, ok := s.Holding(200)
+			is.Equal(ok, tt.want)
+			if ok {
+				is.Equal(term, uint32(2<<countBits))
+			}
+		})
+	}
+	t.Run("time", func(t *testing.T) {
+		is := is.New(t)
+		s := known(t, abc)
+		var ask Ask
+		now := clock.Time(0)
+		for ; ask.Nonce == 0; now++ {
+			for _, a := range s.Step(now, Tick{}) {
+				if a, ok := a.(Ask); ok && a.To == "b" {
+					ask = a
+				}
+			}
+		}
+		sent := now - 1
+		reply := Replied{From: "b", FromBoot: 1, ToBoot: 9, Nonce: ask.Nonce, Granted: true}
+		s.Step(sent+50, reply)
+		_, ok := s.Holding(sent + 50)
+		is.True(!ok) // the reply was for another run
+		reply.ToBoot = 1
+		_, ok = one[Became](t, s.Step(sent+50, reply))
+		is.True(ok)
+		_, ok = s.Holding(sent + 289)
+		is.True(ok)
+		_, ok = s.Holding(sent + 290) // counted from the request, less the margin
+		is.True(!ok)
+		_, ok = one[Lost](t, s.Step(sent+300, reply)) // a late duplicate
+		is.True(ok)
+		_, ok = s.Holding(sent + 300)
+		is.True(!ok)
+	})
+}
+
+// Guards against voters that are changed without a majority of the old ones,
+// and against a cell that stays without electable voters.
+func TestRole(t *testing.T) {
+	abc := voters("a", "b", "c")
+	tests := []struct {
+		name     string
+		role     Role
+		granting []Voter
+		end      clock.Time
+		want     []Role // written, each with a conflict as its answer
+	}{
+		{"restarted voter", Role{2, "a", abc, nil}, []Voter{{"b", 1}, {"c", 2}}, 400,
+			[]Role{{3, "a", []Voter{{"a", 1}, {"b", 1}, {"c", 2}}, abc}}},
+		{"silent voter without a spare", Role{2, "a", abc, nil}, voters("b"), 4000, nil},
+		{"silent voter", Role{2, "a", abc, nil}, voters("b", "d"), 3200,
+			[]Role{{3, "a", voters("a", "b", "d"), abc}}},
+		{"more hosts", Role{2, "a", abc, nil}, voters("b", "c", "d", "e"), 200,
+			[]Role{{3, "a", voters("a", "b", "c", "d", "e"), abc}}},
+		{"fenced previous voters", Role{2, "a", voters("a", "b", "d"), abc}, voters("b", "c", "d"), 200,
+			[]Role{{2, "a", voters("a", "b", "d"), nil}}},
+		{"previous voters that are not fenced", Role{2, "a", voters("a", "b", "d"), abc}, voters("d"), 200, nil},
+		{"another holder recorded", Role{2, "b", abc, nil}, voters("b", "c"), 200, []Role{{2, "a", abc, nil}}},
+		{"majority restarted, before promise and margin", Role{2, "b", abc, nil}, []Voter{{"b", 2}, {"c", 2}}, 300, nil},
+		{"majority restarted", Role{2, "b", abc, nil}, []Voter{{"b", 2}, {"c", 2}}, 600,
+			[]Role{{3, "b", []Voter{{"a", 1}, {"b", 2}, {"c", 2}}, nil}}},
+		{"new voters restarted, previous ones not", Role{2, "b", voters("a", "d", "e"), abc},
+			[]Voter{{"b", 1}, {"c", 1}, {"d", 2}, {"e", 2}}, 600,
+			[]Role{{3, "b", []Voter{{"a", 1}, {"b", 1}, {"c", 1}, {"d", 2}, {"e", 2}}, abc}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := known(t, tt.role)
+			for now := clock.Time(0); now <= tt.end; now += 10 {
+				as := answerAt(s, now, Tick{}, tt.granting)
+				for _, v := range tt.granting {
+					as = append(as, answerAt(s, now, PeerBoot(v), tt.granting)...)
+				}
+				for _, a := range as {
+					if w, ok := a.(WriteRole); ok {
+						is.True(len(tt.want) > 0) // no write is due
+						is.Equal(w.Role, tt.want[0])
+						is.Equal(w.IfVersion, uint64(7))
+						return
+					}
+				}
+			}
+			is.Equal(len(tt.want), 0) // a write is due
+		})
+	}
+}
+
+// Guards against naming voters without a majority of the group, which two
+// halves of it could do, and against using a role that may not be stored.
+func TestFirstRole(t *testing.T) {
+	tests := []struct {
+		name  string
+		heard []keys.Host
+		want  int
+	}{{"two of five", group[1:2], 0}, {"three of five", group[1:3], 3}, {"all", group[1:], 5}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Self: "a", Boot: 1, Group: group})
+			read, _ := one[ReadRole](t, s.Step(0, Tick{}))
+			s.Step(0, RoleRead{Op: read.Op})
+			for _, h := range tt.heard {
+				s.Step(0, PeerBoot{h, 1})
+			}
+			w, ok := one[WriteRole](t, s.Step(80, Tick{}))
+			is.Equal(len(w.Role.Voters), tt.want)
+			is.Equal(ok, tt.want > 0)
+			if !ok {
+				return
+			}
+			s.Step(80, RoleUnsure{w.Op})
+			is.True(!s.Dump().Found)
+			s.Step(90, RoleWritten{w.Op, 1}) // too late, the role will be read
+			is.True(!s.Dump().Found)
+			as := answer(s, 100, 600)
+			_, wrote := one[WriteRole](t, as)
+			is.True(!wrote)
+			read, _ = one[ReadRole](t, as[:1])
+			s.Step(600, RoleRead{Op: read.Op, Role: w.Role, Version: 1, Found: true})
+			is.True(s.Dump().Found) // also after the time limit of the read
+		})
+	}
+}
+
+// Guards against two candidates that bind voters to themselves and wait for
+// the promises to end: the one with the lower name gives way.
+func TestCollision(t *testing.T) {
+	is := is.New(t)
+	s := known(t, Role{Epoch: 2, Voters: voters("a", "b", "c")})
+	answer(s, 0, 100)
+	term := s.Dump().BidTerm
+	is.True(s.Dump().Bidding)
+	as := s.Step(105, Asked{From: "b", FromBoot: 1, ToBoot: 1, Term: term, Nonce: 1})
+	r, _ := one[Reply](t, as)
+	is.True(r.Granted)
+	_, ok := as[0].(Release) // of the other voters
+	is.True(ok)
+	is.True(!s.Dump().Bidding)
+}
