--- a/internal/elect/holder.go
+++ b/internal/elect/holder.go
@@ -45,6 +45,9 @@
 
 // electorate lists the voters of the known and of the held role once.
 func (s *State) electorate() []Voter {
+	if len(s.role.Previous) == 0 && (!s.held.ok || s.held.role.Epoch == s.role.Epoch) {
+		return s.role.Voters
+	}
 	var vs []Voter
 	for _, set := range [][]Voter{s.role.Voters, s.role.Previous, s.held.role.Voters, s.held.role.Previous} {
 		for _, v := range set {
