elect: choose a seed of the normal run that finds the checked mutations

Cause: seed 1 with 20 checks misses two of the three checked mutations. Conclusion: the three mutations fail in the normal run.

--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -11,7 +11,9 @@
 
 var long = flag.Bool("elect.long", false, "fuzz for longer; set -rapid.seed and -rapid.checks to vary it")
 
-// TestMain fixes the seed, so that every normal run has the same verdict.
+// TestMain fixes the seed, so that every normal run has the same verdict. With
+// seed 29, 20 checks find a reply counted from its arrival, a voter that ignores
+// its promise and a holder that ignores Previous.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	set := map[string]bool{}
@@ -21,7 +23,7 @@
 		checks = "3000"
 	}
 	for name, v := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": checks, "rapid.steps": "60", "rapid.nofailfile": "true",
+		"rapid.seed": "29", "rapid.checks": checks, "rapid.steps": "60", "rapid.nofailfile": "true",
 	} {
 		if !set[name] {
 			if err := flag.Set(name, v); err != nil {
