elect: test late boot ids and terms of another epoch

Cause: two mutations survived: a PeerBoot taken as proof of a restart, and a term won with the voters of another epoch. Change: a table test for each.

--- a/internal/elect/rules_test.go
+++ b/internal/elect/rules_test.go
@@ -287,3 +287,38 @@
 	is.True(ok)
 	is.True(!s.Dump().Bidding)
 }
+
+// Guards against late messages of an earlier run that pass for a restart.
+func TestLatePeerBoot(t *testing.T) {
+	is := is.New(t)
+	s := known(t, Role{Epoch: 2, Voters: voters("a", "b", "c")})
+	as := append(s.Step(0, PeerBoot{"b", 9}), s.Step(0, PeerBoot{"c", 9})...)
+	probe, ok := as[0].(Ask)
+	is.True(ok && probe.Term == 0 && probe.ToBoot == 1) // asks instead of believing it
+	for now := clock.Time(10); now < 1000; now += 10 {
+		_, wrote := one[WriteRole](t, s.Step(now, Tick{}))
+		is.True(!wrote)
+	}
+}
+
+// Guards against a term of one epoch that is held with the voters of another.
+func TestEpoch(t *testing.T) {
+	is := is.New(t)
+	s := known(t, Role{Epoch: 2, Holder: "a", Voters: voters("a", "b", "c")})
+	answer(s, 0, 100, voters("b", "c")...)
+	refuse := func(highest uint32) {
+		for _, a := range s.Step(s.bid.support[Voter{"b", 1}].asked.Add(Renewal), Tick{}) {
+			if a, ok := a.(Ask); ok && a.To == "b" {
+				s.Step(200, Replied{From: "b", FromBoot: 1, ToBoot: 1, Nonce: a.Nonce, Highest: highest})
+			}
+		}
+	}
+	refuse(2<<countBits | 5)
+	refuse(4 << countBits) // of a role that this host does not know
+	s.Step(200, RoleRead{Role: Role{Epoch: 3, Voters: voters("a", "b", "d")}, Version: 8, Found: true})
+	is.Equal(s.Dump().BidTerm, uint32(2<<countBits|6))
+	for _, a := range answer(s, 210, 400, voters("b", "c", "d")...) {
+		_, ok := a.(Became)
+		is.True(!ok)
+	}
+}
