--- /dev/null
+++ b/internal/hold/load.go
@@ -0,0 +1,92 @@
+package hold
+
+import (
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/grant"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// loadWindow is the time over which request rates are measured.
+	loadWindow = clock.Second
+	// hotSlots is the number of candidates for the hottest hash. Every hash
+	// with more than 1/(hotSlots+1) of the requests keeps a slot.
+	hotSlots = 8
+)
+
+// meter counts requests of one range with the Misra-Gries summary, which finds
+// frequent hashes in constant space.
+type meter struct {
+	n      int
+	hashes [hotSlots]keys.Hash
+	counts [hotSlots]int
+
+	rate, hotRate float64
+	hot           keys.Hash
+}
+
+func (m *meter) count(h keys.Hash) {
+	m.n++
+	free := -1
+	for i, c := range m.counts {
+		if c > 0 && m.hashes[i] == h {
+			m.counts[i]++
+			return
+		}
+		if c == 0 {
+			free = i
+		}
+	}
+	if free >= 0 {
+		m.hashes[free], m.counts[free] = h, 1
+		return
+	}
+	for i := range m.counts {
+		m.counts[i]--
+	}
+}
+
+// roll ends the window that lasted for d.
+func (m *meter) roll(d clock.Span) {
+	perSecond := float64(clock.Second) / float64(max(d, 1))
+	m.rate, m.hot, m.hotRate = float64(m.n)*perSecond, 0, 0
+	for i, c := range m.counts {
+		if r := float64(c) * perSecond; r > m.hotRate {
+			m.hot, m.hotRate = m.hashes[i], r
+		}
+	}
+	m.n, m.counts = 0, [hotSlots]int{}
+}
+
+func (m *meter) load(r keys.Range) grant.Load {
+	return grant.Load{Range: r, Rate: m.rate, Hot: m.hot, HotRate: m.hotRate}
+}
+
+// slice estimates the rates of a part of the range until the next window.
+func (m *meter) slice(whole, part keys.Range) meter {
+	c := meter{rate: (m.rate - m.hotRate) * part.Width() / whole.Width()}
+	if part.Contains(m.hot) {
+		c.rate, c.hot, c.hotRate = c.rate+m.hotRate, m.hot, m.hotRate
+	}
+	return c
+}
+
+// add includes a neighbour's rates; its counts of single hashes are dropped.
+func (m *meter) add(o meter) {
+	m.n, m.rate = m.n+o.n, m.rate+o.rate
+	if o.hotRate > m.hotRate {
+		m.hot, m.hotRate = o.hot, o.hotRate
+	}
+}
+
+// roll ends the window of all records of the server when it is over.
+func (sv *server) roll(now clock.Time) {
+	d := now.Sub(sv.window)
+	if d < loadWindow {
+		return
+	}
+	for _, rec := range sv.records {
+		rec.meter.roll(d)
+	}
+	sv.window = now
+}
