--- /dev/null
+++ b/cmd/laburnummux/client.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/laburnummux/laburnummux/internal/entry"
+)
+
+const (
+	usageStatus = `Show what an entry host knows: the configuration revision in force, each cell
+with its assigner, and each backend server with its dispatcher.
+
+  laburnummux status --operators 127.0.0.1:7104
+  laburnummux status --operators 127.0.0.1:7104 --json`
+
+	usageOwner = `Show which backend server owns a key, through which entry host it is reached,
+and under which fencing token. The exit status is 1 if the key has no owner.
+
+  laburnummux owner --operators 127.0.0.1:7104 ledger tin-42`
+
+	usageDump = `Print the state of an entry host's process as JSON.
+
+  laburnummux dump --operators 127.0.0.1:7104`
+
+	clientTimeout = 5 * time.Second
+	maxDump       = 64 << 20 // bytes
+)
+
+func operatorsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "operators", Usage: "operators' `ADDRESS` of an entry host", Value: "127.0.0.1:7104",
+		Sources: cli.EnvVars("LABURNUMMUX_OPERATORS"),
+	}
+}
+
+func jsonFlag() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "print JSON"} }
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show what an entry host knows", Description: usageStatus,
+		Flags: []cli.Flag{operatorsFlag(), jsonFlag()}, Action: runStatus,
+	}
+}
+
+func ownerCommand() *cli.Command {
+	return &cli.Command{
+		Name: "owner", Usage: "show who owns a key", Description: usageOwner, ArgsUsage: "SERVICE KEY",
+		Flags: []cli.Flag{operatorsFlag(), jsonFlag()}, Action: runOwner,
+	}
+}
+
+func dumpCommand() *cli.Command {
+	return &cli.Command{
+		Name: "dump", Usage: "print the state of an entry host", Description: usageDump,
+		Flags: []cli.Flag{operatorsFlag()}, Action: runDump,
+	}
+}
+
+// get reads an answer of the operators' listener.
+func get(ctx context.Context, cmd *cli.Command, path string) (b []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s: %w", cmd.Name, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cmd.String("operators")+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if b, err = io.ReadAll(io.LimitReader(resp.Body, maxDump)); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the entry host answered %s: %s", resp.Status, b)
+	}
+	return b, nil
+}
+
+func runDump(ctx context.Context, cmd *cli.Command) error {
+	b, err := get(ctx, cmd, "/dump")
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(b)
+	return err
+}
+
+func runStatus(ctx context.Context, cmd *cli.Command) error {
+	b, err := get(ctx, cmd, "/status")
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		_, err = os.Stdout.Write(b)
+		return err
+	}
+	var s entry.Status
+	if err = json.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	fmt.Printf("host %s in %s, up %s, ready: %s\nconfiguration revision %d, in force since %s\n\n", s.Host, s.DataCentre,
+		(time.Duration(s.UptimeMs) * time.Millisecond).Round(time.Second), s.Ready, s.Revision, s.InForce.Format(time.RFC3339))
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CELL\tASSIGNER\tVERSION\tSTORED\tSERVER\tDISPATCHER\tRANGES\tSHARE")
+	for _, c := range s.Cells {
+		for _, v := range c.Servers {
+			fmt.Fprintf(w, "%s\t%s\t%d.%d\t%v\t%s\t%s\t%d\t%.1f%%\n",
+				c.Cell, c.Assigner, c.Term, c.Version, c.Stored, v.Server, v.Dispatcher, v.Ranges, 100*v.Share)
+		}
+	}
+	return w.Flush()
+}
+
+func runOwner(ctx context.Context, cmd *cli.Command) error {
+	if cmd.NArg() != 2 {
+		return cli.Exit("owner: needs a service and a key", 2)
+	}
+	b, err := get(ctx, cmd, "/owner/"+url.PathEscape(cmd.Args().Get(0))+"/"+url.PathEscape(cmd.Args().Get(1)))
+	if err != nil {
+		return err
+	}
+	var o entry.Owner
+	if err = json.Unmarshal(b, &o); err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	if cmd.Bool("json") {
+		os.Stdout.Write(b)
+	} else if o.Reason == "" {
+		fmt.Printf("key %s of %s (hash %s) is owned by %s in %s\nreached through %s, fencing token %s, stored: %v\n",
+			o.Key, o.Service, o.Hash, o.Server, o.DataCentre, o.Dispatcher, o.Fence, o.Stored)
+	}
+	if o.Reason != "" {
+		return cli.Exit("owner: the key has no known owner: "+o.Reason, 1)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/laburnummux/dev.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/devel"
+)
+
+const usageDev = `Run a small example of the whole system in one process, on loopback addresses:
+a stand-in for the platform's store, one entry host per data centre and two
+backend servers per service and data centre. It runs until it is stopped.
+
+  laburnummux dev
+  laburnummux dev --hosts 3
+
+The first address that it prints switches faults, for example:
+
+  curl -X POST http://127.0.0.1:7000/servers/ledger-north-1-1/kill
+  curl -X POST http://127.0.0.1:7000/servers/ledger-north-1-1/restart
+  curl -X POST 'http://127.0.0.1:7000/fake/outage?mode=refuse'`
+
+const (
+	devPort = 7000
+	// devService is the time that a backend server takes for a request.
+	devService = 2 * clock.Millisecond
+	// stopReserve is added to the drain span for stopping gracefully.
+	stopReserve = 30 * time.Second
+)
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "dev",
+		Usage:       "run a small example of the whole system",
+		Description: usageDev,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "port", Usage: "first `PORT`", Value: devPort},
+			&cli.IntFlag{Name: "hosts", Usage: "entry hosts per data centre", Value: 1},
+			&cli.IntFlag{Name: "servers", Usage: "backend servers per service and data centre", Value: 2},
+		},
+		Action: runDev,
+	}
+}
+
+func runDev(ctx context.Context, cmd *cli.Command) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("dev: %w", err)
+		}
+	}()
+	log, err := newLogger(config.LevelWarn)
+	if err != nil {
+		return err
+	}
+	cfg := devel.Config{
+		Port: cmd.Int("port"), Hosts: cmd.Int("hosts"), Servers: cmd.Int("servers"), Service: devService, Log: log,
+	}
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopReserve),
+		fx.Invoke(func(lc fx.Lifecycle) {
+			var s *devel.System
+			lc.Append(fx.Hook{
+				OnStart: func(ctx context.Context) (err error) {
+					if s, err = devel.Start(ctx, cfg); err != nil {
+						return err
+					}
+					fmt.Print(s.Text())
+					if err = s.WaitServed(ctx); err != nil {
+						return err
+					}
+					fmt.Println("all keys have an owner; stop with Ctrl-C")
+					return nil
+				},
+				OnStop: func(ctx context.Context) error { return s.Stop(ctx) },
+			})
+		}),
+	)
+	return runApp(ctx, app)
+}
--- a/cmd/laburnummux/main.go
+++ b/cmd/laburnummux/main.go
@@ -22,6 +22,11 @@
 		Commands: []*cli.Command{
 			checkCommand(),
 			showCommand(),
+			serveCommand(),
+			devCommand(),
+			statusCommand(),
+			ownerCommand(),
+			dumpCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/cmd/laburnummux/serve.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/entry"
+	"github.com/laburnummux/laburnummux/internal/store"
+)
+
+const usageServe = `Run an entry host. It stops gracefully on SIGTERM and SIGINT: it leaves the
+balancer, hands its backend servers over and finishes the requests in flight.
+
+  laburnummux serve --settings host.jsonc`
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run an entry host",
+		Description: usageServe,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this host", Required: true},
+		},
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, cmd *cli.Command) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("serve: %w", err)
+		}
+	}()
+	settings, err := config.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(settings.LogLevel())
+	if err != nil {
+		return err
+	}
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		// The host waits for its requests by itself; fx must not give up first.
+		fx.StopTimeout(settings.Drain().Std()+stopReserve),
+		fx.Supply(settings, log),
+		fx.Provide(newStore, newHost),
+		fx.Invoke(func(*entry.Host) {}),
+	)
+	return runApp(ctx, app)
+}
+
+// runApp runs an fx application until a signal ends it.
+func runApp(ctx context.Context, app *fx.App) (err error) {
+	if err = app.Start(ctx); err != nil {
+		return err
+	}
+	sig := <-app.Wait()
+	stop, cancel := context.WithTimeout(ctx, app.StopTimeout())
+	defer cancel()
+	if err = app.Stop(stop); err != nil {
+		return err
+	}
+	if sig.ExitCode != 0 {
+		return cli.Exit(errors.New("a part has failed"), sig.ExitCode)
+	}
+	return nil
+}
+
+func newStore(s config.Settings) (st store.Store, err error) {
+	cfg := store.Config{URL: "http://" + s.Store().Address().String()}
+	if f := s.Store().TokenFile(); f != "" {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			return nil, fmt.Errorf("newStore: %w", err)
+		}
+		cfg.Token = strings.TrimSpace(string(b))
+	}
+	return store.New(cfg)
+}
+
+func newHost(lc fx.Lifecycle, s config.Settings, st store.Store, log *zap.Logger) *entry.Host {
+	h := entry.New(entry.Config{Settings: s, Store: st, Log: log})
+	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
+	return h
+}
+
+func newLogger(l config.Level) (*zap.Logger, error) {
+	levels := map[config.Level]zapcore.Level{
+		config.LevelDebug: zap.DebugLevel, config.LevelInfo: zap.InfoLevel,
+		config.LevelWarn: zap.WarnLevel, config.LevelError: zap.ErrorLevel,
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(levels[l])
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	cfg.DisableStacktrace = true
+	return cfg.Build()
+}
--- /dev/null
+++ b/internal/devel/devel.go
@@ -0,0 +1,348 @@
+// Package devel runs a small example of the whole system in one process: a
+// stand-in for the platform's store, one entry host per data centre and a few
+// backend servers, all on loopback addresses.
+//
+// # Usage
+//
+//	s, err := devel.Start(ctx, devel.Config{Hosts: 1, Log: log})
+//	fmt.Print(s.Text())
+//	...
+//	err = s.Stop(ctx)
+//
+// The control address switches faults: POST /servers/NAME/kill, restart,
+// freeze, resume, drain or slow?ms=N, and the store's faults below /fake/.
+package devel
+
+import (
+	"context"
+	_ "embed" // the example's configuration
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/entry"
+	"github.com/laburnummux/laburnummux/internal/fakes"
+	"github.com/laburnummux/laburnummux/internal/merge"
+	"github.com/laburnummux/laburnummux/internal/store"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"go.uber.org/zap"
+)
+
+//go:embed base.jsonc
+var base []byte
+
+// DataCentres of the example.
+var DataCentres = []keys.DataCentre{"north-1", "north-2", "north-3"}
+
+// Config of an example system.
+type Config struct {
+	// Port is the first port; 0 means that the system chooses all ports.
+	Port int
+	// Hosts is the number of entry hosts per data centre.
+	Hosts int
+	// Servers is the number of backend servers per service and data centre.
+	Servers int
+	// Service is the time that a backend server takes for a request.
+	Service clock.Span
+	// Base replaces the example's service configuration.
+	Base []byte
+	// DataCentres replaces the example's data centres.
+	DataCentres []keys.DataCentre
+	Log         *zap.Logger
+}
+
+// System is a running example.
+type System struct {
+	cfg     Config
+	store   *fakes.Store
+	client  *store.Client
+	control *http.Server
+	address string
+	base    config.Document
+	conf    config.Config
+	hosts   []*entry.Host
+	servers map[keys.Server]*fakes.Server
+	names   []keys.Server
+}
+
+// Start starts the system.
+func Start(ctx context.Context, cfg Config) (s *System, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("devel.Start: %w", err)
+		}
+	}()
+	if cfg.Base == nil {
+		cfg.Base = base
+	}
+	if cfg.DataCentres == nil {
+		cfg.DataCentres = DataCentres
+	}
+	s = &System{cfg: cfg, store: fakes.NewStore(clock.System(), ""), servers: make(map[keys.Server]*fakes.Server)}
+	doc, probs := config.Parse("base.jsonc", cfg.Base)
+	if probs.Err() != nil {
+		return nil, probs
+	}
+	s.base = doc
+	if s.conf, probs = doc.Config(); probs.Err() != nil {
+		return nil, probs
+	}
+	if err = s.serveControl(); err != nil {
+		return nil, err
+	}
+	if s.client, err = store.New(store.Config{URL: "http://" + s.address}); err != nil {
+		return nil, err
+	}
+	if err = s.startServers(); err != nil {
+		return nil, err
+	}
+	if err = s.release(ctx); err != nil {
+		return nil, err
+	}
+	return s, s.startHosts(ctx)
+}
+
+// release writes the first configuration revision.
+func (s *System) release(ctx context.Context) error {
+	sites := make(map[keys.DataCentre]config.Config)
+	for _, dc := range s.cfg.DataCentres {
+		overlay, probs := config.Parse(string(dc)+".jsonc", fmt.Appendf(nil, `{"site": %q}`, dc))
+		if probs.Err() != nil {
+			return probs
+		}
+		merged, probs := merge.Merge(s.base, overlay)
+		if err := config.Problems(probs).Err(); err != nil {
+			return err
+		}
+		sites[dc] = merged.Config()
+	}
+	rev, err := config.NewRevision(1, "dev", time.Now(), "example", sites)
+	if err != nil {
+		return err
+	}
+	b, err := config.EncodeRevision(rev)
+	if err != nil {
+		return err
+	}
+	_, err = s.client.Put(ctx, entry.ConfigObject, b, 0)
+	return err
+}
+
+func (s *System) startServers() error {
+	for _, dc := range s.cfg.DataCentres {
+		for _, svc := range s.conf.Services() {
+			for i := range s.cfg.Servers {
+				name := keys.Server(fmt.Sprintf("%s-%s-%d", svc.Name(), dc, i+1))
+				srv := fakes.NewServer(fakes.NewBackend(fakes.BackendConfig{
+					Name: name, Slots: svc.Server().Slots(), Checks: svc.Server().ChecksFences(), Service: s.cfg.Service,
+				}))
+				if err := srv.Start(); err != nil {
+					return err
+				}
+				s.servers[name] = srv
+				s.names = append(s.names, name)
+				s.store.AddMember(store.NewBackend(name, dc, svc.Name(), srv.Addr()))
+			}
+		}
+	}
+	return nil
+}
+
+// startHosts starts all entry hosts. All are in the host list before the first
+// starts, as after a regular roll-out.
+func (s *System) startHosts(ctx context.Context) error {
+	var all []config.Settings
+	for i, dc := range s.cfg.DataCentres {
+		var group []string
+		for j := range s.cfg.Hosts {
+			group = append(group, hostName(dc, j))
+		}
+		for j := range s.cfg.Hosts {
+			set, err := s.settings(dc, group, i, j)
+			if err != nil {
+				return err
+			}
+			all = append(all, set)
+			l := set.Listen()
+			s.store.AddMember(store.NewEntry(set.Host(), dc, store.Addresses{
+				Callers: l.Callers().String(), Relay: l.Relay().String(),
+				Peers: l.Peers().String(), Operators: l.Operators().String(),
+			}))
+		}
+	}
+	for _, set := range all {
+		h := entry.New(entry.Config{Settings: set, Store: s.client, Log: s.cfg.Log})
+		if err := h.Start(ctx); err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	return nil
+}
+
+func hostName(dc keys.DataCentre, j int) string { return fmt.Sprintf("%s-%c", dc, 'a'+j) }
+
+func (s *System) settings(dc keys.DataCentre, group []string, i, j int) (config.Settings, error) {
+	ports := make([]int, 4)
+	for k := range ports {
+		if s.cfg.Port != 0 {
+			ports[k] = s.cfg.Port + 100*(i+1) + 10*j + k + 1
+			continue
+		}
+		var err error
+		if ports[k], err = freePort(); err != nil {
+			return config.Settings{}, err
+		}
+	}
+	addr := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", ports[k]) }
+	b, err := json.Marshal(map[string]any{
+		"host": hostName(dc, j), "dataCentre": dc, "group": group,
+		"listen": map[string]string{"callers": addr(0), "relay": addr(1), "peers": addr(2), "operators": addr(3)},
+		"store":  map[string]string{"address": s.address},
+	})
+	if err != nil {
+		return config.Settings{}, err
+	}
+	set, probs := config.ParseSettings(hostName(dc, j), b)
+	return set, probs.Err()
+}
+
+// Free ports are looked for below the range from which operating systems take
+// the ports of outgoing connections, so that none is taken between the check
+// and its use.
+const (
+	firstFreePort = 20000
+	freePorts     = 12000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid() * 97)) }
+
+func freePort() (int, error) {
+	for range freePorts {
+		port := firstFreePort + int(nextPort.Add(1)%freePorts)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return port, ln.Close()
+		}
+	}
+	return 0, errors.New("devel.freePort: no free port")
+}
+
+// serveControl serves the store and the faults of the backend servers.
+func (s *System) serveControl() error {
+	m := mux.NewRouter()
+	m.Path("/servers").Methods(http.MethodGet).HandlerFunc(s.listServers)
+	m.PathPrefix("/servers/{name}/").HandlerFunc(s.controlServer)
+	m.PathPrefix("/").Handler(s.store)
+	addr := "127.0.0.1:0"
+	if s.cfg.Port != 0 {
+		addr = fmt.Sprintf("127.0.0.1:%d", s.cfg.Port)
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.address = ln.Addr().String()
+	s.control = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second}
+	go s.control.Serve(ln)
+	return nil
+}
+
+func (s *System) listServers(w http.ResponseWriter, _ *http.Request) {
+	for _, n := range s.names {
+		fmt.Fprintln(w, n, s.servers[n].Addr())
+	}
+}
+
+func (s *System) controlServer(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	srv := s.servers[keys.Server(name)]
+	if srv == nil {
+		http.NotFound(w, r)
+		return
+	}
+	r.URL.Path = "/fake/" + strings.TrimPrefix(r.URL.Path, "/servers/"+name+"/")
+	srv.Control().ServeHTTP(w, r)
+}
+
+// Hosts returns the entry hosts.
+func (s *System) Hosts() []*entry.Host { return s.hosts }
+
+// Store returns the stand-in for the platform's store.
+func (s *System) Store() *fakes.Store { return s.store }
+
+// Server returns a backend server.
+func (s *System) Server(n keys.Server) *fakes.Server { return s.servers[n] }
+
+// Servers returns the names of the backend servers.
+func (s *System) Servers() []keys.Server { return s.names }
+
+// Text says where everything is.
+func (s *System) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "store and faults  http://%s\n", s.address)
+	for _, h := range s.hosts {
+		st := h.Status()
+		fmt.Fprintf(&b, "%-16s  callers http://%s  operators http://%s  (metrics at /metrics, state at /dump)\n",
+			st.Host, h.CallerAddr(), h.OperatorAddr())
+	}
+	return b.String()
+}
+
+// WaitServed waits until every cell has an owner for all its ranges.
+func (s *System) WaitServed(ctx context.Context) error {
+	for {
+		if s.served() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("devel.WaitServed: not all keys have an owner")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *System) served() bool {
+	want := 0
+	for _, svc := range s.conf.Services() {
+		want += len(svc.Cells())
+	}
+	seen := make(map[string]bool)
+	for _, h := range s.hosts {
+		for _, c := range h.Status().Cells {
+			if c.Ranges == 0 || c.Unowned > 0 {
+				return false
+			}
+			seen[c.Cell] = true
+		}
+	}
+	return len(seen) == want
+}
+
+// Stop stops the entry hosts gracefully, then the rest.
+func (s *System) Stop(ctx context.Context) (err error) {
+	errs := make(chan error, len(s.hosts))
+	for _, h := range s.hosts {
+		go func() { errs <- h.Stop(ctx) }()
+	}
+	for range s.hosts {
+		err = errors.Join(err, <-errs)
+	}
+	for _, srv := range s.servers {
+		srv.Kill()
+	}
+	s.client.Close()
+	return errors.Join(err, s.control.Close())
+}
--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,91 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/devel"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// get makes one request and discards the answer.
+func get(b *testing.B, url string, h http.Header) {
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for k, v := range h {
+		req.Header[k] = v
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Fatal(resp.Status)
+	}
+}
+
+// paths returns a URL for a direct call, one through the server's dispatcher,
+// and one through another entry host.
+func paths(b *testing.B) (direct, local, relayed string) {
+	s := start(b, 1)
+	const path = "/catalogue/tins/7"
+	hosts := s.Hosts()
+	direct = "http://" + s.Server("catalogue-north-1-1").Addr() + path
+	local = "http://" + hosts[0].CallerAddr() + path
+	for k := range 100 {
+		p := fmt.Sprintf("/ledger/tin-%d", k)
+		r := call(b, http.MethodGet, "http://"+hosts[0].CallerAddr()+p, "", "")
+		if r.outcome == answer.Answered && isIn(r.owner, devel.DataCentres[1]) {
+			return direct, local, "http://" + hosts[0].CallerAddr() + p
+		}
+	}
+	b.Fatal("no key with an owner in another data centre")
+	return
+}
+
+func isIn(s keys.Server, dc keys.DataCentre) bool {
+	for i := range 2 {
+		if s == keys.Server(fmt.Sprintf("ledger-%s-%d", dc, i+1)) {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkRequest reports the cost of one request, one at a time, for the
+// caller, the entry hosts and the server together, which share the process.
+func BenchmarkRequest(b *testing.B) {
+	direct, local, relayed := paths(b)
+	for _, bb := range []struct{ name, url string }{{"direct", direct}, {"dispatcher", local}, {"relayed", relayed}} {
+		b.Run(bb.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				get(b, bb.url, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkRatio reports how much longer a routed request takes than a direct
+// call, both measured alternately in the same run.
+func BenchmarkRatio(b *testing.B) {
+	direct, local, relayed := paths(b)
+	var took [3]time.Duration
+	for b.Loop() {
+		for i, url := range []string{direct, local, relayed} {
+			t := time.Now()
+			get(b, url, nil)
+			took[i] += time.Since(t)
+		}
+	}
+	b.ReportMetric(float64(took[1])/float64(took[0]), "dispatcher/direct")
+	b.ReportMetric(float64(took[2])/float64(took[0]), "relayed/direct")
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/assign"
+	"github.com/laburnummux/laburnummux/internal/elect"
+	"github.com/laburnummux/laburnummux/internal/peerpb"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// event is an input of the control worker.
+type event interface{ event() }
+
+type (
+	// peerEvent is a message of another entry host.
+	peerEvent struct {
+		from keys.Host
+		boot uint64
+		msg  *peerpb.Message
+	}
+	// cellEvent is an event of a cell's decisions: of elect, assign or hold.
+	cellEvent struct {
+		cell keys.Cell
+		ev   any
+	}
+	// configEvent says that the configuration or the host list has changed.
+	configEvent struct{}
+)
+
+func (peerEvent) event()   {}
+func (cellEvent) event()   {}
+func (configEvent) event() {}
+
+// digestPeriod is the time between two digests to the hosts of the group.
+const digestPeriod = 200 * time.Millisecond
+
+// receive takes a message from another host. It must not block.
+func (h *Host) receive(from keys.Host, boot uint64, m *peerpb.Message) {
+	h.events.Replace(peerEvent{from, boot, m})
+}
+
+// control is the one goroutine that drives the decisions of all cells.
+func (h *Host) control(ctx context.Context) error {
+	tick := time.NewTicker(elect.TickPeriod.Std())
+	defer tick.Stop()
+	digest := time.NewTicker(digestPeriod)
+	defer digest.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.stopCells()
+			return nil
+		case <-h.events.Ready():
+			for ev, ok := h.events.TryPop(); ok; ev, ok = h.events.TryPop() {
+				h.handle(ctx, ev)
+			}
+		case <-tick.C:
+			for _, c := range h.cellList() {
+				c.tick()
+			}
+		case <-digest.C:
+			h.sendDigest()
+		}
+	}
+}
+
+func (h *Host) handle(ctx context.Context, ev event) {
+	switch ev := ev.(type) {
+	case peerEvent:
+		h.handlePeer(ev)
+	case cellEvent:
+		if c := h.cell(ev.cell); c != nil {
+			c.step(ev.ev)
+		}
+	case configEvent:
+		h.applyConfig(ctx)
+	}
+}
+
+func (h *Host) cell(name keys.Cell) *cell {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cells[name]
+}
+
+func (h *Host) handlePeer(ev peerEvent) {
+	switch m := ev.msg.GetBody().(type) {
+	case *peerpb.Message_PromiseAsk:
+		if c := h.cell(cellFromWire(m.PromiseAsk.GetCell())); c != nil {
+			a := m.PromiseAsk
+			c.step(elect.Asked{
+				From: ev.from, FromBoot: ev.boot, ToBoot: a.GetToBoot(), Term: a.GetTerm(),
+				Nonce: a.GetNonce(), Version: a.GetVersion(), Role: roleFromWire(a.GetRole()),
+			})
+		}
+	case *peerpb.Message_PromiseReply:
+		if c := h.cell(cellFromWire(m.PromiseReply.GetCell())); c != nil {
+			a := m.PromiseReply
+			c.step(elect.Replied{
+				From: ev.from, FromBoot: ev.boot, ToBoot: a.GetToBoot(), Nonce: a.GetNonce(), Granted: a.GetGranted(),
+				Highest: a.GetHighest(), Version: a.GetVersion(), Role: roleFromWire(a.GetRole()),
+			})
+		}
+	case *peerpb.Message_PromiseRelease:
+		if c := h.cell(cellFromWire(m.PromiseRelease.GetCell())); c != nil && m.PromiseRelease.GetToBoot() == h.boot {
+			c.step(elect.Released{From: ev.from, FromBoot: ev.boot, Nonce: m.PromiseRelease.GetNonce()})
+		}
+	case *peerpb.Message_RenewAsk:
+		if c := h.cell(cellFromWire(m.RenewAsk.GetCell())); c != nil {
+			c.step(renewFromWire(ev.from, ev.boot, m.RenewAsk))
+		}
+	case *peerpb.Message_RenewReply:
+		if c := h.cell(cellFromWire(m.RenewReply.GetCell())); c != nil && m.RenewReply.GetToBoot() == h.boot {
+			c.granted(ev.from, grantFromWire(m.RenewReply))
+		}
+	case *peerpb.Message_Table:
+		h.handleTable(ev.from, m.Table)
+	case *peerpb.Message_TableAsk:
+		h.handleTableAsk(ev.from, m.TableAsk)
+	case *peerpb.Message_Digest:
+		h.handleDigest(ev, m.Digest)
+	case *peerpb.Message_ConfigAsk:
+		h.handleConfigAsk(ev.from, m.ConfigAsk)
+	case *peerpb.Message_ConfigBody:
+		h.adoptEncoded(m.ConfigBody.GetDocument())
+	case *peerpb.Message_Records:
+		h.handleRecords(ev.from, m.Records)
+	case *peerpb.Message_RecordsReply:
+		h.handleRecordsReply(m.RecordsReply)
+	}
+}
+
+// group returns the other hosts of this host's group.
+func (h *Host) group() []keys.Host {
+	var gs []keys.Host
+	for _, g := range h.cfg.Group() {
+		if g != h.self {
+			gs = append(gs, g)
+		}
+	}
+	return gs
+}
+
+func (h *Host) sendDigest() {
+	h.mu.Lock()
+	rev := h.revision.Number()
+	h.mu.Unlock()
+	m := &peerpb.Message{Body: &peerpb.Message_Digest{Digest: &peerpb.Digest{
+		Revision: rev,
+		Hosts:    []*peerpb.HostBeat{{Host: string(h.self), Boot: h.boot, Leaving: h.leaving.Load()}},
+	}}}
+	for _, g := range h.group() {
+		h.peers.Send(g, m)
+	}
+}
+
+func (h *Host) handleDigest(ev peerEvent, d *peerpb.Digest) {
+	h.mu.Lock()
+	behind := d.GetRevision() > h.revision.Number()
+	have := h.revision.Number()
+	h.mu.Unlock()
+	if behind {
+		h.peers.Send(ev.from, &peerpb.Message{Body: &peerpb.Message_ConfigAsk{ConfigAsk: &peerpb.ConfigAsk{Have: have}}})
+	}
+	for _, b := range d.GetHosts() {
+		if keys.Host(b.GetHost()) != ev.from {
+			continue
+		}
+		h.mu.Lock()
+		h.heard[ev.from] = peer{at: h.clk.Now(), leaving: b.GetLeaving()}
+		h.mu.Unlock()
+		for _, c := range h.cellList() {
+			c.step(elect.PeerBoot{Host: ev.from, Boot: ev.boot})
+			c.hostSeen(ev.from, b.GetLeaving())
+		}
+	}
+}
+
+// announceLeaving tells the group at once that this host stops.
+func (h *Host) announceLeaving() {
+	h.sendDigest()
+	for _, c := range h.cellList() {
+		c.step(assign.HostSeen{Host: h.self, Live: true, Leaving: true})
+	}
+}
+
+func (h *Host) stopCells() {
+	for _, c := range h.cellList() {
+		c.stop()
+	}
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/laburnummux/laburnummux/internal/route"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+func (h *Host) operatorRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.Methods(http.MethodGet).Path("/healthz").HandlerFunc(h.serveHealth)
+	m.Methods(http.MethodGet).Path("/readyz").HandlerFunc(h.serveReady)
+	m.Methods(http.MethodGet).Path("/metrics").Handler(h.metrics.Handler())
+	m.Methods(http.MethodGet).Path("/dump").HandlerFunc(h.serveDump)
+	m.Methods(http.MethodGet).Path("/status").HandlerFunc(h.serveStatus)
+	m.Methods(http.MethodGet).Path("/owner/{service}/{key}").HandlerFunc(h.serveOwner)
+	return m
+}
+
+func (h *Host) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveReady tells the balancer whether to send requests here.
+func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if why := h.notReady(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Host) notReady() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.leaving.Load():
+		return "stopping"
+	case h.revision.Number() == 0:
+		return "no configuration yet"
+	}
+	return ""
+}
+
+// Owner says who owns a key.
+type Owner struct {
+	Service    keys.Service    `json:"service"`
+	Key        string          `json:"key"`
+	Hash       keys.Hash       `json:"hash"`
+	Cell       string          `json:"cell"`
+	DataCentre keys.DataCentre `json:"dataCentre"`
+	Server     keys.Server     `json:"server"`
+	Dispatcher keys.Host       `json:"dispatcher"`
+	Fence      keys.Fence      `json:"fence"`
+	Stored     bool            `json:"stored"`
+	Reason     string          `json:"reason,omitempty"` // why there is no owner
+}
+
+func (h *Host) serveOwner(w http.ResponseWriter, r *http.Request) {
+	v := mux.Vars(r)
+	o := Owner{Service: keys.Service(v["service"]), Key: v["key"]}
+	o.Hash = keys.Of(o.Service, o.Key)
+	h.mu.Lock()
+	t, miss := h.router.Lookup(o.Service, o.Hash)
+	if tab := h.router.Table(t.Cell); tab != nil {
+		o.Stored = tab.Stored()
+	}
+	h.mu.Unlock()
+	o.Cell, o.DataCentre, o.Server, o.Dispatcher, o.Fence = t.Cell.String(), t.Cell.DataCentre, t.Server, t.Dispatcher, t.Fence
+	if miss == route.NoTable {
+		h.askTable(t.Cell, 0, 0)
+	}
+	if miss != route.Hit {
+		o.Reason = miss.String()
+	}
+	writeJSON(w, o)
+}
+
+// Status is the short overview of a host.
+type Status struct {
+	Host       keys.Host       `json:"host"`
+	DataCentre keys.DataCentre `json:"dataCentre"`
+	Boot       uint64          `json:"boot"`
+	UptimeMs   int64           `json:"uptimeMs"`
+	Ready      string          `json:"ready"` // "yes", or why not
+	Revision   uint64          `json:"revision"`
+	InForce    time.Time       `json:"inForceSince"`
+	InFlight   int64           `json:"inFlight"`
+	Cells      []CellStatus    `json:"cells"`
+}
+
+// CellStatus is the overview of a cell as this host sees it.
+type CellStatus struct {
+	Cell     string      `json:"cell"`
+	Assigner keys.Host   `json:"assigner"`
+	Term     uint32      `json:"term"`
+	Version  uint64      `json:"version"`
+	Stored   bool        `json:"stored"`
+	Ranges   int         `json:"ranges"`
+	Unowned  int         `json:"unowned"`
+	Servers  []ServerRow `json:"servers"`
+}
+
+// ServerRow is a backend server in a CellStatus.
+type ServerRow struct {
+	Server     keys.Server `json:"server"`
+	Dispatcher keys.Host   `json:"dispatcher"`
+	Ranges     int         `json:"ranges"`
+	Share      float64     `json:"share"` // of the cell's hash space
+	Leaving    bool        `json:"leaving,omitempty"`
+}
+
+// Status returns the overview.
+func (h *Host) Status() Status {
+	s := Status{
+		Host: h.self, DataCentre: h.cfg.DataCentre(), Boot: h.boot, UptimeMs: time.Since(h.started).Milliseconds(),
+		InFlight: h.callers.Load(), Ready: "yes",
+	}
+	if why := h.notReady(); why != "" {
+		s.Ready = why
+	}
+	h.mu.Lock()
+	s.Revision, s.InForce = h.revision.Number(), h.inForce
+	tables := h.router.Tables()
+	h.mu.Unlock()
+	for _, t := range tables {
+		s.Cells = append(s.Cells, cellStatus(t))
+	}
+	return s
+}
+
+func cellStatus(t *route.Table) CellStatus {
+	c := CellStatus{
+		Cell: t.Cell().String(), Assigner: t.Assigner(), Term: t.Term(), Version: t.Version(), Stored: t.Stored(),
+		Ranges: len(t.Rows()),
+	}
+	total := 0.0
+	for _, b := range t.Backends() {
+		c.Servers = append(c.Servers, ServerRow{Server: b.Name, Dispatcher: b.Dispatcher, Leaving: b.Leaving})
+	}
+	for _, r := range t.Rows() {
+		c.Servers[r.Backend].Ranges++
+		c.Servers[r.Backend].Share += r.Range.Width()
+		total += r.Range.Width()
+	}
+	for i := range c.Servers {
+		if total > 0 {
+			c.Servers[i].Share /= total
+		}
+	}
+	return c
+}
+
+func (h *Host) serveStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) }
+
+// dump is the state of the whole process.
+type dump struct {
+	Status   Status           `json:"status"`
+	Peers    any              `json:"peers"`
+	Workers  map[string]int64 `json:"workerRestarts"`
+	Dropped  uint64           `json:"droppedEvents"`
+	Services map[string]any   `json:"services"`
+	Cells    []cellDump       `json:"cells"`
+}
+
+type cellDump struct {
+	Cell       string                 `json:"cell"`
+	Election   any                    `json:"election"`
+	Assigner   any                    `json:"assigner,omitempty"`
+	Leases     any                    `json:"leases"`
+	Records    any                    `json:"records"`
+	Quarantine any                    `json:"quarantine"`
+	Queues     map[keys.Server]any    `json:"queues"`
+	Open       map[keys.Server]int64  `json:"openConnections"`
+	Opened     map[keys.Server]uint64 `json:"connectionsOpened"`
+}
+
+func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
+	d := dump{
+		Status: h.Status(), Peers: h.peers.Counters(), Workers: h.tree.Restarts(), Dropped: h.events.Dropped(),
+		Services: make(map[string]any),
+	}
+	h.mu.Lock()
+	services := make([]*service, 0, len(h.services))
+	for _, s := range h.services {
+		services = append(services, s)
+	}
+	h.mu.Unlock()
+	for _, s := range services {
+		s.mu.Lock()
+		d.Services[string(s.Name())] = s.retry.Dump()
+		s.mu.Unlock()
+	}
+	for _, c := range h.sortedCells() {
+		d.Cells = append(d.Cells, c.dump())
+	}
+	writeJSON(w, d)
+}
+
+func (c *cell) dump() cellDump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.h.clk.Now()
+	d := cellDump{
+		Cell: c.name.String(), Election: c.elect.Dump(), Leases: c.hold.Dump(), Records: c.dedup.Dump(),
+		Quarantine: c.quarantine.Dump(now), Queues: make(map[keys.Server]any),
+		Open: make(map[keys.Server]int64), Opened: make(map[keys.Server]uint64),
+	}
+	if c.term != 0 {
+		d.Assigner = c.assign.Dump()
+	}
+	for name, l := range c.lanes {
+		d.Queues[name], d.Open[name], d.Opened[name] = l.limit.Dump(now), l.pool.Open(), l.pool.Opened()
+	}
+	return d
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.Encode(v) // fails only when the operator's connection is gone
+}
+
+// collector reports figures that are read from the state when asked for.
+type collector struct{ h *Host }
+
+var (
+	inFlightDesc = prometheus.NewDesc("laburnummux_requests_in_flight", "Callers' requests in flight.", nil, nil)
+	revisionDesc = prometheus.NewDesc("laburnummux_configuration_revision", "Revision in force.", nil, nil)
+	rangesDesc   = prometheus.NewDesc("laburnummux_ranges", "Ranges with an owner.", []string{"cell", "server"}, nil)
+	imbalanced   = prometheus.NewDesc("laburnummux_share_ratio", "Largest share of the hash space over the mean.", []string{"cell"}, nil)
+	messagesDesc = prometheus.NewDesc("laburnummux_peer_messages_total", "Messages to other entry hosts.", []string{"result"}, nil)
+	bytesDesc    = prometheus.NewDesc("laburnummux_peer_sent_bytes_total", "Bytes sent to other entry hosts.", nil, nil)
+	droppedDesc  = prometheus.NewDesc("laburnummux_events_dropped_total", "Control events dropped.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{inFlightDesc, revisionDesc, rangesDesc, imbalanced, messagesDesc, bytesDesc, droppedDesc} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	s := c.h.Status()
+	gauge(inFlightDesc, float64(s.InFlight))
+	gauge(revisionDesc, float64(s.Revision))
+	for _, cell := range s.Cells {
+		largest := 0.0
+		for _, srv := range cell.Servers {
+			gauge(rangesDesc, float64(srv.Ranges), cell.Cell, string(srv.Server))
+			largest = max(largest, srv.Share)
+		}
+		gauge(imbalanced, largest*float64(len(cell.Servers)), cell.Cell)
+	}
+	p := c.h.peers.Counters()
+	counter(messagesDesc, p.Sent, "sent")
+	counter(messagesDesc, p.Failed, "failed")
+	counter(bytesDesc, p.SentBytes)
+	counter(droppedDesc, c.h.events.Dropped())
+}
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,313 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/assign"
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/peerpb"
+	"github.com/laburnummux/laburnummux/internal/retry"
+	"github.com/laburnummux/laburnummux/internal/route"
+	"github.com/laburnummux/laburnummux/internal/store"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"go.uber.org/zap"
+)
+
+const (
+	// ConfigObject is the store object with the configuration in force.
+	ConfigObject = "config/current"
+
+	membersPeriod = 500 * time.Millisecond
+	callTimeout   = time.Second
+	watchTimeout  = 10 * time.Second
+	watchRetry    = 200 * time.Millisecond
+	leavingNotice = 50 * time.Millisecond
+)
+
+// followMembers reads the host list.
+func (h *Host) followMembers(ctx context.Context) error {
+	t := time.NewTicker(membersPeriod)
+	defer t.Stop()
+	for {
+		h.readMembers(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (h *Host) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	members, err := h.st.Hosts(ctx)
+	h.metrics.Store("hosts", err)
+	if err != nil {
+		return // the last list stays in force
+	}
+	h.setMembers(members)
+}
+
+func (h *Host) setMembers(members []store.Member) {
+	addrs := make(map[keys.Host]string)
+	m := make(map[string]store.Member, len(members))
+	for _, x := range members {
+		m[x.Name()] = x
+		if x.Role() == store.Entry {
+			addrs[keys.Host(x.Name())] = x.Addresses().Peers
+		}
+	}
+	h.mu.Lock()
+	gone := make([]store.Member, 0)
+	for name, x := range h.members {
+		if _, ok := m[name]; !ok && x.Role() == store.Backend {
+			gone = append(gone, x)
+		}
+	}
+	h.members = m
+	h.mu.Unlock()
+	h.peers.SetAddresses(addrs)
+	for _, c := range h.cellList() {
+		c.tellGone(gone)
+		c.tellMembersNow()
+	}
+}
+
+// tellGone tells the assigner which backend servers the platform has removed.
+func (c *cell) tellGone(gone []store.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range gone {
+		if c.owns(m) {
+			c.stepAssign(c.h.clk.Now(), c.serverSeen(m, assign.Gone))
+		}
+	}
+}
+
+func (c *cell) tellMembersNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tellMembers(c.h.clk.Now())
+}
+
+// tellMembers tells the assigner the backend servers and entry hosts of the
+// host list. The cell's mutex is held.
+func (c *cell) tellMembers(now clock.Time) {
+	if c.term == 0 {
+		return
+	}
+	c.h.mu.Lock()
+	members := make([]store.Member, 0, len(c.h.members))
+	for _, m := range c.h.members {
+		members = append(members, m)
+	}
+	c.h.mu.Unlock()
+	listed := make(map[keys.Server]bool)
+	for _, m := range members {
+		if c.owns(m) {
+			listed[keys.Server(m.Name())] = true
+			state := assign.Ready
+			if m.State() == store.Leaving {
+				state = assign.Leaving
+			}
+			c.stepAssign(now, c.serverSeen(m, state))
+		}
+	}
+	if len(members) == 0 {
+		return // no list was read yet
+	}
+	for _, o := range c.table.Owners {
+		if !listed[o.Name] {
+			c.stepAssign(now, assign.ServerSeen{Server: o.Name, Address: o.Address, Checks: o.Checks, State: assign.Gone})
+		}
+	}
+}
+
+// owns reports whether a member is a backend server of this cell. With several
+// cells in a data centre, each server belongs to one by its name's hash.
+func (c *cell) owns(m store.Member) bool {
+	if m.Role() != store.Backend || m.Service() != c.name.Service || m.DataCentre() != c.name.DataCentre {
+		return false
+	}
+	cells := 1
+	for _, dc := range c.svc.DataCentres() {
+		if dc.Name() == c.name.DataCentre {
+			cells = max(dc.Cells(), 1)
+		}
+	}
+	return int(uint64(keys.Of(c.name.Service, m.Name()))%uint64(cells)) == c.name.Index
+}
+
+func (c *cell) serverSeen(m store.Member, state assign.Listing) assign.ServerSeen {
+	srv := c.svc.Server()
+	return assign.ServerSeen{
+		Server: keys.Server(m.Name()), Address: m.Addresses().Requests, Slots: srv.Slots(), Weight: 1,
+		Checks: srv.ChecksFences(), State: state,
+	}
+}
+
+// followConfig watches the configuration in the store.
+func (h *Host) followConfig(ctx context.Context) error {
+	since := uint64(0)
+	for ctx.Err() == nil {
+		next, err := h.watchConfig(ctx, since)
+		if err == nil {
+			since = next
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+	return nil
+}
+
+func (h *Host) watchConfig(ctx context.Context, since uint64) (next uint64, err error) {
+	defer func() { h.metrics.Store("watch", err) }()
+	if since == 0 {
+		cctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		obj, err := h.st.Get(cctx, ConfigObject)
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+		case err != nil:
+			return 0, err
+		default:
+			h.adoptEncoded(obj.Value())
+			return obj.Version(), nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	changes, rev, err := h.st.Watch(ctx, ConfigObject, since)
+	if err != nil {
+		return since, err
+	}
+	for _, o := range changes {
+		if o.Name() == ConfigObject {
+			h.adoptEncoded(o.Value())
+		}
+	}
+	return max(rev, since), nil
+}
+
+// adoptEncoded puts a configuration revision in force, unless this host has it
+// or a later one already.
+func (h *Host) adoptEncoded(b []byte) {
+	rev, err := config.DecodeRevision(b)
+	if err != nil {
+		h.log.Error("configuration refused", zap.Error(err))
+		return
+	}
+	conf, ok := rev.Site(h.cfg.DataCentre())
+	if !ok {
+		h.log.Error("configuration has no part for this data centre", zap.Uint64("revision", rev.Number()))
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if rev.Number() <= h.revision.Number() {
+		return
+	}
+	h.revision, h.conf, h.inForce = rev, conf, time.Now()
+	h.log.Info("configuration in force", zap.Uint64("revision", rev.Number()), zap.String("author", rev.Author()))
+	layouts := make(map[keys.Service]route.Layout)
+	services := make(map[keys.Service]*service)
+	for _, svc := range conf.Services() {
+		layouts[svc.Name()] = svc.Cells()
+		s := &service{Service: svc}
+		if old := h.services[svc.Name()]; old != nil && old.RetryBudget() == svc.RetryBudget() {
+			s.retry = old.retry
+		} else {
+			rc := retry.Defaults(h.boot)
+			rc.Share, rc.Redirects = svc.RetryBudget(), 2
+			s.retry = retry.New(rc)
+		}
+		services[svc.Name()] = s
+	}
+	h.services = services
+	h.router.SetLayouts(layouts)
+	h.doors.setCallers(h.callerRoutes(conf))
+	h.notify()
+	h.events.Push(configEvent{})
+}
+
+// applyConfig starts and stops cells as the configuration says. It runs on the
+// control worker.
+func (h *Host) applyConfig(ctx context.Context) {
+	h.mu.Lock()
+	want := make(map[keys.Cell]bool)
+	var stopped []*cell
+	kept := make(map[*cell]config.Service)
+	for _, svc := range h.conf.Services() {
+		for _, p := range svc.Cells() {
+			if p.Cell.DataCentre != h.cfg.DataCentre() {
+				continue
+			}
+			want[p.Cell] = true
+			if c := h.cells[p.Cell]; c != nil {
+				kept[c] = svc
+				continue
+			}
+			h.cells[p.Cell] = newCell(ctx, h, p.Cell, p.Range, svc)
+		}
+	}
+	for name, c := range h.cells {
+		if !want[name] {
+			stopped = append(stopped, c)
+			delete(h.cells, name)
+		}
+	}
+	h.mu.Unlock()
+	for c, svc := range kept {
+		c.configure(svc)
+	}
+	for _, c := range stopped {
+		c.stop()
+	}
+}
+
+func (c *cell) configure(svc config.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.svc = svc
+	c.stepAssign(c.h.clk.Now(), assign.Intent{Policy: policyOf(svc)})
+}
+
+func (h *Host) handleConfigAsk(from keys.Host, m *peerpb.ConfigAsk) {
+	h.mu.Lock()
+	rev := h.revision
+	h.mu.Unlock()
+	if rev.Number() <= m.GetHave() {
+		return
+	}
+	b, err := config.EncodeRevision(rev)
+	if err != nil {
+		h.log.Error("configuration can't be encoded", zap.Error(err))
+		return
+	}
+	h.peers.Send(from, &peerpb.Message{Body: &peerpb.Message_ConfigBody{ConfigBody: &peerpb.ConfigBody{
+		Revision: rev.Number(), Document: b,
+	}}})
+}
+
+// sortedCells returns the host's cells in the order of their names.
+func (h *Host) sortedCells() []*cell {
+	cs := h.cellList()
+	slices.SortFunc(cs, func(a, b *cell) int {
+		switch x, y := a.name.String(), b.name.String(); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return cs
+}
--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -82,6 +82,9 @@
 	return nil
 }
 
+// Backend returns the server's request handling.
+func (s *Server) Backend() *Backend { return s.backend }
+
 // Kill ends the server abruptly, as when its process crashes.
 func (s *Server) Kill() { s.backend.Kill() }
 
--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -249,8 +249,11 @@
 
 func tag(v uint64) string { return `"` + strconv.FormatUint(v, 10) + `"` }
 
-func send(w http.ResponseWriter, v any) {
+func send(w http.ResponseWriter, v any) { sendStatus(w, http.StatusOK, v) }
+
+func sendStatus(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v) // fails only when the client is gone
 }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -80,6 +80,7 @@
 	// and readSent when it was asked for.
 	read, readAt, readSent clock.Time
 	haveRead               bool
+	boot                   string // run of the server whose clock was read
 
 	lease    clock.Time // end of the newest lease
 	ackSeq   uint64     // newest push that the server has applied
@@ -157,6 +158,10 @@
 		return
 	}
 	sv.misses = 0
+	if sv.haveRead && ev.Boot != sv.boot {
+		sv.restarted()
+	}
+	sv.boot = ev.Boot
 	sv.ackSeq = max(sv.ackSeq, ev.Seq)
 	if sv.haveRead && ev.Sent < sv.readSent {
 		return
@@ -180,6 +185,15 @@
 	sv.state, s.urgent = ev.State, true
 }
 
+// restarted forgets what the server's earlier run knew. Its grants are gone, and
+// readings of its clock say nothing about the clock of the new run.
+func (sv *server) restarted() {
+	sv.haveRead, sv.dirty = false, true
+	for _, rec := range sv.records {
+		rec.firstPush = 0
+	}
+}
+
 func (s *State) missed(now clock.Time, ev Missed) {
 	sv, _, ok := s.find(ev.Server)
 	if !ok {
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -170,3 +170,24 @@
 	is.Equal(m.hot, keys.Hash(7))
 	is.True(m.hotRate > 700)
 }
+
+// Guards against a validity that is counted on the clock of a server's earlier
+// run, which may be far ahead, and against requests to a run without grants.
+func TestServerRestart(t *testing.T) {
+	is := is.New(t)
+	d := &dispatcher{State: New(Config{Host: "h"})}
+	d.tick(1000)
+	d.grant(1010, 1, true, entry)
+	p, ok := pushOf(d.Step(1020, Reached{Server: "s", Sent: 1015, ServerClock: 90_000, Boot: "one", State: grant.Ready}))
+	is.True(ok)
+	is.Equal(p.Boot, "one")
+	d.Step(1025, Reached{Server: "s", Sent: 1020, ServerClock: 90_005, Boot: "one", State: grant.Ready, Seq: p.Seq})
+	_, err := d.Check(1026, "s", 5)
+	is.NoErr(err)
+	p, ok = pushOf(d.Step(1035, Reached{Server: "s", Sent: 1030, ServerClock: 3, Boot: "two", State: grant.Ready}))
+	is.True(ok)
+	is.Equal(p.Boot, "two")
+	is.True(p.Until < 400)
+	_, err = d.Check(1036, "s", 5)
+	is.Equal(err, ErrUnacknowledged)
+}
--- a/internal/hold/message.go
+++ b/internal/hold/message.go
@@ -21,11 +21,13 @@
 
 // Reached says that a server answered a probe or a push. Sent is when the
 // probe was sent, ServerClock the server's own reading, Seq the sequence
-// number of the push if the server has applied it, else 0.
+// number of the push if the server has applied it, else 0. Boot identifies
+// the run of the server whose clock was read, if it tells one.
 type Reached struct {
 	Server      keys.Server
 	Sent        clock.Time
 	ServerClock clock.Time
+	Boot        string
 	State       grant.State
 	Slots       int
 	Seq         uint64
@@ -62,12 +64,14 @@
 
 // Push is sent to a server that checks fencing tokens. It replaces the grants
 // of this dispatcher at the server unless a push with a higher Seq was
-// applied. Until is on the server's clock.
+// applied. Until is on the clock of the server's run Boot; another run must
+// refuse the push, because its clock has started again.
 type Push struct {
 	Server keys.Server
 	Seq    uint64
 	Grants []grant.Held
 	Until  clock.Time
+	Boot   string
 }
 
 // Transfer asks for the deduplication records of the range to be sent to Next;
--- a/internal/hold/release.go
+++ b/internal/hold/release.go
@@ -118,7 +118,7 @@
 		return acts
 	}
 	end := min(sv.lease, sv.readAt.Add(grant.Lease-grant.Margin))
-	p := Push{Server: sv.name, Seq: s.pushSeq + 1}
+	p := Push{Server: sv.name, Seq: s.pushSeq + 1, Boot: sv.boot}
 	if end > now {
 		p.Until = sv.read + (end-sv.readAt)*clockRate/1000
 		for _, rec := range sv.records {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -51,6 +51,10 @@
 	return &Body{head: buf.Bytes(), rest: r, length: length}, nil
 }
 
+// NewStream returns a body of which nothing is read before it is sent, so that
+// the sender isn't told to go on with a body that may be refused.
+func NewStream(r io.Reader, length int64) *Body { return &Body{rest: r, length: length} }
+
 // Length returns the length in bytes, or -1 when it isn't known.
 func (b *Body) Length() int64 { return b.length }
 
--- a/internal/proxy/header.go
+++ b/internal/proxy/header.go
@@ -29,19 +29,17 @@
 // FromCaller returns a copy of a caller's header for the next hop, without
 // headers of the connection and those that the system itself uses.
 func FromCaller(h http.Header) http.Header {
-	c := FromHost(h)
-	for name := range c {
-		if strings.HasPrefix(name, answer.HeaderPrefix) {
-			delete(c, name)
-		}
-	}
-	return c
-}
-
-// FromHost returns a copy of the header of a request that another entry host
-// sent.
-func FromHost(h http.Header) http.Header {
 	c := h.Clone()
 	dropHopHeaders(c)
+	DropOwn(c)
 	return c
 }
+
+// DropOwn removes the headers that the system itself uses.
+func DropOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, answer.HeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	s := route.New(seed)
-//	s.SetLayout("ledger", route.NewLayout("ledger", weights))
+//	s.SetLayouts(map[keys.Service]route.Layout{"ledger": svc.Cells()})
 //	s.Update(table)
 //	target, miss := s.Lookup("ledger", keys.Of("ledger", key))
 //
@@ -27,6 +27,7 @@
 	"slices"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -43,6 +44,20 @@
 	NoOwner               // no-owner
 )
 
+// Layout is the division of a service's hash space into cells. Parts are in
+// the order of their ranges.
+type Layout []config.CellRange
+
+// Find returns the cell that contains h.
+func (l Layout) Find(h keys.Hash) (keys.Cell, bool) {
+	for _, p := range l {
+		if p.Range.Contains(h) {
+			return p.Cell, true
+		}
+	}
+	return keys.Cell{}, false
+}
+
 // Backend is a backend server as a routing table lists it.
 type Backend struct {
 	Name       keys.Server
@@ -50,18 +65,20 @@
 	Leaving    bool
 }
 
-// Row assigns a range to the backend server with the given index.
+// Row assigns a range to the backend server with the given index. The
+// dispatcher of a row differs from its server's during a change of dispatcher.
 type Row struct {
-	Range   keys.Range
-	Fence   keys.Fence
-	Backend int
+	Range      keys.Range
+	Fence      keys.Fence
+	Backend    int
+	Dispatcher keys.Host
 }
 
 // Table is a version of a cell's assignment.
 type Table struct {
 	cell     keys.Cell
 	term     uint32
-	version  uint32
+	version  uint64
 	assigner keys.Host
 	stored   bool
 	backends []Backend
@@ -70,7 +87,7 @@
 
 // NewTable returns a table. Rows are sorted by range; rows whose index names
 // no backend server are dropped.
-func NewTable(c keys.Cell, term, version uint32, assigner keys.Host, stored bool, backends []Backend, rows []Row) *Table {
+func NewTable(c keys.Cell, term uint32, version uint64, assigner keys.Host, stored bool, backends []Backend, rows []Row) *Table {
 	rows = slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.Backend < 0 || r.Backend >= len(backends) })
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Range.Lo(), b.Range.Lo()) })
 	return &Table{cell: c, term: term, version: version, assigner: assigner, stored: stored, backends: backends, rows: rows}
@@ -83,7 +100,7 @@
 func (t *Table) Term() uint32 { return t.term }
 
 // Version returns the table's version within its term.
-func (t *Table) Version() uint32 { return t.version }
+func (t *Table) Version() uint64 { return t.version }
 
 // Assigner returns the host that published the table.
 func (t *Table) Assigner() keys.Host { return t.assigner }
@@ -98,7 +115,7 @@
 func (t *Table) Rows() []Row { return t.rows }
 
 // Newer reports whether t replaces the version given by term and version.
-func (t *Table) Newer(term, version uint32) bool {
+func (t *Table) Newer(term uint32, version uint64) bool {
 	return t.term > term || t.term == term && t.version > version
 }
 
@@ -126,7 +143,7 @@
 	Hash       keys.Hash
 	Fence      keys.Fence
 	Term       uint32
-	Version    uint32
+	Version    uint64
 }
 
 // State holds layouts, tables and the host's own measurements of servers.
@@ -152,7 +169,7 @@
 func (s *State) SetLayouts(ls map[keys.Service]Layout) {
 	s.layouts = ls
 	for c := range s.tables {
-		if !slices.ContainsFunc(ls[c.Service], func(p Part) bool { return p.Cell == c }) {
+		if !slices.ContainsFunc(ls[c.Service], func(p config.CellRange) bool { return p.Cell == c }) {
 			delete(s.tables, c)
 		}
 	}
@@ -205,7 +222,7 @@
 func (t *Table) target(r Row, h keys.Hash) Target {
 	b := t.backends[r.Backend]
 	return Target{
-		Cell: t.cell, Server: b.Name, Dispatcher: b.Dispatcher,
+		Cell: t.cell, Server: b.Name, Dispatcher: cmp.Or(r.Dispatcher, b.Dispatcher),
 		Hash: h, Fence: r.Fence, Term: t.term, Version: t.version,
 	}
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -8,56 +8,29 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a layout with gaps or overlaps: a hash in no cell has no
-// owner, one in two cells has two.
-func TestLayout(t *testing.T) {
-	tests := []struct {
-		name   string
-		shares []Share
-		cells  int
-	}{
-		{"one data centre", []Share{{"north-1", 1, 1}}, 1},
-		{"three equal", []Share{{"north-3", 1, 1}, {"north-1", 1, 1}, {"north-2", 1, 1}}, 3},
-		{"unequal, several cells", []Share{{"north-1", 3, 4}, {"north-2", 1, 2}}, 6},
-		{"one without weight", []Share{{"north-1", 1, 1}, {"north-2", 0, 1}}, 1},
-		{"all without weight", []Share{{"north-1", 0, 1}}, 0},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			l := NewLayout("ledger", tt.shares)
-			is.Equal(len(l), tt.cells)
-			for i, p := range l {
-				if i == 0 {
-					is.Equal(p.Range.Lo(), keys.Hash(0))
-				} else {
-					is.Equal(p.Range.Lo(), l[i-1].Range.Hi()+1)
-				}
-			}
-			if len(l) > 0 {
-				is.Equal(l[len(l)-1].Range.Hi(), keys.MaxHash)
-			}
-		})
-	}
+// layout gives the whole hash space to one cell.
+func layout(dc keys.DataCentre) Layout {
+	return Layout{{Cell: keys.Cell{Service: "ledger", DataCentre: dc}, Range: keys.Full()}}
 }
 
-func newTestState(term, version uint32) *State {
+func newTestState(term uint32, version uint64) *State {
 	s := New(1)
-	l := NewLayout("ledger", []Share{{"north-1", 1, 1}})
+	l := layout("north-1")
 	s.SetLayouts(map[keys.Service]Layout{"ledger": l})
 	parts := keys.Full().Divide(2)
 	s.Update(NewTable(l[0].Cell, term, version, "a", true,
 		[]Backend{{Name: "s1", Dispatcher: "a"}, {Name: "s2", Dispatcher: "b"}},
-		[]Row{{parts[1], 2, 1}, {parts[0], 1, 0}, {parts[0], 1, 9}}))
+		[]Row{{parts[1], 2, 1, ""}, {parts[0], 1, 0, ""}, {parts[0], 1, 9, ""}}))
 	return s
 }
 
 // Guards against a late message that takes routing back to an older table.
 func TestUpdateKeepsNewest(t *testing.T) {
 	tests := []struct {
-		name          string
-		term, version uint32
-		adopted       bool
+		name    string
+		term    uint32
+		version uint64
+		adopted bool
 	}{
 		{"older term", 1, 99, false},
 		{"same version", 2, 5, false},
@@ -88,7 +61,7 @@
 	is.Equal(tg.Dispatcher, keys.Host("b"))
 	_, miss = s.Lookup("orderdesk", 0)
 	is.Equal(miss, NoService)
-	s.SetLayouts(map[keys.Service]Layout{"ledger": NewLayout("ledger", []Share{{"north-2", 1, 1}})})
+	s.SetLayouts(map[keys.Service]Layout{"ledger": layout("north-2")})
 	_, miss = s.Lookup("ledger", 0)
 	is.Equal(miss, NoTable) // the table of a removed cell isn't used
 }
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,88 @@
+// Package stats has the metrics of an entry host.
+//
+// # Usage
+//
+//	m := stats.New()
+//	m.Request("ledger", answer.Answered, answer.ReasonNone, took)
+//	http.Handle("/metrics", m.Handler())
+package stats
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Metrics has the counters and histograms of an entry host. Names end in
+// their unit.
+type Metrics struct {
+	reg       *prometheus.Registry
+	requests  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	elections *prometheus.CounterVec
+	store     *prometheus.CounterVec
+	publishes *prometheus.CounterVec
+}
+
+// New returns metrics in a registry of their own.
+func New() *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "laburnummux", Name: name, Help: help}, labels)
+	}
+	m := &Metrics{
+		reg:      prometheus.NewRegistry(),
+		requests: counter("requests_total", "Requests of callers by outcome and reason.", "service", "outcome", "reason"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "laburnummux", Name: "request_duration_seconds",
+			Help:    "Time from the request's header to the end of its answer.",
+			Buckets: []float64{.001, .002, .004, .006, .008, .01, .012, .016, .024, .05, .1, .25, .5, 1, 2.5, 5},
+		}, []string{"service"}),
+		attempts:  counter("attempts_total", "Attempts at backend servers by their end.", "service", "end"),
+		elections: counter("elections_total", "Changes of the assigner role at this host.", "cell", "change"),
+		store:     counter("store_calls_total", "Calls to the store by result.", "call", "result"),
+		publishes: counter("tables_total", "Routing tables adopted.", "cell"),
+	}
+	m.reg.MustRegister(m.requests, m.duration, m.attempts, m.elections, m.store, m.publishes,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Register adds a collector, for figures that are read when asked for.
+func (m *Metrics) Register(c prometheus.Collector) { m.reg.MustRegister(c) }
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler { return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}) }
+
+// Request counts a caller's request.
+func (m *Metrics) Request(s keys.Service, o answer.Outcome, r answer.Reason, took time.Duration) {
+	m.requests.WithLabelValues(string(s), o.String(), r.String()).Inc()
+	m.duration.WithLabelValues(string(s)).Observe(took.Seconds())
+}
+
+// Attempt counts an attempt at a backend server.
+func (m *Metrics) Attempt(s keys.Service, end string) {
+	m.attempts.WithLabelValues(string(s), end).Inc()
+}
+
+// Election counts a change of the assigner role.
+func (m *Metrics) Election(c keys.Cell, change string) {
+	m.elections.WithLabelValues(c.String(), change).Inc()
+}
+
+// Store counts a call to the store.
+func (m *Metrics) Store(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.store.WithLabelValues(call, result).Inc()
+}
+
+// Table counts an adopted routing table.
+func (m *Metrics) Table(c keys.Cell) { m.publishes.WithLabelValues(c.String()).Inc() }
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -74,4 +74,15 @@
 	Unreachable                   // unreachable
 	Quarantined                   // quarantined
 	Stopping                      // stopping
+	TooLarge                      // too-large
 )
+
+// ParseReason returns the reason named by s; any other text means ReasonNone.
+func ParseReason(s string) Reason {
+	for r := ReasonNone; r <= TooLarge; r++ {
+		if s == r.String() {
+			return r
+		}
+	}
+	return ReasonNone
+}
--- a/pkg/answer/answer_string.go
+++ b/pkg/answer/answer_string.go
@@ -49,11 +49,12 @@
 	_ = x[Unreachable-18]
 	_ = x[Quarantined-19]
 	_ = x[Stopping-20]
+	_ = x[TooLarge-21]
 }
 
-const _Reason_name = "noneno-ownerno-routenot-dispatcherstale-fencedrainingshedqueue-fulldeadline-too-neardeadline-passedcancelledbad-requestbad-request-idearlier-attemptstill-runningtruncated-answermismatched-answerserver-lostunreachablequarantinedstopping"
+const _Reason_name = "noneno-ownerno-routenot-dispatcherstale-fencedrainingshedqueue-fulldeadline-too-neardeadline-passedcancelledbad-requestbad-request-idearlier-attemptstill-runningtruncated-answermismatched-answerserver-lostunreachablequarantinedstoppingtoo-large"
 
-var _Reason_index = [...]uint8{0, 4, 12, 20, 34, 45, 53, 57, 67, 84, 99, 108, 119, 133, 148, 161, 177, 194, 205, 216, 227, 235}
+var _Reason_index = [...]uint8{0, 4, 12, 20, 34, 45, 53, 57, 67, 84, 99, 108, 119, 133, 148, 161, 177, 194, 205, 216, 227, 235, 244}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
