--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -19,7 +19,7 @@
 	// stopSpan is how long a watcher must have been unneeded before it stops.
 	stopSpan = 5 * clock.Second
 	// firstSpan is for how long after the start hosts that are listed and not
-	// yet heard count as watchers. Without it all hosts of a fleet that starts
+	// yet heard count as watchers; hosts of the group do for groupWatchSpan. Without it all hosts of a fleet that starts
 	// would watch, and a pending watch counts against the store's rate limit.
 	firstSpan = 10 * clock.Second
 )
@@ -59,12 +59,12 @@
 	if e.leaving || e.listSays {
 		return false
 	}
-	if e.heard == never {
-		return (e.listed || e.group) && s.now.Sub(s.start) < firstSpan
-	}
-	span := watchSpan
+	span, first := watchSpan, firstSpan
 	if e.group {
-		span = groupWatchSpan
+		span, first = groupWatchSpan, groupWatchSpan
+	}
+	if e.heard == never {
+		return (e.listed || e.group) && s.now.Sub(s.start) < first
 	}
 	return s.live(e) && s.now.Sub(e.heard) <= span
 }
