--- a/internal/spread/digest.go
+++ b/internal/spread/digest.go
@@ -31,7 +31,8 @@
 const (
 	digestsPerRound = groupTargets + 1
 	// MaxRate is the limit for the digests of rounds in bytes/s, whatever the
-	// fleet's size. Heartbeats of others use what the digests leave. The limit
+	// fleet's size; what was saved in the 0.4 s before may be added once.
+	// Heartbeats of others use what the digests leave. The limit
 	// holds for names of up to 43 characters, because 3 digests without
 	// heartbeats of others are always sent. Digests outside a round, at most 3
 	// per round, are deducted from later heartbeats; during a burst of changes
