entry: spread the configuration and liveness by gossip

Cause: every entry host watched the store and read the host list twice a second; at 3,900 hosts that is 3,900 watches and 7,800 reads a second against about 2,000 allowed. Change: the daemon drives package spread: two hosts per data centre watch, the others fetch a revision that they hear of. The period of host list reads grows with the fleet to 80 reads a second in all. Boot ids now grow from run to run, which spread needs to refuse late heartbeats of a former run. Figures: computed at 3,900 hosts: 14 watches (2 in each of 7 data centres) and 80 list reads a second. go test -race ./internal/entry ./internal/spread passes. The list itself is sent whole and is too large for 7 KB/s at that size; the platform's list would need paging or a filter.

--- a/internal/entry/cell.go
+++ b/internal/entry/cell.go
@@ -327,13 +327,6 @@
 	}
 }
 
-// hostSeen passes on what is known of another host of the group.
-func (c *cell) hostSeen(name keys.Host, leaving bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stepAssign(c.h.clk.Now(), assign.HostSeen{Host: name, Live: true, Leaving: leaving})
-}
-
 // serving reports whether this host is the dispatcher of a backend server.
 func (c *cell) serving() bool {
 	c.mu.Lock()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/laburnummux/laburnummux/internal/assign"
 	"github.com/laburnummux/laburnummux/internal/elect"
 	"github.com/laburnummux/laburnummux/internal/peerpb"
+	"github.com/laburnummux/laburnummux/internal/spread"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -25,16 +25,19 @@
 		cell keys.Cell
 		ev   any
 	}
-	// configEvent says that the configuration or the host list has changed.
+	// configEvent says that the configuration has changed.
 	configEvent struct{}
+	// gossipEvent is an event of the gossip.
+	gossipEvent struct{ ev spread.Event }
 )
 
 func (peerEvent) event()   {}
 func (cellEvent) event()   {}
 func (configEvent) event() {}
+func (gossipEvent) event() {}
 
-// digestPeriod is the time between two digests to the hosts of the group.
-const digestPeriod = 200 * time.Millisecond
+// gossipPeriod is the time between two steps of the gossip.
+const gossipPeriod = 100 * time.Millisecond
 
 // receive takes a message from another host. It must not block.
 func (h *Host) receive(from keys.Host, boot uint64, m *peerpb.Message) {
@@ -45,8 +48,8 @@
 func (h *Host) control(ctx context.Context) error {
 	tick := time.NewTicker(elect.TickPeriod.Std())
 	defer tick.Stop()
-	digest := time.NewTicker(digestPeriod)
-	defer digest.Stop()
+	gossip := time.NewTicker(gossipPeriod)
+	defer gossip.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,8 +63,8 @@
 			for _, c := range h.cellList() {
 				c.tick()
 			}
-		case <-digest.C:
-			h.sendDigest()
+		case <-gossip.C:
+			h.stepGossip(spread.Tick{})
 		}
 	}
 }
@@ -76,6 +79,8 @@
 		}
 	case configEvent:
 		h.applyConfig(ctx)
+	case gossipEvent:
+		h.stepGossip(ev.ev)
 	}
 }
 
@@ -86,6 +91,7 @@
 }
 
 func (h *Host) handlePeer(ev peerEvent) {
+	h.heardOf(ev.from, ev.boot)
 	switch m := ev.msg.GetBody().(type) {
 	case *peerpb.Message_PromiseAsk:
 		if c := h.cell(cellFromWire(m.PromiseAsk.GetCell())); c != nil {
@@ -124,7 +130,10 @@
 	case *peerpb.Message_ConfigAsk:
 		h.handleConfigAsk(ev.from, m.ConfigAsk)
 	case *peerpb.Message_ConfigBody:
-		h.adoptEncoded(m.ConfigBody.GetDocument())
+		h.stepGossip(spread.Fetched{
+			From: ev.from, Revision: m.ConfigBody.GetRevision(), Body: m.ConfigBody.GetDocument(),
+			Hosts: beatsFromWire(m.ConfigBody.GetHosts()),
+		})
 	case *peerpb.Message_Records:
 		h.handleRecords(ev.from, m.Records)
 	case *peerpb.Message_RecordsReply:
@@ -143,49 +152,6 @@
 	return gs
 }
 
-func (h *Host) sendDigest() {
-	h.mu.Lock()
-	rev := h.revision.Number()
-	h.mu.Unlock()
-	m := &peerpb.Message{Body: &peerpb.Message_Digest{Digest: &peerpb.Digest{
-		Revision: rev,
-		Hosts:    []*peerpb.HostBeat{{Host: string(h.self), Boot: h.boot, Leaving: h.leaving.Load()}},
-	}}}
-	for _, g := range h.group() {
-		h.peers.Send(g, m)
-	}
-}
-
-func (h *Host) handleDigest(ev peerEvent, d *peerpb.Digest) {
-	h.mu.Lock()
-	behind := d.GetRevision() > h.revision.Number()
-	have := h.revision.Number()
-	h.mu.Unlock()
-	if behind {
-		h.peers.Send(ev.from, &peerpb.Message{Body: &peerpb.Message_ConfigAsk{ConfigAsk: &peerpb.ConfigAsk{Have: have}}})
-	}
-	for _, b := range d.GetHosts() {
-		if keys.Host(b.GetHost()) != ev.from {
-			continue
-		}
-		h.mu.Lock()
-		h.heard[ev.from] = peer{at: h.clk.Now(), leaving: b.GetLeaving()}
-		h.mu.Unlock()
-		for _, c := range h.cellList() {
-			c.step(elect.PeerBoot{Host: ev.from, Boot: ev.boot})
-			c.hostSeen(ev.from, b.GetLeaving())
-		}
-	}
-}
-
-// announceLeaving tells the group at once that this host stops.
-func (h *Host) announceLeaving() {
-	h.sendDigest()
-	for _, c := range h.cellList() {
-		c.step(assign.HostSeen{Host: h.self, Live: true, Leaving: true})
-	}
-}
-
 func (h *Host) stopCells() {
 	for _, c := range h.cellList() {
 		c.stop()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,6 +35,7 @@
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/internal/ring"
 	"github.com/laburnummux/laburnummux/internal/route"
+	"github.com/laburnummux/laburnummux/internal/spread"
 	"github.com/laburnummux/laburnummux/internal/stats"
 	"github.com/laburnummux/laburnummux/internal/store"
 	"github.com/laburnummux/laburnummux/internal/super"
@@ -71,6 +72,10 @@
 	leaving  atomic.Bool
 	callers  atomic.Int64 // callers' requests in flight
 	attempts atomic.Uint64
+	ready    atomic.Bool // the newest revision within reach is in force
+	watching atomic.Bool // this host watches the store
+
+	readStore chan struct{} // asks for one read of the configuration
 
 	mu       sync.Mutex
 	router   *route.State
@@ -81,6 +86,7 @@
 	cells    map[keys.Cell]*cell
 	members  map[string]store.Member
 	relays   map[keys.Host]*proxy.Pool
+	gossip   *spread.State
 	heard    map[keys.Host]peer // hosts of the group
 	changed  chan struct{}      // closed when routing changes
 
@@ -90,6 +96,7 @@
 
 // peer is what this host heard last of another host of the group.
 type peer struct {
+	boot    uint64
 	at      clock.Time
 	leaving bool
 }
@@ -103,19 +110,29 @@
 
 // New returns a host that is not started.
 func New(cfg Config) *Host {
-	boot := rand.Uint64()
+	boot := newBoot()
 	h := &Host{
 		cfg: cfg.Settings, self: cfg.Settings.Host(), boot: boot, clk: clock.System(),
 		log: cfg.Log.With(zap.String("host", string(cfg.Settings.Host()))), st: cfg.Store, metrics: stats.New(),
 		events: ring.New[event](controlRing), started: time.Now(),
 		router: route.New(boot), services: make(map[keys.Service]*service), cells: make(map[keys.Cell]*cell),
 		members: make(map[string]store.Member), relays: make(map[keys.Host]*proxy.Pool), changed: make(chan struct{}), heard: make(map[keys.Host]peer),
+		readStore: make(chan struct{}, 1),
 	}
+	h.gossip = spread.New(spread.Config{
+		Host: h.self, Boot: boot, DataCentre: h.cfg.DataCentre(), Group: h.cfg.Group(), Seed: boot,
+	})
 	h.peers = peers.New(h.self, boot, h.receive, h.log)
 	h.metrics.Register(&collector{h})
 	return h
 }
 
+// newBoot returns an id for this run. Later runs of a host have higher ids.
+func newBoot() uint64 {
+	const randomBits = 20
+	return uint64(wall())<<randomBits | rand.Uint64N(1<<randomBits)
+}
+
 // Start opens the listeners and starts the workers.
 func (h *Host) Start(context.Context) (err error) {
 	defer func() {
@@ -154,7 +171,7 @@
 	}()
 	h.log.Info("entry host stopping")
 	h.leaving.Store(true)
-	h.announceLeaving()
+	h.events.Push(gossipEvent{spread.Leave{}})
 	// The balancer notices the failing readiness check; until then requests
 	// that still arrive are served.
 	err = h.waitIdle(ctx)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -41,7 +41,7 @@
 	switch {
 	case h.leaving.Load():
 		return "stopping"
-	case h.revision.Number() == 0:
+	case !h.ready.Load() || h.revision.Number() == 0:
 		return "no configuration yet"
 	}
 	return ""
@@ -162,6 +162,7 @@
 type dump struct {
 	Status   Status           `json:"status"`
 	Peers    any              `json:"peers"`
+	Gossip   any              `json:"gossip"`
 	Workers  map[string]int64 `json:"workerRestarts"`
 	Dropped  uint64           `json:"droppedEvents"`
 	Services map[string]any   `json:"services"`
@@ -186,6 +187,7 @@
 		Services: make(map[string]any),
 	}
 	h.mu.Lock()
+	d.Gossip = h.gossip.Dump()
 	services := make([]*service, 0, len(h.services))
 	for _, s := range h.services {
 		services = append(services, s)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -9,9 +9,9 @@
 	"github.com/laburnummux/laburnummux/internal/assign"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
-	"github.com/laburnummux/laburnummux/internal/peerpb"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/internal/route"
+	"github.com/laburnummux/laburnummux/internal/spread"
 	"github.com/laburnummux/laburnummux/internal/store"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 	"go.uber.org/zap"
@@ -21,27 +21,39 @@
 	// ConfigObject is the store object with the configuration in force.
 	ConfigObject = "config/current"
 
-	membersPeriod = 500 * time.Millisecond
-	callTimeout   = time.Second
-	watchTimeout  = 10 * time.Second
-	watchRetry    = 200 * time.Millisecond
-	leavingNotice = 50 * time.Millisecond
+	minMembersPeriod = 500 * time.Millisecond
+	maxMembersReads  = 80 // reads of the host list a second, all hosts together
+	callTimeout      = time.Second
+	watchTimeout     = 10 * time.Second
+	watchRetry       = 200 * time.Millisecond
 )
 
 // followMembers reads the host list.
 func (h *Host) followMembers(ctx context.Context) error {
-	t := time.NewTicker(membersPeriod)
-	defer t.Stop()
 	for {
 		h.readMembers(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-time.After(h.membersPeriod()):
 		}
 	}
 }
 
+// membersPeriod grows with the fleet, so that the hosts together read the list
+// about 80 times a second at most.
+func (h *Host) membersPeriod() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	entries := 0
+	for _, m := range h.members {
+		if m.Role() == store.Entry {
+			entries++
+		}
+	}
+	return max(minMembersPeriod, time.Duration(entries)*time.Second/maxMembersReads)
+}
+
 func (h *Host) readMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -56,10 +68,14 @@
 func (h *Host) setMembers(members []store.Member) {
 	addrs := make(map[keys.Host]string)
 	m := make(map[string]store.Member, len(members))
+	var entries []spread.Member
 	for _, x := range members {
 		m[x.Name()] = x
 		if x.Role() == store.Entry {
 			addrs[keys.Host(x.Name())] = x.Addresses().Peers
+			entries = append(entries, spread.Member{
+				Host: keys.Host(x.Name()), DataCentre: x.DataCentre(), Leaving: x.State() == store.Leaving,
+			})
 		}
 	}
 	h.mu.Lock()
@@ -72,6 +88,7 @@
 	h.members = m
 	h.mu.Unlock()
 	h.peers.SetAddresses(addrs)
+	h.events.Push(gossipEvent{spread.Listed{Members: entries}})
 	for _, c := range h.cellList() {
 		c.tellGone(gone)
 		c.tellMembersNow()
@@ -151,37 +168,51 @@
 	}
 }
 
-// followConfig watches the configuration in the store.
+// followConfig reads the configuration from the store when the gossip asks for
+// it, and watches it while this host is one of its data centre's watchers.
 func (h *Host) followConfig(ctx context.Context) error {
 	since := uint64(0)
-	for ctx.Err() == nil {
+	for {
+		if !h.watching.Load() {
+			since = 0
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-h.readStore:
+			}
+		}
 		next, err := h.watchConfig(ctx, since)
 		if err == nil {
 			since = next
 			continue
 		}
+		if ctx.Err() == nil {
+			h.events.Push(gossipEvent{spread.StoreFailed{}})
+		}
 		select {
 		case <-ctx.Done():
+			return nil
 		case <-time.After(watchRetry):
 		}
 	}
-	return nil
 }
 
+// watchConfig reads the object, or waits for a change after the version since.
 func (h *Host) watchConfig(ctx context.Context, since uint64) (next uint64, err error) {
 	defer func() { h.metrics.Store("watch", err) }()
 	if since == 0 {
 		cctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		obj, err := h.st.Get(cctx, ConfigObject)
-		switch {
-		case errors.Is(err, store.ErrNotFound):
-		case err != nil:
+		if errors.Is(err, store.ErrNotFound) {
+			h.events.Push(gossipEvent{spread.Watched{}})
 			return 0, err
-		default:
-			h.adoptEncoded(obj.Value())
-			return obj.Version(), nil
 		}
+		if err != nil {
+			return 0, err
+		}
+		h.found(obj)
+		return obj.Version(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -191,12 +222,22 @@
 	}
 	for _, o := range changes {
 		if o.Name() == ConfigObject {
-			h.adoptEncoded(o.Value())
+			h.found(o)
 		}
 	}
 	return max(rev, since), nil
 }
 
+// found passes on a revision from the store.
+func (h *Host) found(o store.Object) {
+	rev, err := config.DecodeRevision(o.Value())
+	if err != nil {
+		h.log.Error("configuration in the store refused", zap.Error(err))
+		return
+	}
+	h.events.Push(gossipEvent{spread.Watched{Revision: rev.Number(), Body: o.Value()}})
+}
+
 // adoptEncoded puts a configuration revision in force, unless this host has it
 // or a later one already.
 func (h *Host) adoptEncoded(b []byte) {
@@ -280,23 +321,6 @@
 	c.stepAssign(c.h.clk.Now(), assign.Intent{Policy: policyOf(svc)})
 }
 
-func (h *Host) handleConfigAsk(from keys.Host, m *peerpb.ConfigAsk) {
-	h.mu.Lock()
-	rev := h.revision
-	h.mu.Unlock()
-	if rev.Number() <= m.GetHave() {
-		return
-	}
-	b, err := config.EncodeRevision(rev)
-	if err != nil {
-		h.log.Error("configuration can't be encoded", zap.Error(err))
-		return
-	}
-	h.peers.Send(from, &peerpb.Message{Body: &peerpb.Message_ConfigBody{ConfigBody: &peerpb.ConfigBody{
-		Revision: rev.Number(), Document: b,
-	}}})
-}
-
 // sortedCells returns the host's cells in the order of their names.
 func (h *Host) sortedCells() []*cell {
 	cs := h.cellList()
