--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		var err error
-		if ports[k], err = freePort(); err != nil {
+		if ports[k], err = FreePort(); err != nil {
 			return config.Settings{}, err
 		}
 	}
@@ -228,7 +228,8 @@
 
 func init() { nextPort.Store(uint32(os.Getpid() * 97)) }
 
-func freePort() (int, error) {
+// FreePort returns a port of the loopback address that nobody uses.
+func FreePort() (int, error) {
 	for range freePorts {
 		port := firstFreePort + int(nextPort.Add(1)%freePorts)
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -236,7 +237,7 @@
 			return port, ln.Close()
 		}
 	}
-	return 0, errors.New("devel.freePort: no free port")
+	return 0, errors.New("devel.FreePort: no free port")
 }
 
 // serveControl serves the store and the faults of the backend servers.
@@ -276,6 +277,9 @@
 	srv.Control().ServeHTTP(w, r)
 }
 
+// Address returns the address of the store and the faults.
+func (s *System) Address() string { return s.address }
+
 // Hosts returns the entry hosts.
 func (s *System) Hosts() []*entry.Host { return s.hosts }
 
@@ -314,6 +318,9 @@
 	}
 }
 
+// fullyOwned leaves room for rounding in a sum of shares.
+const fullyOwned = 1 - 1e-9
+
 func (s *System) served() bool {
 	want := 0
 	for _, svc := range s.conf.Services() {
@@ -322,7 +329,7 @@
 	seen := make(map[string]bool)
 	for _, h := range s.hosts {
 		for _, c := range h.Status().Cells {
-			if c.Ranges == 0 || c.Unowned > 0 {
+			if c.Owned < fullyOwned {
 				return false
 			}
 			seen[c.Cell] = true
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -102,7 +102,7 @@
 	Version  uint64      `json:"version"`
 	Stored   bool        `json:"stored"`
 	Ranges   int         `json:"ranges"`
-	Unowned  int         `json:"unowned"`
+	Owned    float64     `json:"owned"` // share of the cell's hash space that has an owner
 	Servers  []ServerRow `json:"servers"`
 }
 
@@ -126,15 +126,16 @@
 	}
 	h.mu.Lock()
 	s.Revision, s.InForce = h.revision.Number(), h.inForce
-	tables := h.router.Tables()
-	h.mu.Unlock()
-	for _, t := range tables {
-		s.Cells = append(s.Cells, cellStatus(t))
+	for _, t := range h.router.Tables() {
+		s.Cells = append(s.Cells, cellStatus(t, h.router.Layout(t.Cell().Service).Width(t.Cell())))
 	}
+	h.mu.Unlock()
 	return s
 }
 
-func cellStatus(t *route.Table) CellStatus {
+// cellStatus summarises a table of a cell that has this share of the service's
+// hash space.
+func cellStatus(t *route.Table, width float64) CellStatus {
 	c := CellStatus{
 		Cell: t.Cell().String(), Assigner: t.Assigner(), Term: t.Term(), Version: t.Version(), Stored: t.Stored(),
 		Ranges: len(t.Rows()),
@@ -148,6 +149,9 @@
 		c.Servers[r.Backend].Share += r.Range.Width()
 		total += r.Range.Width()
 	}
+	if width > 0 {
+		c.Owned = total / width
+	}
 	for i := range c.Servers {
 		if total > 0 {
 			c.Servers[i].Share /= total
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -58,6 +58,16 @@
 	return keys.Cell{}, false
 }
 
+// Width returns the share of the hash space that a cell has.
+func (l Layout) Width(c keys.Cell) float64 {
+	for _, p := range l {
+		if p.Cell == c {
+			return p.Range.Width()
+		}
+	}
+	return 0
+}
+
 // Backend is a backend server as a routing table lists it.
 type Backend struct {
 	Name       keys.Server
