Add certificates and operators' tokens that are read from files

Cause: all connections were in plain text and nobody's identity was checked. Conclusion: parsing and reloading are in place; nothing uses them yet.

--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,228 @@
+// Package certs keeps certificates, keys and CAs that are read from files, and
+// makes TLS configurations of them.
+//
+// The files can be replaced while the process runs: a connection that is opened
+// later uses the new ones. Files that are incomplete or don't match each other
+// are not taken.
+//
+// # Usage
+//
+//	s, err := certs.Load("peers", certs.Files{Certificate: "host.pem", Key: "host.key", CA: "ca.pem"}, log)
+//	ln = tls.NewListener(ln, s.Server(certs.ServerOptions{Min: tls.VersionTLS13, Clients: certs.Required}))
+//	cfg := s.Client(tls.VersionTLS13, "north-1-b") // the server's certificate must have this name
+//	s.Check(clk.Now())                             // periodically, by a worker
+package certs
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+
+	"go.uber.org/zap"
+)
+
+// Files names the PEM files of a section. Certificate and Key are given both
+// or not at all.
+type Files struct {
+	Certificate string // the leaf first, then intermediate certificates
+	Key         string
+	CA          string // one or more CAs that sign the other side's certificates
+}
+
+// material is what the files contain.
+type material struct {
+	cert  *tls.Certificate // nil without a certificate file
+	roots *x509.CertPool   // nil without a CA file
+}
+
+// Set is the certificate, key and CA of one section of the settings.
+type Set struct{ *Watch[material] }
+
+// Load reads the files of a section.
+func Load(section string, f Files, log *zap.Logger) (*Set, error) {
+	if (f.Certificate == "") != (f.Key == "") {
+		return nil, fmt.Errorf("certs: %s: a certificate and its key are required together", section)
+	}
+	w, err := NewWatch(section, log, func(c [][]byte) (*material, error) { return parse(f, c) }, f.Certificate, f.Key, f.CA)
+	if err != nil {
+		return nil, err
+	}
+	return &Set{w}, nil
+}
+
+// parse never puts contents of files into an error, because one is a key.
+func parse(f Files, contents [][]byte) (*material, error) {
+	var m material
+	if f.Certificate != "" {
+		if _, err := blocks(contents[0]); err != nil {
+			return nil, fmt.Errorf("certificate %s: %w", f.Certificate, err)
+		}
+		pair, err := tls.X509KeyPair(contents[0], contents[1])
+		if err != nil {
+			return nil, fmt.Errorf("certificate %s with key %s: %w", f.Certificate, f.Key, err)
+		}
+		m.cert = &pair
+	}
+	if f.CA != "" {
+		cas, err := blocks(contents[2])
+		if err != nil {
+			return nil, fmt.Errorf("CA %s: %w", f.CA, err)
+		}
+		m.roots = x509.NewCertPool()
+		for _, c := range cas {
+			m.roots.AddCert(c)
+		}
+	}
+	return &m, nil
+}
+
+// blocks returns the certificates of a PEM file. The standard library skips a
+// block without an end, so that half of a bundle would be taken for the whole.
+func blocks(b []byte) (certs []*x509.Certificate, err error) {
+	for {
+		var p *pem.Block
+		if p, b = pem.Decode(b); p == nil {
+			break
+		}
+		if p.Type != "CERTIFICATE" {
+			return nil, fmt.Errorf("has a block of type %q; CERTIFICATE is required", p.Type)
+		}
+		c, err := x509.ParseCertificate(p.Bytes)
+		if err != nil {
+			return nil, err
+		}
+		certs = append(certs, c)
+	}
+	if len(certs) == 0 || bytes.Contains(b, []byte("-----")) {
+		return nil, errors.New("is empty or incomplete; PEM blocks of certificates are required")
+	}
+	return certs, nil
+}
+
+// ClientAuth says which clients a server accepts.
+type ClientAuth int
+
+// Values of ClientAuth.
+const (
+	NotAsked ClientAuth = iota // clients show no certificate
+	Optional                   // a certificate that is shown must be valid
+	Required                   // a valid certificate must be shown
+)
+
+// ServerOptions configures the server side.
+type ServerOptions struct {
+	Min       uint16 // lowest TLS version
+	Clients   ClientAuth
+	Accept    func(*x509.Certificate) error // decides on a client's valid certificate; may be nil
+	Protocols []string                      // of ALPN
+}
+
+// Server returns the configuration of a listener.
+func (s *Set) Server(o ServerOptions) *tls.Config {
+	return &tls.Config{
+		MinVersion: o.Min, NextProtos: o.Protocols,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.server(o), nil },
+	}
+}
+
+func (s *Set) server(o ServerOptions) *tls.Config {
+	m := s.Value()
+	cfg := &tls.Config{MinVersion: o.Min, NextProtos: o.Protocols, Certificates: []tls.Certificate{*m.cert}}
+	if o.Clients == NotAsked || m.roots == nil {
+		return cfg
+	}
+	// A resumed session would outlive the CA under which it was accepted.
+	cfg.SessionTicketsDisabled = true
+	cfg.ClientCAs, cfg.ClientAuth = m.roots, tls.VerifyClientCertIfGiven
+	if o.Clients == Required {
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	if o.Accept != nil {
+		cfg.VerifyConnection = func(cs tls.ConnectionState) error {
+			if len(cs.PeerCertificates) == 0 {
+				return nil
+			}
+			return o.Accept(cs.PeerCertificates[0])
+		}
+	}
+	return cfg
+}
+
+// Client returns the configuration for connections to a server whose
+// certificate is signed by the CA and has one of the names.
+func (s *Set) Client(minVersion uint16, names ...string) *tls.Config {
+	cfg := &tls.Config{
+		MinVersion: minVersion,
+		// The standard verification knows neither names in URIs nor a CA that
+		// changes; VerifyConnection does all of its work.
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(cs tls.ConnectionState) error { return s.verify(cs, names) },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			if m := s.Value(); m.cert != nil {
+				return m.cert, nil
+			}
+			return &tls.Certificate{}, nil
+		},
+	}
+	if len(names) > 0 && net.ParseIP(names[0]) == nil {
+		cfg.ServerName = names[0]
+	}
+	return cfg
+}
+
+func (s *Set) verify(cs tls.ConnectionState, names []string) error {
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("certs.verify: the server has no certificate")
+	}
+	m := s.Value()
+	if m.roots == nil {
+		return errors.New("certs.verify: no CA")
+	}
+	leaf := cs.PeerCertificates[0]
+	opts := x509.VerifyOptions{Roots: m.roots, Intermediates: x509.NewCertPool()}
+	for _, c := range cs.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(c)
+	}
+	if _, err := leaf.Verify(opts); err != nil {
+		return fmt.Errorf("certs.verify: %w", err)
+	}
+	for _, n := range names {
+		if HasName(leaf, n) {
+			return nil
+		}
+	}
+	return fmt.Errorf("certs.verify: the server's certificate is for %q; one of %q is required", Names(leaf), names)
+}
+
+// Names returns the DNS names, URIs and IP addresses of a certificate.
+func Names(c *x509.Certificate) (names []string) {
+	names = slices.Clone(c.DNSNames)
+	for _, u := range c.URIs {
+		names = append(names, u.String())
+	}
+	for _, ip := range c.IPAddresses {
+		names = append(names, ip.String())
+	}
+	return names
+}
+
+// HasName reports whether a certificate has exactly the name. A wildcard
+// stands for nothing, since it would name every host.
+func HasName(c *x509.Certificate, name string) bool {
+	return name != "" && slices.Contains(Names(c), name)
+}
+
+// NotAfter returns when the certificate in force expires, in Unix seconds, or
+// 0 without a certificate.
+func (s *Set) NotAfter() int64 {
+	m := s.Value()
+	if m.cert == nil || m.cert.Leaf == nil {
+		return 0
+	}
+	return m.cert.Leaf.NotAfter.Unix()
+}
--- a/internal/config/decode_settings.go
+++ b/internal/config/decode_settings.go
@@ -54,6 +54,8 @@
 	s.callers = readCallers(o.object("callers", optional))
 	s.drain = defaultDrain
 	o.span("drainMs", &s.drain, 0, 10*clock.Minute)
+	s.tls = readTLS(o.object("tls", optional))
+	s.operatorsTokens = readTokens(o)
 	o.done()
 	return s, r.problems
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -30,6 +30,9 @@
 	logLevel   Level
 	callers    CallerLimits
 	drain      clock.Span
+
+	tls             TLS
+	operatorsTokens string
 }
 
 // Host returns the name of this host.
