Use TLS and authentication on every connection of an entry host

Cause: the listeners, the pools and the operators' calls were open. Change: mutual TLS 1.3 for the relay and the gRPC exchange, where a batch's sender must be in its certificate; TLS for callers, operators, backend servers and the store; operators' calls need credentials and changing calls are audited; status, owner and dump have flags for credentials; check reads the files. Conclusion: sections that are absent keep plain text, as before.

--- a/cmd/laburnummux/check.go
+++ b/cmd/laburnummux/check.go
@@ -15,7 +15,8 @@
 const usageCheck = `Check files without starting anything. A file is host settings, the base of the
 service configuration, or the overlay of a site; its fields tell which, unless
 --kind does. With one base among the files, every overlay is also merged with
-it and the result is checked.
+it and the result is checked. Certificates, keys and tokens that settings name are read,
+too, unless --no-files is given.
 
 Problems are printed one per line as "file:line: field: message". The exit
 status is 1 if there is one that isn't a warning.
@@ -33,6 +34,7 @@
 		Description: usageCheck,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "kind", Usage: "kind of all files: settings, base or overlay"},
+			&cli.BoolFlag{Name: "no-files", Usage: "don't read the certificates, keys and tokens that settings name"},
 		},
 		Action: runCheck,
 	}
@@ -65,7 +67,7 @@
 		}
 		inputs = append(inputs, input{kind, doc})
 	}
-	probs = append(probs, checkInputs(inputs)...)
+	probs = append(probs, checkInputs(inputs, !cmd.Bool("no-files"))...)
 	return report(cmd, probs)
 }
 
@@ -82,13 +84,16 @@
 }
 
 // checkInputs checks every file and the merge of each overlay with the base.
-func checkInputs(inputs []input) (probs config.Problems) {
+func checkInputs(inputs []input, files bool) (probs config.Problems) {
 	var bases []config.Document
 	for _, in := range inputs {
 		var more config.Problems
 		switch in.kind {
 		case config.FileSettings:
-			_, more = in.doc.Settings()
+			var s config.Settings
+			if s, more = in.doc.Settings(); files && more.Err() == nil {
+				more = append(more, checkFiles(in.doc, s)...)
+			}
 		case config.FileBase:
 			_, more = in.doc.Config()
 			bases = append(bases, in.doc)
--- a/cmd/laburnummux/client.go
+++ b/cmd/laburnummux/client.go
@@ -48,21 +48,21 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show what an entry host knows", Description: usageStatus,
-		Flags: []cli.Flag{operatorsFlag(), jsonFlag()}, Action: runStatus,
+		Flags: append(accessFlags(), jsonFlag()), Action: runStatus,
 	}
 }
 
 func ownerCommand() *cli.Command {
 	return &cli.Command{
 		Name: "owner", Usage: "show who owns a key", Description: usageOwner, ArgsUsage: "SERVICE KEY",
-		Flags: []cli.Flag{operatorsFlag(), jsonFlag()}, Action: runOwner,
+		Flags: append(accessFlags(), jsonFlag()), Action: runOwner,
 	}
 }
 
 func dumpCommand() *cli.Command {
 	return &cli.Command{
 		Name: "dump", Usage: "print the state of an entry host", Description: usageDump,
-		Flags: []cli.Flag{operatorsFlag()}, Action: runDump,
+		Flags: accessFlags(), Action: runDump,
 	}
 }
 
@@ -75,11 +75,15 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cmd.String("operators")+path, nil)
+	a, err := newAccess(cmd)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	req, err := a.request(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := a.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/laburnummux/serve.go
+++ b/cmd/laburnummux/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"os"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/laburnummux/laburnummux/internal/certs"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/entry"
 	"github.com/laburnummux/laburnummux/internal/store"
@@ -54,7 +56,7 @@
 		// The host waits for its requests by itself; fx must not give up first.
 		fx.StopTimeout(settings.Drain().Std()+stopReserve),
 		fx.Supply(settings, log),
-		fx.Provide(newStore, newHost),
+		fx.Provide(newStoreCerts, newStore, newHost),
 		fx.Invoke(func(*entry.Host) {}),
 	)
 	return runApp(ctx, app)
@@ -77,8 +79,20 @@
 	return nil
 }
 
-func newStore(s config.Settings) (st store.Store, err error) {
+// newStoreCerts returns nil without a CA for the store.
+func newStoreCerts(s config.Settings, log *zap.Logger) (*certs.Set, error) {
+	if s.TLS().Store().CA == "" {
+		return nil, nil
+	}
+	return certs.Load("store", s.TLS().Store(), log)
+}
+
+func newStore(s config.Settings, set *certs.Set) (st store.Store, err error) {
 	cfg := store.Config{URL: "http://" + s.Store().Address().String()}
+	if set != nil {
+		cfg.URL = "https://" + s.Store().Address().String()
+		cfg.TLS = set.Client(tls.VersionTLS12, s.Store().Address().Addr().String())
+	}
 	if f := s.Store().TokenFile(); f != "" {
 		b, err := os.ReadFile(f)
 		if err != nil {
@@ -89,10 +103,19 @@
 	return store.New(cfg)
 }
 
-func newHost(lc fx.Lifecycle, s config.Settings, st store.Store, log *zap.Logger) *entry.Host {
-	h := entry.New(entry.Config{Settings: s, Store: st, Log: log})
+func newHost(lc fx.Lifecycle, s config.Settings, st store.Store, set *certs.Set, log *zap.Logger) (*entry.Host, error) {
+	// Audit lines are written whatever the log level is.
+	audit, err := newLogger(config.LevelInfo)
+	if err != nil {
+		return nil, err
+	}
+	cfg := entry.Config{Settings: s, Store: st, Log: log, Audit: audit}
+	if set != nil {
+		cfg.Watched = []certs.Checker{set}
+	}
+	h := entry.New(cfg)
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
-	return h
+	return h, nil
 }
 
 func newLogger(l config.Level) (*zap.Logger, error) {
--- a/internal/entry/doors.go
+++ b/internal/entry/doors.go
@@ -49,9 +49,9 @@
 		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader,
 	}
 	d.operators = &http.Server{
-		Handler: h.operatorRoutes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorsTimeout,
+		Handler: h.guard(h.operatorRoutes()), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorsTimeout,
 	}
-	d.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(peers.MaxBatch))
+	d.grpc = grpc.NewServer(append(h.secure.grpcOptions(), grpc.MaxRecvMsgSize(peers.MaxBatch))...)
 	peerpb.RegisterPeerServer(d.grpc, h.peers)
 	l := h.cfg.Listen()
 	for i, a := range []netip.AddrPort{l.Callers(), l.Relay(), l.Operators(), l.Peers()} {
@@ -60,6 +60,7 @@
 			return nil, fmt.Errorf("entry.listen: %w", err)
 		}
 	}
+	h.secureListeners(d)
 	return d, nil
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -20,6 +20,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,6 +29,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/certs"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/peers"
@@ -51,6 +53,10 @@
 	Settings config.Settings
 	Store    store.Store
 	Log      *zap.Logger
+	// Audit gets a line per changing call of an operator; nil means Log.
+	Audit *zap.Logger
+	// Watched are files that others use and that the host checks for changes.
+	Watched []certs.Checker
 }
 
 // Host is an entry host.
@@ -67,6 +73,9 @@
 	tree    *super.Supervisor
 	doors   *listeners
 	started time.Time
+	secure  security
+	watched []certs.Checker
+	auditor *zap.Logger
 
 	leaving  atomic.Bool
 	callers  atomic.Int64 // callers' requests in flight
@@ -106,11 +115,12 @@
 	boot := rand.Uint64()
 	h := &Host{
 		cfg: cfg.Settings, self: cfg.Settings.Host(), boot: boot, clk: clock.System(),
-		log: cfg.Log.With(zap.String("host", string(cfg.Settings.Host()))), st: cfg.Store, metrics: stats.New(),
+		watched: cfg.Watched, log: cfg.Log.With(zap.String("host", string(cfg.Settings.Host()))), st: cfg.Store, metrics: stats.New(),
 		events: ring.New[event](controlRing), started: time.Now(),
 		router: route.New(boot), services: make(map[keys.Service]*service), cells: make(map[keys.Cell]*cell),
 		members: make(map[string]store.Member), relays: make(map[keys.Host]*proxy.Pool), changed: make(chan struct{}), heard: make(map[keys.Host]peer),
 	}
+	h.auditor = cmp.Or(cfg.Audit, cfg.Log).Named("audit").With(zap.String("host", string(h.self)))
 	h.peers = peers.New(h.self, boot, h.receive, h.log)
 	h.metrics.Register(&collector{h})
 	return h
@@ -123,6 +133,9 @@
 			err = fmt.Errorf("entry.Start: %w", err)
 		}
 	}()
+	if err = h.loadSecurity(); err != nil {
+		return err
+	}
 	if h.doors, err = h.listen(); err != nil {
 		return err
 	}
@@ -134,6 +147,7 @@
 	h.tree.Add("control", h.control)
 	h.tree.Add("members", h.followMembers)
 	h.tree.Add("configuration", h.followConfig)
+	h.tree.Add("files", h.followFiles)
 	go h.run(ctx)
 	h.log.Info("entry host started", zap.Uint64("boot", h.boot), zap.String("callers", h.doors.callerAddr()))
 	return nil
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -62,16 +62,17 @@
 
 func newLane(c *cell, s grant.Server) *lane {
 	srv := c.svc.Server()
+	secure := c.h.secure.toServer(s.Server, s.Address)
 	l := &lane{
-		c: c, name: s.Server, checks: s.Checks, base: "http://" + s.Address,
-		pool: proxy.NewPool(s.Address, proxy.Limits{
+		c: c, name: s.Server, checks: s.Checks, base: scheme(secure) + s.Address,
+		pool: proxy.NewSecurePool(s.Address, proxy.Limits{
 			Idle:    srv.Slots() + 2,
 			Total:   srv.Connections() - config.ConnectionReserve,
 			Connect: srv.ConnectTimeout().Std(),
-		}),
+		}, secure),
 		probes: &http.Client{
 			Timeout:   probeTimeout,
-			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true},
+			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure},
 		},
 		pushes: ring.New[hold.Push](1),
 		limit: limit.New(limit.Config{
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -134,7 +134,7 @@
 	if p := h.relays[to]; p != nil && p.Address() == addr {
 		return p
 	}
-	p := proxy.NewPool(addr, proxy.Limits{Idle: relayIdle, Connect: relayConnect})
+	p := proxy.NewSecurePool(addr, proxy.Limits{Idle: relayIdle, Connect: relayConnect}, h.secure.toHost(to))
 	h.relays[to] = p
 	return p
 }
--- /dev/null
+++ b/internal/entry/secure.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/auth"
+	"github.com/laburnummux/laburnummux/internal/certs"
+	"github.com/laburnummux/laburnummux/internal/peers"
+	"github.com/laburnummux/laburnummux/internal/store"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+)
+
+// filesPeriod is how often changed files are looked for. Package certs reads
+// each file at most every certs.CheckPeriod.
+const filesPeriod = time.Second
+
+// security has the certificates of each kind of connection. A nil set means
+// plain text.
+type security struct {
+	callers, peers, operators, servers *certs.Set
+	tokens                             *auth.Tokens
+	guard                              *auth.Guard
+	sets                               []*certs.Set
+	expected                           func(keys.Host) bool
+	handshakes, refused                atomic.Uint64 // failed handshakes, refused operators' calls
+}
+
+// loadSecurity reads the certificates and tokens that the settings name.
+func (h *Host) loadSecurity() (err error) {
+	s := &h.secure
+	t := h.cfg.TLS()
+	sections := []struct {
+		name  string
+		files certs.Files
+		dst   **certs.Set
+	}{
+		{"callers", t.Callers(), &s.callers}, {"peers", t.Peers(), &s.peers},
+		{"operators", t.Operators(), &s.operators}, {"servers", t.Servers(), &s.servers},
+	}
+	for _, x := range sections {
+		if x.files == (certs.Files{}) {
+			continue
+		}
+		if *x.dst, err = certs.Load(x.name, x.files, h.log); err != nil {
+			return fmt.Errorf("entry.loadSecurity: %w", err)
+		}
+		s.sets = append(s.sets, *x.dst)
+		h.watched = append(h.watched, *x.dst)
+	}
+	if f := h.cfg.OperatorsTokens(); f != "" {
+		if s.tokens, err = auth.LoadTokens(f, h.log); err != nil {
+			return fmt.Errorf("entry.loadSecurity: %w", err)
+		}
+		h.watched = append(h.watched, s.tokens)
+	}
+	s.guard = auth.New(auth.Config{Tokens: s.tokens, Certificates: t.Operators().CA != ""})
+	s.expected = h.isEntryHost
+	if s.peers != nil {
+		h.peers.Secure(peers.Auth{Client: s.toHost, Expected: h.isEntryHost})
+	}
+	h.metrics.Register(&securityCollector{h})
+	return nil
+}
+
+// followFiles looks for changed certificates and tokens.
+func (h *Host) followFiles(ctx context.Context) error {
+	t := time.NewTicker(filesPeriod)
+	defer t.Stop()
+	for {
+		for _, w := range h.watched {
+			w.Check(h.clk.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// isEntryHost reports whether the host is in the host list or in this host's
+// group. The group counts because the list is unknown while a host starts
+// during an outage of the store.
+func (h *Host) isEntryHost(name keys.Host) bool {
+	if slices.Contains(h.cfg.Group(), name) {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m, ok := h.members[string(name)]
+	return ok && m.Role() == store.Entry
+}
+
+// acceptHost accepts a certificate that names an entry host.
+func (s *security) acceptHost(c *x509.Certificate) error {
+	for _, n := range certs.Names(c) {
+		if s.expected(keys.Host(n)) {
+			return nil
+		}
+	}
+	return fmt.Errorf("entry: the certificate is for %q, which is no entry host", certs.Names(c))
+}
+
+// toHost returns the configuration for connections to an entry host, or nil
+// for plain text.
+func (s *security) toHost(name keys.Host) *tls.Config {
+	if s.peers == nil {
+		return nil
+	}
+	return s.peers.Client(tls.VersionTLS13, string(name))
+}
+
+// toServer returns the configuration for connections to a backend server,
+// whose certificate is for its name or its IP address.
+func (s *security) toServer(name keys.Server, address string) *tls.Config {
+	if s.servers == nil {
+		return nil
+	}
+	ip, _, _ := net.SplitHostPort(address)
+	return s.servers.Client(tls.VersionTLS12, string(name), ip)
+}
+
+func scheme(c *tls.Config) string {
+	if c == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
+func (s *security) peerOptions(protocol string) certs.ServerOptions {
+	return certs.ServerOptions{
+		Min: tls.VersionTLS13, Clients: certs.Required, Accept: s.acceptHost, Protocols: []string{protocol},
+	}
+}
+
+func (s *security) grpcOptions() []grpc.ServerOption {
+	if s.peers == nil {
+		return nil
+	}
+	return []grpc.ServerOption{grpc.Creds(credentials.NewTLS(s.peers.Server(s.peerOptions("h2"))))}
+}
+
+// secureListeners adds TLS to the HTTP listeners whose section is configured.
+func (h *Host) secureListeners(d *listeners) {
+	s := &h.secure
+	outside := certs.ServerOptions{Min: tls.VersionTLS12, Protocols: []string{"http/1.1"}}
+	operators := outside
+	operators.Clients = certs.Optional // health checks and tokens need no certificate
+	for i, x := range []struct {
+		set  *certs.Set
+		opts certs.ServerOptions
+		srv  *http.Server
+	}{
+		{s.callers, outside, d.callers}, {s.peers, s.peerOptions("http/1.1"), d.relay}, {s.operators, operators, d.operators},
+	} {
+		if x.set != nil {
+			d.lns[i] = tls.NewListener(d.lns[i], x.set.Server(x.opts))
+			x.srv.ErrorLog = log.New(&handshakeLog{n: &s.handshakes, out: os.Stderr}, "", log.LstdFlags)
+		}
+	}
+}
+
+// handshakeLog counts failed handshakes, which anyone who reaches a port can
+// cause, and passes other lines on.
+type handshakeLog struct {
+	n   *atomic.Uint64
+	out io.Writer
+}
+
+// Write implements io.Writer.
+func (l *handshakeLog) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("TLS handshake error")) {
+		l.n.Add(1)
+		return len(b), nil
+	}
+	return l.out.Write(b)
+}
+
+// securityCollector reports the state of certificates and refusals.
+type securityCollector struct{ h *Host }
+
+var (
+	expiryDesc     = prometheus.NewDesc("laburnummux_certificate_expiry_seconds", "Unix time at which the certificate in force expires.", []string{"section"}, nil)
+	reloadsDesc    = prometheus.NewDesc("laburnummux_certificate_reloads_total", "Changed certificate files.", []string{"section", "result"}, nil)
+	handshakesDesc = prometheus.NewDesc("laburnummux_tls_handshakes_failed_total", "Failed handshakes of the HTTP listeners.", nil, nil)
+	refusedDesc    = prometheus.NewDesc("laburnummux_operator_calls_refused_total", "Operators' calls without valid credentials.", nil, nil)
+	strangersDesc  = prometheus.NewDesc("laburnummux_peer_batches_refused_total", "Batches whose sender's certificate doesn't name it.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *securityCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{expiryDesc, reloadsDesc, handshakesDesc, refusedDesc, strangersDesc} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *securityCollector) Collect(ch chan<- prometheus.Metric) {
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	s := &c.h.secure
+	for _, set := range s.sets {
+		if at := set.NotAfter(); at != 0 {
+			ch <- prometheus.MustNewConstMetric(expiryDesc, prometheus.GaugeValue, float64(at), set.Name())
+		}
+		n := set.Counters()
+		counter(reloadsDesc, n.Reloads, set.Name(), "taken")
+		counter(reloadsDesc, n.Refusals, set.Name(), "refused")
+	}
+	counter(handshakesDesc, s.handshakes.Load())
+	counter(refusedDesc, s.refused.Load())
+	counter(strangersDesc, c.h.peers.Counters().Refused)
+}
--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	mu   sync.Mutex
 	addr string
 	http *http.Server // nil while stopped or dead
+	tls  *tls.Config  // nil: plain text
 	done chan struct{}
 }
 
@@ -28,6 +30,13 @@
 	return s
 }
 
+// Secure makes the server use TLS from its next start on.
+func (s *Server) Secure(cfg *tls.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tls = cfg
+}
+
 // Start listens on a free port of 127.0.0.1 or, after the first start, on the
 // port of the first start.
 func (s *Server) Start() (err error) {
@@ -45,6 +54,9 @@
 		return fmt.Errorf("fakes.Start: %w", err)
 	}
 	s.addr = l.Addr().String()
+	if s.tls != nil {
+		l = tls.NewListener(l, s.tls)
+	}
 	s.http = &http.Server{Handler: s.backend}
 	s.done = make(chan struct{})
 	go run(s.http, l, s.done)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,8 +28,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
 
@@ -64,13 +62,13 @@
 	boot    uint64
 	receive Receive
 	log     *zap.Logger
-	creds   credentials.TransportCredentials
+	auth    *Auth // nil: plain text
 
 	mu    sync.Mutex
 	ctx   context.Context // nil until Run
 	links map[keys.Host]*link
 
-	sent, received, failed, sentBytes atomic.Uint64
+	sent, received, failed, refused, sentBytes atomic.Uint64
 }
 
 // link is the outgoing side towards one host.
@@ -87,7 +85,7 @@
 func New(self keys.Host, boot uint64, receive Receive, log *zap.Logger) *Peers {
 	return &Peers{
 		self: self, boot: boot, receive: receive, log: log.Named("peers"),
-		creds: insecure.NewCredentials(), links: make(map[keys.Host]*link),
+		links: make(map[keys.Host]*link),
 	}
 }
 
@@ -149,10 +147,14 @@
 }
 
 // Exchange implements the gRPC service.
-func (p *Peers) Exchange(_ context.Context, b *peerpb.Batch) (*peerpb.Batch, error) {
+func (p *Peers) Exchange(ctx context.Context, b *peerpb.Batch) (*peerpb.Batch, error) {
 	if b.GetFrom() == "" {
 		return nil, status.Error(codes.InvalidArgument, "peers: batch without a sender")
 	}
+	if err := p.authenticate(ctx, keys.Host(b.GetFrom())); err != nil {
+		p.refused.Add(1)
+		return nil, err
+	}
 	p.received.Add(uint64(len(b.GetMessages())))
 	for _, m := range b.GetMessages() {
 		p.receive(keys.Host(b.GetFrom()), b.GetBoot(), m)
@@ -166,16 +168,17 @@
 	SentBytes uint64 `json:"sentBytes"`
 	Received  uint64 `json:"received"`
 	Failed    uint64 `json:"failed"`
+	Refused   uint64 `json:"refused"` // batches of senders without a right to them
 }
 
 // Counters returns the totals.
 func (p *Peers) Counters() Counters {
-	return Counters{p.sent.Load(), p.sentBytes.Load(), p.received.Load(), p.failed.Load()}
+	return Counters{p.sent.Load(), p.sentBytes.Load(), p.received.Load(), p.failed.Load(), p.refused.Load()}
 }
 
 func (l *link) loop(ctx context.Context) {
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
-		grpc.WithTransportCredentials(l.p.creds),
+		grpc.WithTransportCredentials(l.p.credentials(l.to)),
 		grpc.WithConnectParams(connectParams),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxBatch)))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -73,6 +73,7 @@
 // Pool has the connections to one address.
 type Pool struct {
 	address string
+	scheme  string
 	tr      *http.Transport
 	open    atomic.Int64
 	opened  atomic.Uint64
@@ -80,7 +81,7 @@
 
 // NewPool returns a pool for the address, given as IP:port.
 func NewPool(address string, l Limits) *Pool {
-	p := &Pool{address: address}
+	p := &Pool{address: address, scheme: "http"}
 	d := net.Dialer{Timeout: l.Connect, KeepAlive: 15 * time.Second}
 	p.tr = &http.Transport{
 		Proxy: nil,
@@ -191,7 +192,7 @@
 		return &Result{failure: NotSent, err: errors.New("proxy.Send: the request's body was already consumed")}
 	}
 	req := &http.Request{
-		Method: r.Method, URL: &url.URL{Scheme: "http", Host: p.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Method: r.Method, URL: &url.URL{Scheme: p.scheme, Host: p.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: r.Header, Host: p.address, Body: body, ContentLength: r.Body.Length(),
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -35,9 +36,10 @@
 
 // Config configures a Client.
 type Config struct {
-	URL   string // base of the object API
-	Token string // sent as a bearer token if not empty
-	Conns int    // most connections at a time; 16 if 0
+	URL   string      // base of the object API
+	Token string      // sent as a bearer token if not empty
+	Conns int         // most connections at a time; 16 if 0
+	TLS   *tls.Config // for https URLs; nil: the system's CAs
 }
 
 // Client is the HTTP client of the object API. Calls are bounded by their
@@ -72,6 +74,7 @@
 				MaxConnsPerHost:     conns,
 				MaxIdleConnsPerHost: conns,
 				IdleConnTimeout:     idleTimeout,
+				TLSClientConfig:     cfg.TLS,
 				DisableCompression:  true, // a small answer must not expand beyond maxAnswer
 			},
 			// A redirected write could be processed twice.
