--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -15,10 +15,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	_ "embed" // the example's configuration
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -57,7 +59,16 @@
 	Base []byte
 	// DataCentres replaces the example's data centres.
 	DataCentres []keys.DataCentre
-	Log         *zap.Logger
+	// TLS makes the system use TLS; nil means plain text.
+	TLS *TLS
+	Log *zap.Logger
+}
+
+// TLS says how the parts of an example system use TLS.
+type TLS struct {
+	Settings func(host keys.Host) map[string]any // further fields of a host's settings
+	Servers  *tls.Config                         // of the store and the backend servers
+	Store    *tls.Config                         // of connections to the store
 }
 
 // System is a running example.
@@ -99,7 +110,7 @@
 	if err = s.serveControl(); err != nil {
 		return nil, err
 	}
-	if s.client, err = store.New(store.Config{URL: "http://" + s.address}); err != nil {
+	if s.client, err = store.New(s.storeConfig()); err != nil {
 		return nil, err
 	}
 	if err = s.startServers(); err != nil {
@@ -111,6 +122,13 @@
 	return s, s.startHosts(ctx)
 }
 
+func (s *System) storeConfig() store.Config {
+	if s.cfg.TLS == nil {
+		return store.Config{URL: "http://" + s.address}
+	}
+	return store.Config{URL: "https://" + s.address, TLS: s.cfg.TLS.Store}
+}
+
 // release writes the first configuration revision.
 func (s *System) release(ctx context.Context) error {
 	sites := make(map[keys.DataCentre]config.Config)
@@ -145,6 +163,9 @@
 				srv := fakes.NewServer(fakes.NewBackend(fakes.BackendConfig{
 					Name: name, Slots: svc.Server().Slots(), Checks: svc.Server().ChecksFences(), Service: s.cfg.Service,
 				}))
+				if s.cfg.TLS != nil {
+					srv.Secure(s.cfg.TLS.Servers)
+				}
 				if err := srv.Start(); err != nil {
 					return err
 				}
@@ -204,11 +225,15 @@
 		}
 	}
 	addr := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", ports[k]) }
-	b, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"host": hostName(dc, j), "dataCentre": dc, "group": group,
 		"listen": map[string]string{"callers": addr(0), "relay": addr(1), "peers": addr(2), "operators": addr(3)},
 		"store":  map[string]string{"address": s.address},
-	})
+	}
+	if s.cfg.TLS != nil {
+		maps.Copy(fields, s.cfg.TLS.Settings(keys.Host(hostName(dc, j))))
+	}
+	b, err := json.Marshal(fields)
 	if err != nil {
 		return config.Settings{}, err
 	}
@@ -254,6 +279,9 @@
 		return err
 	}
 	s.address = ln.Addr().String()
+	if s.cfg.TLS != nil {
+		ln = tls.NewListener(ln, s.cfg.TLS.Servers)
+	}
 	s.control = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second}
 	go s.control.Serve(ln)
 	return nil
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/auth"
 	"github.com/laburnummux/laburnummux/internal/certs"
+	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/peers"
 	"github.com/laburnummux/laburnummux/internal/store"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -227,3 +228,6 @@
 	counter(refusedDesc, s.refused.Load())
 	counter(strangersDesc, c.h.peers.Counters().Refused)
 }
+
+// Settings returns the host's settings.
+func (h *Host) Settings() config.Settings { return h.cfg }
