--- a/cmd/laburnummux/access.go
+++ b/cmd/laburnummux/access.go
@@ -57,8 +57,15 @@
 			return nil, fmt.Errorf("%s is empty; a token is required", f)
 		}
 	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
 	files := certs.Files{Certificate: cmd.String("cert"), Key: cmd.String("key"), CA: cmd.String("ca")}
 	if files == (certs.Files{}) {
+		if ip := net.ParseIP(host); a.token != "" && (ip == nil || !ip.IsLoopback()) {
+			return nil, fmt.Errorf("--token-file needs --ca for %s, which isn't a loopback address", address)
+		}
 		return a, nil
 	}
 	if files.CA == "" {
@@ -68,12 +75,8 @@
 	if err != nil {
 		return nil, err
 	}
-	name, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, err
-	}
 	a.base = "https://" + address
-	a.client.Transport = &http.Transport{TLSClientConfig: set.Client(tls.VersionTLS13, name)}
+	a.client.Transport = &http.Transport{TLSClientConfig: set.Client(tls.VersionTLS13, host)}
 	return a, nil
 }
 
--- a/internal/entry/audit.go
+++ b/internal/entry/audit.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/laburnummux/laburnummux/internal/auth"
 	"go.uber.org/zap"
 )
 
@@ -70,7 +71,7 @@
 		defer func() {
 			a, _ := r.Context().Value(auditKey{}).(*auditRecord)
 			if a == nil {
-				a = &auditRecord{}
+				a = &auditRecord{who: auth.Anonymous}
 			}
 			if a.revision == 0 {
 				h.mu.Lock()
@@ -81,10 +82,13 @@
 				zap.Uint64("revision", a.revision), zap.Int("status", sw.status), zap.String("from", r.RemoteAddr))
 		}()
 		next.ServeHTTP(sw, r)
+		if sw.status == 0 {
+			sw.status = http.StatusOK // net/http sends it after the handler
+		}
 	})
 }
 
-// statusWriter keeps the status of an answer; 0 means that there was none.
+// statusWriter keeps the status of an answer; 0 means that there was none yet.
 type statusWriter struct {
 	http.ResponseWriter
 	status int
--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -155,6 +155,7 @@
 	foreign := toHost(s.set(s.other, "foreign", time.Hour, "north-2-a"))
 	stranger := toHost(s.set(s.ca, "stranger", time.Hour, "stranger"))
 	backend := toHost(s.set(s.ca, "backend", time.Hour, string(s.Servers()[0])))
+	twoNames := toHost(s.set(s.ca, "two-names", time.Hour, "north-2-a", "removed"))
 	expired := toHost(s.set(s.ca, "expired", -time.Minute, "north-2-a"))
 	host := toHost(s.set(s.ca, "peer", time.Hour, "north-2-a"))
 	staff := as(s.staff, "kea", time.Hour, "kea")
@@ -221,6 +222,8 @@
 		{"expired", expired, "north-2-a", codes.Unavailable},
 		{"in the name of another host", host, "north-1-a", codes.PermissionDenied},
 		{"in the name of no host", host, "stranger", codes.PermissionDenied},
+		{"in a second name that isn't listed", twoNames, "removed", codes.PermissionDenied},
+		{"without a name", host, "", codes.InvalidArgument},
 		{"host", host, "north-2-a", codes.OK},
 	}
 	for _, tt := range batches {
