Report reloads of tokens and of the store's certificates

Cause: the metrics covered only the certificates that the host loads itself. Change: the collector reads all watched files.

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -69,9 +69,9 @@
 	return &entries, nil
 }
 
-// Name returns whose token it is. The time taken doesn't depend on how much of
+// Owner returns whose token it is. The time taken doesn't depend on how much of
 // a hash agrees.
-func (t *Tokens) Name(token string) (name string, ok bool) {
+func (t *Tokens) Owner(token string) (name string, ok bool) {
 	if token == "" || len(token) > maxToken {
 		return "", false
 	}
@@ -111,7 +111,7 @@
 	}
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if g.cfg.Tokens != nil && strings.EqualFold(scheme, "Bearer") {
-		if n, ok := g.cfg.Tokens.Name(strings.TrimSpace(token)); ok {
+		if n, ok := g.cfg.Tokens.Owner(strings.TrimSpace(token)); ok {
 			return n, nil
 		}
 	}
--- a/internal/certs/watch.go
+++ b/internal/certs/watch.go
@@ -20,7 +20,11 @@
 )
 
 // Checker is what a worker calls periodically to find changed files.
-type Checker interface{ Check(now clock.Time) }
+type Checker interface {
+	Check(now clock.Time)
+	Name() string
+	Counters() Counters
+}
 
 // Counters has what was found since the start.
 type Counters struct {
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -36,7 +36,6 @@
 	callers, peers, operators, servers *certs.Set
 	tokens                             *auth.Tokens
 	guard                              *auth.Guard
-	sets                               []*certs.Set
 	expected                           func(keys.Host) bool
 	handshakes, refused                atomic.Uint64 // failed handshakes, refused operators' calls
 }
@@ -60,7 +59,6 @@
 		if *x.dst, err = certs.Load(x.name, x.files, h.log); err != nil {
 			return fmt.Errorf("entry.loadSecurity: %w", err)
 		}
-		s.sets = append(s.sets, *x.dst)
 		h.watched = append(h.watched, *x.dst)
 	}
 	if f := h.cfg.OperatorsTokens(); f != "" {
@@ -197,7 +195,7 @@
 
 var (
 	expiryDesc     = prometheus.NewDesc("laburnummux_certificate_expiry_seconds", "Unix time at which the certificate in force expires.", []string{"section"}, nil)
-	reloadsDesc    = prometheus.NewDesc("laburnummux_certificate_reloads_total", "Changed certificate files.", []string{"section", "result"}, nil)
+	reloadsDesc    = prometheus.NewDesc("laburnummux_certificate_reloads_total", "Changed files of certificates and tokens.", []string{"section", "result"}, nil)
 	handshakesDesc = prometheus.NewDesc("laburnummux_tls_handshakes_failed_total", "Failed handshakes of the HTTP listeners.", nil, nil)
 	refusedDesc    = prometheus.NewDesc("laburnummux_operator_calls_refused_total", "Operators' calls without valid credentials.", nil, nil)
 	strangersDesc  = prometheus.NewDesc("laburnummux_peer_batches_refused_total", "Batches whose sender's certificate doesn't name it.", nil, nil)
@@ -216,13 +214,13 @@
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
 	}
 	s := &c.h.secure
-	for _, set := range s.sets {
-		if at := set.NotAfter(); at != 0 {
-			ch <- prometheus.MustNewConstMetric(expiryDesc, prometheus.GaugeValue, float64(at), set.Name())
+	for _, w := range c.h.watched {
+		if set, ok := w.(*certs.Set); ok && set.NotAfter() != 0 {
+			ch <- prometheus.MustNewConstMetric(expiryDesc, prometheus.GaugeValue, float64(set.NotAfter()), set.Name())
 		}
-		n := set.Counters()
-		counter(reloadsDesc, n.Reloads, set.Name(), "taken")
-		counter(reloadsDesc, n.Refusals, set.Name(), "refused")
+		n := w.Counters()
+		counter(reloadsDesc, n.Reloads, w.Name(), "taken")
+		counter(reloadsDesc, n.Refusals, w.Name(), "refused")
 	}
 	counter(handshakesDesc, s.handshakes.Load())
 	counter(refusedDesc, s.refused.Load())
--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -256,6 +256,15 @@
 		}
 		is.Equal(who, map[any]bool{"tui": true, "kea": true}) // and none of the refused calls
 	})
+	t.Run("metrics", func(t *testing.T) {
+		is := is.New(t)
+		_, text := s.do(staff, "GET", operators+"/metrics", nil)
+		for _, section := range []string{"callers", "peers", "operators", "servers"} {
+			is.True(strings.Contains(text, `laburnummux_certificate_expiry_seconds{section="`+section+`"} 1`))
+		}
+		is.True(strings.Contains(text, `laburnummux_certificate_reloads_total{result="taken",section="operatorsTokens"} 0`))
+		is.True(!strings.Contains(text, "laburnummux_operator_calls_refused_total 0"))
+	})
 	t.Run("no secret is shown", func(t *testing.T) {
 		is := is.New(t)
 		_, dump := s.do(staff, "GET", operators+"/dump", nil)
