Don't show an own certificate that has expired

Cause: in TLS 1.3 a server refuses a client's certificate after the client's part of the handshake, so a relayed request that was sent in between ended as unknown although it didn't run. Change: the client side fails the handshake itself when its certificate has expired, which counts as a failed connection. The tests of the server side show the expired certificate in spite of that. Conclusion: an expired certificate leads to not-run; one of another CA still leads to unknown.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -163,10 +164,16 @@
 		InsecureSkipVerify: true,
 		VerifyConnection:   func(cs tls.ConnectionState) error { return s.verify(cs, names) },
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			if m := s.Value(); m.cert != nil {
-				return m.cert, nil
+			m := s.Value()
+			if m.cert == nil {
+				return &tls.Certificate{}, nil
 			}
-			return &tls.Certificate{}, nil
+			// The server would refuse it only after the client's part of the
+			// handshake, when a request may be on its way already.
+			if at := m.cert.Leaf.NotAfter; time.Now().After(at) {
+				return nil, fmt.Errorf("certs: %s: the own certificate expired at %s", s.Name(), at.Format(time.RFC3339))
+			}
+			return m.cert, nil
 		},
 	}
 	if len(names) > 0 && net.ParseIP(names[0]) == nil {
@@ -221,7 +228,7 @@
 // 0 without a certificate.
 func (s *Set) NotAfter() int64 {
 	m := s.Value()
-	if m.cert == nil || m.cert.Leaf == nil {
+	if m.cert == nil {
 		return 0
 	}
 	return m.cert.Leaf.NotAfter.Unix()
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -65,7 +65,9 @@
 		t.Fatal(err)
 	}
 	defer raw.Close()
-	clientErr = tls.Client(raw, client).HandshakeContext(t.Context())
+	if clientErr = tls.Client(raw, client).HandshakeContext(t.Context()); clientErr != nil {
+		raw.Close() // or the server would wait for the rest
+	}
 	return <-done, clientErr
 }
 
@@ -94,6 +96,7 @@
 		{"no client certificate", server, certs.Files{CA: ca.CA()}, "north-1-a", false, false},
 		{"client of another CA", server, foreign, "north-1-a", false, false},
 		{"expired client", server, expired, "north-1-a", false, false},
+		{"expired client that insists", server, expired, "north-1-a", false, false},
 		{"TLS 1.2", server, good, "north-1-a", true, false},
 		{"server of another CA", alien, good, "north-1-a", false, false},
 		{"expired server", expiredServer, good, "north-1-a", false, false},
@@ -106,11 +109,17 @@
 			tt.server.CA = ca.CA()
 			sc := load(t, tt.server).Server(certs.ServerOptions{Min: tls.VersionTLS13, Clients: certs.Required})
 			cc := load(t, tt.client).Client(tls.VersionTLS12, tt.expect)
+			if tt.name == "expired client that insists" {
+				cc.GetClientCertificate = insist(t, tt.client)
+			}
 			if tt.old {
 				cc.MaxVersion = tls.VersionTLS12
 			}
 			serverErr, clientErr := handshake(t, sc, cc)
 			is.Equal(serverErr == nil && clientErr == nil, tt.ok)
+			if tt.name == "expired client" {
+				is.True(clientErr != nil) // before a request could be sent
+			}
 		})
 	}
 }
@@ -180,6 +189,16 @@
 	}
 }
 
+// insist returns a callback for a client that shows a certificate in any case.
+func insist(t *testing.T, f certs.Files) func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+	t.Helper()
+	c, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &c, nil }
+}
+
 func read(t *testing.T, file string) []byte {
 	t.Helper()
 	b, err := os.ReadFile(file)
--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -59,6 +59,23 @@
 	return set
 }
 
+// expired returns the configuration of a client that shows an expired
+// certificate, which the system's own client side wouldn't.
+func (s *secured) expired(ca *fakes.Authority, name, san, server string) *tls.Config {
+	s.t.Helper()
+	f, err := ca.Issue(name, -time.Minute, san)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cfg := s.load(certs.Files{CA: s.ca.CA()}).Client(tls.VersionTLS12, server)
+	cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &c, nil }
+	return cfg
+}
+
 func startSecured(t *testing.T) *secured {
 	t.Helper()
 	dir := t.TempDir()
@@ -156,7 +173,7 @@
 	stranger := toHost(s.set(s.ca, "stranger", time.Hour, "stranger"))
 	backend := toHost(s.set(s.ca, "backend", time.Hour, string(s.Servers()[0])))
 	twoNames := toHost(s.set(s.ca, "two-names", time.Hour, "north-2-a", "removed"))
-	expired := toHost(s.set(s.ca, "expired", -time.Minute, "north-2-a"))
+	expired := s.expired(s.ca, "expired", "north-2-a", "north-1-a")
 	host := toHost(s.set(s.ca, "peer", time.Hour, "north-2-a"))
 	staff := as(s.staff, "kea", time.Hour, "kea")
 	callers, relay, operators := "https://"+l.Callers().String(), "https://"+l.Relay().String(), "https://"+l.Operators().String()
@@ -181,7 +198,7 @@
 		{"operators: plain text", nil, "GET", "http://" + l.Operators().String() + "/status", bearer(secret), 400},
 		{"operators: certificate of the hosts", as(s.ca, "x", time.Hour, "north-1-a"), "GET", operators + "/status", nil, 0},
 		{"operators: certificate of another CA", as(s.other, "y", time.Hour, "kea"), "GET", operators + "/status", bearer(secret), 0},
-		{"operators: expired certificate", as(s.staff, "z", -time.Minute, "kea"), "GET", operators + "/status", nil, 0},
+		{"operators: expired certificate", s.expired(s.staff, "z", "kea", "127.0.0.1"), "GET", operators + "/status", nil, 0},
 		{"operators: certificate", staff, "GET", operators + "/status", nil, 200},
 		{"operators: token", anyone, "GET", operators + "/status", bearer(secret), 200},
 		{"operators: token in the query", anyone, "GET", operators + "/status?token=" + secret, nil, 401},
