hold: report loads until the assigner has answered

A renewal every 100 ms repeated the loads of all ranges, which change once per window of 1 s. Loads are now reported until an answer to a renewal that had them is accepted, and again when the window ends, the ranges of the server change or the assigner's term rises. What the assigner knows stays the same, except for the time a lost renewal takes.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -91,6 +91,11 @@
 	total    int
 	moved    []moved
 	window   clock.Time
+
+	// loadsDue says that the assigner may not have the present loads;
+	// loadsNonce is the first renewal that reported them, or 0.
+	loadsDue   bool
+	loadsNonce uint64
 }
 
 type moved struct {
@@ -205,7 +210,8 @@
 	sv.state, sv.missedAt, s.urgent = grant.Missed, now, true
 }
 
-// renew reports everything that is held. A renewal that wasn't answered within
+// renew reports everything that is held, and the loads of a server until the
+// assigner has answered a report of them: they change once per window. A renewal that wasn't answered within
 // a lease can't give one any more.
 func (s *State) renew(now clock.Time) Renew {
 	for n, t := range s.sent {
@@ -218,22 +224,25 @@
 	s.lastSent, s.urgent = now, false
 	r := Renew{Nonce: s.nonce, Ack: s.ack}
 	for _, sv := range s.servers {
-		r.Servers = append(r.Servers, sv.report(now))
+		r.Servers = append(r.Servers, sv.report(now, s.nonce))
 	}
 	return r
 }
 
-func (sv *server) report(now clock.Time) grant.Report {
+func (sv *server) report(now clock.Time, nonce uint64) grant.Report {
 	r := grant.Report{Server: sv.name, State: sv.state, Slots: sv.slots, InFlight: sv.total}
 	if r.State != grant.Missed && now.Sub(sv.readSent) > grant.Silence+grant.Renewal {
 		r.State = grant.Unknown // this host was paused
 	}
 	for _, rec := range sv.records {
 		r.Held = append(r.Held, grant.Held{Range: rec.r, Fence: rec.fence})
-		if !rec.releasing {
+		if !rec.releasing && sv.loadsDue {
 			r.Loads = append(r.Loads, rec.meter.load(rec.r))
 		}
 	}
+	if sv.loadsDue && sv.loadsNonce == 0 {
+		sv.loadsNonce = nonce
+	}
 	sv.moved = slices.DeleteFunc(sv.moved, func(m moved) bool { return now.Sub(m.at) > movedFor })
 	for _, m := range sv.moved {
 		r.Moved = append(r.Moved, m.Moved)
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -191,3 +191,34 @@
 	_, err = d.Check(1036, "s", 5)
 	is.Equal(err, ErrUnacknowledged)
 }
+
+// Guards against load reports that are repeated although the assigner has
+// them, and against loads that a new assigner never learns.
+func TestLoadsUntilAnswered(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Host: "a"})
+	servers := []grant.Server{{Server: "s", Grants: []grant.Entry{{Range: keys.Full(), Fence: keys.NewFence(1, 1)}}}}
+	now, seq := clock.Time(0), uint64(0)
+	renew := func() (r Renew) {
+		now = now.Add(grant.Renewal)
+		for _, a := range s.Step(now, Tick{}) {
+			if x, ok := a.(Renew); ok {
+				r = x
+			}
+		}
+		return r
+	}
+	answer := func(r Renew, term uint32) {
+		seq++
+		s.Step(now, Granted{Nonce: r.Nonce, Term: term, Seq: seq, Span: grant.Lease, Servers: servers})
+	}
+	loads := func(r Renew) int { return len(r.Servers[0].Loads) }
+	answer(renew(), 1)
+	first := renew()
+	is.Equal(loads(first), 1)
+	is.Equal(loads(renew()), 1) // not answered yet
+	answer(first, 1)
+	is.Equal(loads(renew()), 0)
+	answer(renew(), 2)
+	is.Equal(loads(renew()), 1) // the new assigner doesn't know them
+}
--- a/internal/hold/lease.go
+++ b/internal/hold/lease.go
@@ -156,6 +156,14 @@
 		return
 	}
 	s.urgent = s.urgent || a.Term > s.ack.Term
+	for _, sv := range s.servers {
+		if sv.loadsNonce != 0 && ev.Nonce >= sv.loadsNonce {
+			sv.loadsDue = false
+		}
+		if a.Term > s.ack.Term {
+			sv.reportLoads() // another assigner doesn't know them
+		}
+	}
 	s.ack = a
 	until := asked.Add(min(ev.Span, grant.Lease) - grant.Margin)
 	for _, sv := range s.servers {
@@ -229,7 +237,11 @@
 			changed, sv.dirty = true, true
 		}
 	}
-	sv.records = sv.join(tidy(recs), entries)
+	recs = sv.join(tidy(recs), entries)
+	if !sameRanges(recs, sv.records) {
+		sv.reportLoads() // the assigner keeps loads by range
+	}
+	sv.records = recs
 	return changed
 }
 
--- a/internal/hold/load.go
+++ b/internal/hold/load.go
@@ -1,6 +1,8 @@
 package hold
 
 import (
+	"slices"
+
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/grant"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -89,4 +91,16 @@
 		rec.meter.roll(d)
 	}
 	sv.window = now
+	sv.reportLoads()
+}
+
+// reportLoads makes the next renewals report the loads.
+func (sv *server) reportLoads() { sv.loadsDue, sv.loadsNonce = true, 0 }
+
+// sameRanges reports whether loads of a are reported for the same ranges as
+// loads of b.
+func sameRanges(a, b []*record) bool {
+	return slices.EqualFunc(a, b, func(x, y *record) bool {
+		return x.r == y.r && x.fence == y.fence && x.releasing == y.releasing
+	})
 }
