Benchmark batches between entry hosts and the load of busy ranges

Loads of idle ranges are shorter on the wire than those of busy ones, and a new cell moves ranges for 40 s, so the driver makes requests for each range and measures after 44 s.

--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -20,7 +20,7 @@
 const (
 	capFrame = 60 // bytes that HTTP/2 and gRPC add to a batch or its answer
 	capHop   = 1 * clock.Millisecond
-	capWarm  = 14 * clock.Second // until the ramp of new servers has ended
+	capWarm  = 44 * clock.Second // until the moves of the start, with its ramp, have ended
 )
 
 // capHost is one host's part in all cells of the group.
@@ -38,6 +38,7 @@
 	assign   *assign.State
 	hold     *hold.State
 	term     uint32
+	pending  uint32
 	assigner keys.Host
 	answered clock.Time
 }
@@ -199,6 +200,7 @@
 					for _, s := range p.hold.Servers() {
 						m.probe(i, p, s, 0)
 					}
+					m.load(p)
 				}
 			}
 		}
@@ -218,6 +220,17 @@
 	}
 }
 
+// load makes a request for each range, so that all have the same rate.
+func (m *capSim) load(p *capPart) {
+	for _, s := range p.hold.Dump().Servers {
+		for _, r := range s.Records {
+			if _, err := p.hold.Begin(m.now, s.Server, r.Range.Lo()); err == nil {
+				p.hold.End(m.now, s.Server, r.Range.Lo())
+			}
+		}
+	}
+}
+
 func (m *capSim) probe(i int, p *capPart, s keys.Server, seq uint64) {
 	sent := m.now
 	boot := m.hosts[i].boot
@@ -257,6 +270,9 @@
 func (m *capSim) electStep(i int, p *capPart, ev elect.Event) {
 	c := m.cells[p.cell]
 	m.events++
+	if a, ok := ev.(elect.Asked); ok && a.Term != 0 && p.term == 0 {
+		p.assigner = a.From
+	}
 	for _, a := range p.elect.Step(m.now, ev) {
 		switch a := a.(type) {
 		case elect.Ask:
@@ -276,12 +292,18 @@
 			m.roles[p.cell] = a.Role
 			m.electStep(i, p, elect.RoleWritten{Op: a.Op, Version: m.version[p.cell]})
 		case elect.Became:
-			if p.term == 0 {
-				p.term = a.Term
-				m.assignStep(i, p, assign.Elected{Term: a.Term, Assignment: m.last[p.cell]})
+			if p.term != 0 || p.pending != 0 {
+				break
 			}
+			p.pending = a.Term
+			m.reached[m.now.Add(tableGrace)] = append(m.reached[m.now.Add(tableGrace)], func() {
+				if p.pending != 0 {
+					p.term, p.pending = p.pending, 0
+					m.assignStep(i, p, assign.Elected{Term: p.term, Assignment: m.last[p.cell]})
+				}
+			})
 		case elect.Lost:
-			p.term = 0
+			p.term, p.pending, p.assigner = 0, 0, ""
 			p.assign.Step(m.now, assign.Lost{})
 		}
 	}
@@ -504,8 +526,8 @@
 		{"restart", func(m *capSim) { lose(m, m.assigner(0)) }, true},
 	} {
 		b.Run(tt.name, func(b *testing.B) {
-			const seeds = 5
-			msgs, bytes, writes, keyMs, longest := 0, 0, 0, 0, clock.Span(0)
+			const seeds, step = 5, 5 * clock.Millisecond
+			msgs, bytes, writes, keyMs, longest := 0, 0, 0, clock.Span(0), clock.Span(0)
 			for seed := range seeds * b.N {
 				m := newCapSim(8, 1, 16, 8)
 				m.run(capWarm + clock.Span(17*seed))
@@ -521,14 +543,15 @@
 							}
 						}
 					}
-					m.run(1)
-					if t > 2500 {
+					if m.run(1); t > 2500 || t%step != 0 {
 						continue
 					}
 					for _, x := range samples {
-						if m.unowned([]keys.Hash{x}) > 0 {
-							gap[x]++
-							keyMs++
+						if m.unowned([]keys.Hash{x}) == 0 {
+							gap[x] = 0
+						} else {
+							gap[x] += step
+							keyMs += step
 							longest = max(longest, gap[x])
 						}
 					}
@@ -567,6 +590,14 @@
 				b.ReportMetric(rows, "rows/cell")
 				b.ReportMetric(float64(len(doc)), "stored-B/cell")
 				b.ReportMetric(float64(len(doc))/rows, "stored-B/range")
+				push := grantBody{ValidUntil: 1 << 40, From: "north-1-e001/1fffffffffffffff", Seq: 1 << 20, Boot: "1fffffffffffffff"}
+				for _, r := range a.Rows[:tt.ranges] {
+					push.Grants = append(push.Grants, grantRow{r.Range, r.Fence})
+				}
+				if doc, err = json.Marshal(push); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(doc)), "push-B/server")
 				before := capHeap()
 				for _, f := range []struct {
 					unit string
