--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -18,6 +18,7 @@
 	time   time.Time // wall clock of the operator's host, for display only
 	note   string
 	sites  map[keys.DataCentre]Config
+	drains []keys.Server // sorted; nil if there are none
 }
 
 // NewRevision returns a revision. It fails if a configuration was merged for
@@ -58,6 +59,19 @@
 	return c, ok
 }
 
+// Drains returns the backend servers that operators have ordered to be drained,
+// sorted. It must not be modified.
+func (r Revision) Drains() []keys.Server { return r.drains }
+
+// WithDrains returns a copy of r with the given servers to be drained.
+func (r Revision) WithDrains(servers []keys.Server) Revision {
+	r.drains = nil
+	if len(servers) > 0 {
+		r.drains = slices.Compact(slices.Sorted(slices.Values(servers)))
+	}
+	return r
+}
+
 func sortedSites(sites map[keys.DataCentre]Config) []keys.DataCentre {
 	return slices.Sorted(maps.Keys(sites))
 }
@@ -83,12 +97,13 @@
 	Time   time.Time                           `json:"time"`
 	Note   string                              `json:"note"`
 	Sites  map[keys.DataCentre]json.RawMessage `json:"sites"`
+	Drains []keys.Server                       `json:"drains,omitempty"`
 }
 
 // EncodeRevision returns the canonical JSON of r. It fails when the result is
 // larger than a value of the store may be.
 func EncodeRevision(r Revision) ([]byte, error) {
-	w := wireRevision{r.number, r.author, r.time, r.note, make(map[keys.DataCentre]json.RawMessage, len(r.sites))}
+	w := wireRevision{r.number, r.author, r.time, r.note, make(map[keys.DataCentre]json.RawMessage, len(r.sites)), r.drains}
 	for site, c := range r.sites {
 		b, err := json.Marshal(c)
 		if err != nil {
@@ -119,5 +134,8 @@
 			return Revision{}, fmt.Errorf("site %s: %w", site, err)
 		}
 	}
-	return NewRevision(w.Number, w.Author, w.Time, w.Note, sites)
+	if r, err = NewRevision(w.Number, w.Author, w.Time, w.Note, sites); err != nil {
+		return Revision{}, err
+	}
+	return r.WithDrains(w.Drains), nil
 }
