entry: let operators change the configuration

Cause: operators had no way to change the configuration, and hosts elsewhere learnt of a revision from the store only. Change: POST /plan, /apply, /rollback and /drain/SERVER, DELETE /drain/SERVER, GET /revision and GET /status?all=true on the operators' listener. A drained server is told to the assigner as leaving.

--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -57,7 +57,9 @@
 	Base []byte
 	// DataCentres replaces the example's data centres.
 	DataCentres []keys.DataCentre
-	Log         *zap.Logger
+	// Wrap replaces the store of the entry hosts of a data centre, if it is set.
+	Wrap func(keys.DataCentre, store.Store) store.Store
+	Log  *zap.Logger
 }
 
 // System is a running example.
@@ -180,7 +182,11 @@
 		}
 	}
 	for _, set := range all {
-		h := entry.New(entry.Config{Settings: set, Store: s.client, Log: s.cfg.Log})
+		var st store.Store = s.client
+		if s.cfg.Wrap != nil {
+			st = s.cfg.Wrap(set.DataCentre(), st)
+		}
+		h := entry.New(entry.Config{Settings: set, Store: st, Log: s.cfg.Log})
 		if err := h.Start(ctx); err != nil {
 			return err
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -134,6 +134,7 @@
 	h.tree.Add("control", h.control)
 	h.tree.Add("members", h.followMembers)
 	h.tree.Add("configuration", h.followConfig)
+	h.tree.Add("spread", h.spread)
 	go h.run(ctx)
 	h.log.Info("entry host started", zap.Uint64("boot", h.boot), zap.String("callers", h.doors.callerAddr()))
 	return nil
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -19,6 +19,7 @@
 	m.Methods(http.MethodGet).Path("/dump").HandlerFunc(h.serveDump)
 	m.Methods(http.MethodGet).Path("/status").HandlerFunc(h.serveStatus)
 	m.Methods(http.MethodGet).Path("/owner/{service}/{key}").HandlerFunc(h.serveOwner)
+	h.reviseRoutes(m)
 	return m
 }
 
@@ -156,7 +157,13 @@
 	return c
 }
 
-func (h *Host) serveStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) }
+func (h *Host) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("all") == "true" {
+		writeJSON(w, h.fleet(r.Context()))
+		return
+	}
+	writeJSON(w, h.Status())
+}
 
 // dump is the state of the whole process.
 type dump struct {
--- /dev/null
+++ b/internal/entry/revise.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/gorilla/mux"
+	"github.com/laburnummux/laburnummux/internal/apply"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/store"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+	"go.uber.org/zap"
+)
+
+const (
+	// reviseTimeout is the time in which an operator gets an answer. It covers
+	// a few seconds without the store after a write with an unknown result.
+	reviseTimeout = 4 * time.Second
+	// revisePause is the wait before a step that was tried before.
+	revisePause = 50 * time.Millisecond
+	// maxRevise bounds a request's body. A revision has at most 1 MiB in its
+	// canonical form; an indented one is larger.
+	maxRevise = 4 << 20 // bytes
+	maxAuthor = 100     // characters
+	maxNote   = 1000    // characters
+)
+
+// Revise is the body of the operators' requests that change the configuration.
+type Revise struct {
+	Author   string                              `json:"author"`
+	Note     string                              `json:"note,omitempty"`
+	From     uint64                              `json:"from,omitempty"`     // apply and rollback
+	To       uint64                              `json:"to,omitempty"`       // rollback
+	Sites    map[keys.DataCentre]json.RawMessage `json:"sites,omitempty"`    // plan and apply: merged configurations
+	Override []string                            `json:"override,omitempty"` // kinds of holds that are confirmed
+}
+
+func (h *Host) reviseRoutes(m *mux.Router) {
+	m.Methods(http.MethodPost).Path("/plan").HandlerFunc(h.reviser(apply.Replace, true))
+	m.Methods(http.MethodPost).Path("/apply").HandlerFunc(h.reviser(apply.Replace, false))
+	m.Methods(http.MethodPost).Path("/rollback").HandlerFunc(h.reviser(apply.Rollback, false))
+	m.Methods(http.MethodPost).Path("/drain/{server}").HandlerFunc(h.reviser(apply.Drain, false))
+	m.Methods(http.MethodDelete).Path("/drain/{server}").HandlerFunc(h.reviser(apply.Undrain, false))
+	m.Methods(http.MethodGet).Path("/revision").HandlerFunc(h.serveRevision)
+}
+
+func (h *Host) reviser(kind apply.Kind, plan bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req, err := readRevise(w, r)
+		if err != nil {
+			status := http.StatusBadRequest
+			var large *http.MaxBytesError
+			if errors.As(err, &large) {
+				status = http.StatusRequestEntityTooLarge
+			}
+			writeResult(w, status, apply.Result{Outcome: apply.Refused, Reason: err.Error()})
+			return
+		}
+		req.Kind, req.Plan, req.Time = kind, plan, time.Now()
+		req.Server = keys.Server(mux.Vars(r)["server"])
+		if kind == apply.Drain && !h.listedServer(req.Server) {
+			writeResult(w, http.StatusNotFound, apply.Result{
+				Outcome: apply.Refused, Reason: fmt.Sprintf("the host list has no backend server %q", req.Server),
+			})
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), reviseTimeout)
+		defer cancel()
+		if !plan {
+			// The attempt goes on when the operator's connection is lost.
+			ctx, cancel = context.WithTimeout(context.WithoutCancel(r.Context()), reviseTimeout)
+			defer cancel()
+		}
+		res := h.revise(ctx, req)
+		if !plan {
+			h.log.Info("operator's request", zap.String("path", r.URL.Path), zap.String("author", req.Author),
+				zap.Stringer("outcome", res.Outcome), zap.Uint64("revision", res.Revision.Number))
+		}
+		writeResult(w, resultStatus(res.Outcome), res)
+	}
+}
+
+func readRevise(w http.ResponseWriter, r *http.Request) (req apply.Request, err error) {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRevise))
+	d.DisallowUnknownFields()
+	var b Revise
+	if err = d.Decode(&b); err != nil {
+		return req, fmt.Errorf("body: %w", err)
+	}
+	if err = checkText("author", b.Author, maxAuthor); err != nil {
+		return req, err
+	}
+	if err = checkText("note", b.Note, maxNote); err != nil {
+		return req, err
+	}
+	if b.Author == "" {
+		return req, errors.New("author: is missing")
+	}
+	req = apply.Request{Author: b.Author, Note: b.Note, From: b.From, To: b.To, Override: b.Override}
+	req.Sites = make(map[keys.DataCentre]config.Config, len(b.Sites))
+	for site, raw := range b.Sites {
+		if req.Sites[site], err = config.Decode(raw); err != nil {
+			return req, fmt.Errorf("site %s: %w", site, err)
+		}
+	}
+	return req, nil
+}
+
+// checkText keeps what operators' terminals will show on one line.
+func checkText(field, s string, limit int) error {
+	if len([]rune(s)) > limit {
+		return fmt.Errorf("%s: has more than %d characters", field, limit)
+	}
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return fmt.Errorf("%s: contains characters that can't be printed", field)
+	}
+	return nil
+}
+
+func resultStatus(o apply.Outcome) int {
+	switch o {
+	case apply.Raced:
+		return http.StatusConflict
+	case apply.Held, apply.Refused:
+		return http.StatusUnprocessableEntity
+	case apply.Unavailable:
+		return http.StatusServiceUnavailable
+	case apply.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusOK
+}
+
+func writeResult(w http.ResponseWriter, status int, res apply.Result) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	writeJSON(w, res)
+}
+
+// revise carries out the actions of an attempt.
+func (h *Host) revise(ctx context.Context, req apply.Request) apply.Result {
+	a := apply.New(req)
+	for act := a.Start(); ; {
+		switch x := act.(type) {
+		case apply.Done:
+			return x.Result
+		case apply.Read:
+			act = a.Step(h.reviseRead(ctx, x))
+		case apply.Write:
+			act = a.Step(h.reviseWrite(ctx, x))
+		}
+	}
+}
+
+func (h *Host) reviseRead(ctx context.Context, x apply.Read) apply.Event {
+	if x.Pause {
+		select {
+		case <-ctx.Done():
+		case <-time.After(revisePause):
+		}
+	}
+	if ctx.Err() != nil {
+		return apply.Expired{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := h.st.Get(ctx, x.Name)
+	if !errors.Is(err, store.ErrNotFound) {
+		h.metrics.Store("get", err)
+	}
+	return apply.ReadDone{Object: o, Err: err}
+}
+
+func (h *Host) reviseWrite(ctx context.Context, x apply.Write) apply.Event {
+	if ctx.Err() != nil {
+		return apply.WriteDone{Err: store.ErrUnavailable} // not sent
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := h.st.Put(ctx, x.Name, x.Value, x.IfVersion)
+	h.metrics.Store("put", err)
+	return apply.WriteDone{Err: err}
+}
+
+func (h *Host) listedServer(name keys.Server) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m, ok := h.members[string(name)]
+	return ok && m.Role() == store.Backend
+}
+
+// drained reports whether operators have ordered a backend server to be
+// drained.
+func (h *Host) drained(name keys.Server) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := slices.BinarySearch(h.revision.Drains(), name)
+	return ok
+}
+
+// Revision is the configuration in force at a host.
+type Revision struct {
+	apply.Origin
+	InForce time.Time                         `json:"inForceSince"`
+	Drains  []keys.Server                     `json:"drains"`
+	Sites   map[keys.DataCentre]config.Config `json:"sites"`
+}
+
+func (h *Host) serveRevision(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	rev, inForce := h.revision, h.inForce
+	h.mu.Unlock()
+	v := Revision{
+		Origin:  apply.Origin{Number: rev.Number(), Author: rev.Author(), Time: rev.Time(), Note: rev.Note()},
+		InForce: inForce, Drains: append([]keys.Server{}, rev.Drains()...), Sites: make(map[keys.DataCentre]config.Config),
+	}
+	for _, s := range rev.Sites() {
+		v.Sites[s], _ = rev.Site(s)
+	}
+	writeJSON(w, v)
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/apply"
 	"github.com/laburnummux/laburnummux/internal/assign"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
@@ -19,7 +20,7 @@
 
 const (
 	// ConfigObject is the store object with the configuration in force.
-	ConfigObject = "config/current"
+	ConfigObject = apply.CurrentObject
 
 	membersPeriod = 500 * time.Millisecond
 	callTimeout   = time.Second
@@ -112,7 +113,7 @@
 		if c.owns(m) {
 			listed[keys.Server(m.Name())] = true
 			state := assign.Ready
-			if m.State() == store.Leaving {
+			if m.State() == store.Leaving || c.h.drained(keys.Server(m.Name())) {
 				state = assign.Leaving
 			}
 			c.stepAssign(now, c.serverSeen(m, state))
@@ -267,6 +268,7 @@
 	h.mu.Unlock()
 	for c, svc := range kept {
 		c.configure(svc)
+		c.tellMembersNow() // the drains may have changed
 	}
 	for _, c := range stopped {
 		c.stop()
