--- a/cmd/laburnummux/client.go
+++ b/cmd/laburnummux/client.go
@@ -18,9 +18,12 @@
 
 const (
 	usageStatus = `Show what an entry host knows: the configuration revision in force, each cell
-with its assigner, and each backend server with its dispatcher.
+with its assigner, and each backend server with its dispatcher. With --all every
+entry host of the host list is asked for its revision; the exit status is 1 if
+one isn't heard from.
 
   laburnummux status --operators 127.0.0.1:7104
+  laburnummux status --all
   laburnummux status --operators 127.0.0.1:7104 --json`
 
 	usageOwner = `Show which backend server owns a key, through which entry host it is reached,
@@ -48,7 +51,10 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show what an entry host knows", Description: usageStatus,
-		Flags: []cli.Flag{operatorsFlag(), jsonFlag()}, Action: runStatus,
+		Flags: []cli.Flag{
+			operatorsFlag(), jsonFlag(), &cli.BoolFlag{Name: "all", Usage: "ask all entry hosts"},
+		},
+		OnUsageError: usageError, Action: runStatus,
 	}
 }
 
@@ -103,6 +109,9 @@
 }
 
 func runStatus(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("all") {
+		return runStatusAll(ctx, cmd)
+	}
 	b, err := get(ctx, cmd, "/status")
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/laburnummux/operate.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/laburnummux/laburnummux/internal/apply"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/entry"
+	"github.com/laburnummux/laburnummux/internal/merge"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Exit statuses of the operators' commands.
+const (
+	exitFailed  = 1 // nothing was applied
+	exitUsage   = 2
+	exitRaced   = 3 // another operator was faster
+	exitHeld    = 4 // the change needs a confirmation
+	exitUnknown = 5 // the change may be in force
+
+	usageExit = `
+
+Exit status: 0 done, 1 failed and nothing was applied, 2 wrong usage, 3 refused
+because another operator was faster, 4 held until it is confirmed, 5 unknown.`
+)
+
+func authorFlags() []cli.Flag {
+	return []cli.Flag{
+		operatorsFlag(), jsonFlag(),
+		&cli.StringFlag{Name: "author", Usage: "`NAME` of the operator", Sources: cli.EnvVars("LABURNUMMUX_AUTHOR", "USER")},
+		&cli.StringFlag{Name: "note", Usage: "why the change is made"},
+	}
+}
+
+func overrideFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "override", Usage: "confirm holds of this `KIND`, for example slots-lowered"}
+}
+
+func fromFlag() cli.Flag {
+	return &cli.Uint64Flag{Name: "from", Usage: "revision `N` from which the change was planned"}
+}
+
+func baseFlag() cli.Flag { return &cli.StringFlag{Name: "base", Usage: "base `FILE`"} }
+
+func usageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return usagef("%s: %v", cmd.Name, err)
+}
+
+func usagef(format string, args ...any) error {
+	return cli.Exit(fmt.Sprintf(format, args...), exitUsage)
+}
+
+func reviseOf(cmd *cli.Command) entry.Revise {
+	return entry.Revise{
+		Author: cmd.String("author"), Note: cmd.String("note"), From: cmd.Uint64("from"), To: cmd.Uint64("to"),
+		Override: cmd.StringSlice("override"),
+	}
+}
+
+// mergedSites merges the base with the overlays among the arguments.
+func mergedSites(cmd *cli.Command) (sites map[keys.DataCentre]json.RawMessage, err error) {
+	if cmd.String("base") == "" || cmd.NArg() == 0 {
+		return nil, usagef("%s: needs --base and the overlay of every site", cmd.Name)
+	}
+	base, probs, err := config.Load(cmd.String("base"))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", cmd.Name, err)
+	}
+	sites = make(map[keys.DataCentre]json.RawMessage)
+	for _, file := range cmd.Args().Slice() {
+		overlay, more, err := config.Load(file)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", cmd.Name, err)
+		}
+		probs = append(probs, append(more, overlay.CheckOverlay()...)...)
+		if probs.Err() != nil {
+			return nil, report(cmd, probs)
+		}
+		merged, more := merge.Merge(base, overlay)
+		probs = append(probs, more...)
+		if probs.Err() != nil {
+			return nil, report(cmd, probs)
+		}
+		site := merged.Config().Site()
+		if _, ok := sites[site]; ok || site == "" {
+			return nil, usagef("%s: %s: site %q is missing or stated twice", cmd.Name, file, site)
+		}
+		if sites[site], err = config.Encode(merged.Config()); err != nil {
+			return nil, fmt.Errorf("%s: %w", cmd.Name, err)
+		}
+	}
+	return sites, report(cmd, probs)
+}
+
+// operate sends a request to the operators' listener and reports the result.
+func operate(ctx context.Context, cmd *cli.Command, method, path string, body entry.Revise) error {
+	if body.Author == "" {
+		return usagef("%s: needs --author", cmd.Name)
+	}
+	res, err := exchange(ctx, cmd, method, path, body)
+	if err != nil {
+		var dial *net.OpError
+		if cmd.Name == "plan" || errors.As(err, &dial) && dial.Op == "dial" {
+			return cli.Exit(fmt.Sprintf("%s: nothing was applied: %v", cmd.Name, err), exitFailed)
+		}
+		return cli.Exit(fmt.Sprintf("%s: the result is unknown: %v", cmd.Name, err), exitUnknown)
+	}
+	if cmd.Bool("json") {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		enc.Encode(res)
+	} else {
+		printResult(cmd, res)
+	}
+	return exitOf(res.Outcome)
+}
+
+func exchange(ctx context.Context, cmd *cli.Command, method, path string, body entry.Revise) (res apply.Result, err error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return res, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+cmd.String("operators")+path, bytes.NewReader(b))
+	if err != nil {
+		return res, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return res, err
+	}
+	defer resp.Body.Close()
+	if err = json.NewDecoder(io.LimitReader(resp.Body, maxDump)).Decode(&res); err != nil {
+		return res, fmt.Errorf("the entry host answered %s without a result: %w", resp.Status, err)
+	}
+	return res, nil
+}
+
+// exitOf ends the command with the status of an outcome. The result is printed
+// already.
+func exitOf(o apply.Outcome) error {
+	switch o {
+	case apply.Accepted, apply.Unchanged:
+		return nil
+	case apply.Raced:
+		return cli.Exit("", exitRaced)
+	case apply.Held:
+		return cli.Exit("", exitHeld)
+	case apply.Unknown:
+		return cli.Exit("", exitUnknown)
+	}
+	return cli.Exit("", exitFailed)
+}
+
+func printResult(cmd *cli.Command, res apply.Result) {
+	r := res.Revision
+	switch plan := cmd.Name == "plan"; {
+	case res.Outcome == apply.Accepted && plan:
+		fmt.Printf("planned from revision %d; apply it with --from %d\n", res.From, res.From)
+	case res.Outcome == apply.Accepted:
+		fmt.Printf("accepted: revision %d by %s at %s\n", r.Number, r.Author, r.Time.Format(time.RFC3339))
+	case res.Outcome == apply.Raced:
+		fmt.Printf("refused: %s\nrevision %d is by %s at %s, note: %q\n", res.Reason, r.Number, r.Author, r.Time.Format(time.RFC3339), r.Note)
+	case res.Outcome == apply.Unknown:
+		fmt.Printf("unknown: revision %d may be in force: %s\n", r.Number, res.Reason)
+	case res.Outcome == apply.Held && plan:
+		fmt.Printf("held: planned from revision %d: %s\n", res.From, res.Reason)
+	case res.Outcome == apply.Unchanged:
+		fmt.Printf("unchanged: revision %d: %s\n", r.Number, res.Reason)
+	default:
+		fmt.Printf("%s: %s\n", res.Outcome, res.Reason)
+	}
+	for _, h := range res.Holds {
+		fmt.Println("hold", h)
+	}
+	if len(res.Changes) > 0 && res.Outcome == apply.Raced {
+		fmt.Println("changes made by others since:")
+	}
+	printChanges(res.Changes)
+}
+
+// printChanges prints a change that is the same at several sites once.
+func printChanges(all []apply.Change) {
+	if len(all) == 0 {
+		return
+	}
+	sites := make(map[apply.Change][]string)
+	var order []apply.Change
+	for _, c := range all {
+		k := c
+		k.Site = ""
+		if sites[k] == nil {
+			order = append(order, k)
+		}
+		sites[k] = append(sites[k], string(c.Site))
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SITE\tFIELD\tOLD\tNEW")
+	for _, c := range order {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", orDash(strings.Join(slices.Compact(sites[c]), ",")), c.Field, orDash(c.Old), orDash(c.New))
+	}
+	w.Flush()
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/laburnummux/plan.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+)
+
+const usagePlan = `Show what a configuration would change: each field that differs from the
+revision in force, with its old and its new value, and what would be held.
+Nothing is applied. The overlays of all sites are given. The revision from
+which the change was planned is printed for "apply --from".
+
+  laburnummux plan --base base.jsonc north-1.jsonc north-2.jsonc north-3.jsonc
+  laburnummux plan --json --base base.jsonc north-*.jsonc` + usageExit
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plan", Usage: "show what a configuration would change", Description: usagePlan, ArgsUsage: "OVERLAY...",
+		Flags:        append(authorFlags(), baseFlag(), overrideFlag(), fromFlag()),
+		OnUsageError: usageError, Action: runPlan,
+	}
+}
+
+func runPlan(ctx context.Context, cmd *cli.Command) (err error) {
+	body := reviseOf(cmd)
+	if body.Sites, err = mergedSites(cmd); err != nil {
+		return err
+	}
+	if !cmd.IsSet("from") {
+		r, err := revisionInForce(ctx, cmd)
+		if err != nil {
+			return err
+		}
+		body.From = r.Number
+	}
+	return operate(ctx, cmd, http.MethodPost, "/plan", body)
+}
--- /dev/null
+++ b/cmd/laburnummux/statusall.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/laburnummux/laburnummux/internal/entry"
+)
+
+// runStatusAll shows a line per entry host. A host that is not heard from makes
+// the command fail, because the overview is incomplete then.
+func runStatusAll(ctx context.Context, cmd *cli.Command) error {
+	b, err := get(ctx, cmd, "/status?all=true")
+	if err != nil {
+		return err
+	}
+	var f entry.Fleet
+	if err = json.Unmarshal(b, &f); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	if cmd.Bool("json") {
+		os.Stdout.Write(b)
+	} else if err = printFleet(f); err != nil {
+		return err
+	}
+	if len(f.NotHeard) > 0 {
+		return cli.Exit(fmt.Sprintf("status: %d of %d entry hosts not heard from", len(f.NotHeard), len(f.Hosts)+len(f.NotHeard)), exitFailed)
+	}
+	return nil
+}
+
+func printFleet(f entry.Fleet) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tDATA CENTRE\tUP\tREADY\tREVISION\tIN FORCE SINCE\tIN FLIGHT")
+	for _, s := range f.Hosts {
+		up := (time.Duration(s.UptimeMs) * time.Millisecond).Round(time.Second)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", s.Host, s.DataCentre, up, s.Ready, s.Revision,
+			s.InForce.UTC().Format(time.RFC3339), s.InFlight)
+	}
+	for _, n := range f.NotHeard {
+		fmt.Fprintf(w, "%s\t%s\t-\tnot heard: %s\t-\t-\t-\n", n.Host, n.DataCentre, n.Reason)
+	}
+	return w.Flush()
+}
