--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -129,6 +129,10 @@
 	Reason  string   `json:"reason,omitempty"`
 }
 
+// Newer reports whether a host that has a revision adopts another one.
+// Revisions reach a host in any order: from the store and from other hosts.
+func Newer(have, got config.Revision) bool { return got.Number() > have.Number() }
+
 // base is what the store has.
 type base struct {
 	rev     config.Revision // zero if there is none
@@ -141,6 +145,9 @@
 // rollback.
 func decide(cur base, req Request, planned, target *config.Revision) (res Result, next config.Revision) {
 	res = Result{Revision: originOf(cur.rev), From: cur.rev.Number()}
+	if cur.version == 0 && req.Kind != Replace {
+		return refused(res, "there is no configuration yet"), next
+	}
 	sites, drains := req.Sites, slices.Clone(cur.rev.Drains())
 	switch req.Kind {
 	case Rollback:
@@ -155,6 +162,9 @@
 			drains = append(drains, req.Server)
 		}
 	}
+	if len(sites) == 0 {
+		return refused(res, "the request has no site; every host would be without configuration"), next
+	}
 	next, err := config.NewRevision(cur.rev.Number()+1, req.Author, req.Time, req.Note, sites)
 	if err != nil {
 		return refused(res, "%v", err), next
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -213,7 +213,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if rev.Number() <= h.revision.Number() {
+	if !apply.Newer(h.revision, rev) {
 		return
 	}
 	h.revision, h.conf, h.inForce = rev, conf, time.Now()
