--- a/cmd/laburnummux/operate.go
+++ b/cmd/laburnummux/operate.go
@@ -186,8 +186,12 @@
 	default:
 		fmt.Printf("%s: %s\n", res.Outcome, res.Reason)
 	}
+	label := "hold"
+	if res.Outcome == apply.Accepted {
+		label = "confirmed"
+	}
 	for _, h := range res.Holds {
-		fmt.Println("hold", h)
+		fmt.Println(label, h)
 	}
 	if len(res.Changes) > 0 && res.Outcome == apply.Raced {
 		fmt.Println("changes made by others since:")
--- a/internal/apply/fuzz_test.go
+++ b/internal/apply/fuzz_test.go
@@ -125,6 +125,9 @@
 		m.Fatalf("revision %d is by %s, written by %s", e.rev.Number(), e.rev.Author(), e.by)
 	}
 	i := slices.IndexFunc(m.ops, func(o *operator) bool { return o.req.Author == e.by })
+	if req := m.ops[i].req; (req.Kind == Replace || req.Kind == Rollback) && req.From != last.Number() {
+		m.Fatalf("revision %d was planned from %d", e.rev.Number(), req.From)
+	}
 	want, drains := slotsOf(last), slices.Clone(last.Drains())
 	switch req := m.ops[i].req; req.Kind {
 	case Replace:
--- a/internal/entry/revise_test.go
+++ b/internal/entry/revise_test.go
@@ -184,6 +184,43 @@
 	waitFor(t, allAt(s, 2))
 }
 
+// lostStore loses the answer of the write of the configuration and is not to be
+// reached from then on.
+type lostStore struct{ cutStore }
+
+func (s lostStore) Put(ctx context.Context, name string, value []byte, ifVersion uint64) (uint64, error) {
+	v, err := s.cutStore.Put(ctx, name, value, ifVersion)
+	if err == nil && name == apply.CurrentObject {
+		s.cut.Store(true)
+		return 0, store.ErrUnsure
+	}
+	return v, err
+}
+
+// Guards against "accepted" or "refused" while nobody can know.
+func TestReviseUnknown(t *testing.T) {
+	is := is.New(t)
+	var cut atomic.Bool
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s, err := devel.Start(ctx, devel.Config{Hosts: 1, Servers: 1, Log: zap.NewNop(), Wrap: func(_ keys.DataCentre, st store.Store) store.Store {
+		return lostStore{cutStore{st, &cut}}
+	}})
+	is.NoErr(err)
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		is.NoErr(s.Stop(ctx))
+	}()
+	waitFor(t, allAt(s, 1))
+	var res apply.Result
+	is.Equal(ask(t, s.Hosts()[0], http.MethodPost, "/drain/ledger-north-1-1", entry.Revise{Author: "moana"}, &res), http.StatusGatewayTimeout)
+	is.Equal(res.Outcome, apply.Unknown)
+	is.Equal(res.Revision.Number, uint64(2))
+	cut.Store(false)
+	waitFor(t, allAt(s, 2)) // it is in force after all
+}
+
 // Guards against bodies that are accepted although they are wrong.
 func TestReviseRefuses(t *testing.T) {
 	s := start(t, 1)
