Hold the drain of a cell's last server

Cause: draining all servers of a cell leaves its keys without an owner, and nothing asked the operator. Change: the host names the other live servers of the cell; if none stays undrained the drain is held with last-server until it is confirmed. Conclusion: an operator's slip no longer takes a cell away.

--- a/cmd/laburnummux/drain.go
+++ b/cmd/laburnummux/drain.go
@@ -10,13 +10,15 @@
 
 const usageDrain = `Move all keys off a backend server and give it no new requests, until "undrain".
 The order is a part of the configuration, so it outlasts the loss of any host.
+The drain of the last server of a cell is held; --override last-server confirms
+it.
 
   laburnummux drain --note "disk is noisy" ledger-north-1-2` + usageExit
 
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "drain", Usage: "move all keys off a backend server", Description: usageDrain, ArgsUsage: "SERVER",
-		Flags: authorFlags(), OnUsageError: usageError, Action: runDrain,
+		Flags: append(authorFlags(), overrideFlag()), OnUsageError: usageError, Action: runDrain,
 	}
 }
 
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -48,6 +48,10 @@
 	return fmt.Sprintf("config/archive/%02d", revision%ArchiveSlots)
 }
 
+// LastServer is the kind of the hold of a drain that would leave a cell without
+// a server. The other kinds are those of merge.HoldKind.
+const LastServer = "last-server"
+
 //go:generate go tool stringer -type=Outcome -linecomment -output=apply_string.go
 
 // Outcome is the answer to an operator.
@@ -100,6 +104,7 @@
 	Sites    map[keys.DataCentre]config.Config // Replace
 	To       uint64                            // Rollback
 	Server   keys.Server                       // Drain and Undrain
+	Peers    []keys.Server                     // Drain: the other live servers of its cell
 	Override []string                          // kinds of holds that the operator confirms
 	Plan     bool                              // decide only, write nothing
 }
@@ -190,6 +195,10 @@
 		res.Holds = append(res.Holds, h.String())
 		open = open || !slices.Contains(req.Override, h.Kind.String())
 	}
+	if req.Kind == Drain && !slices.ContainsFunc(req.Peers, func(s keys.Server) bool { return !slices.Contains(drains, s) }) {
+		res.Holds = append(res.Holds, fmt.Sprintf("%s: no server of the cell of %s would be left; its keys would have no owner", LastServer, req.Server))
+		open = open || !slices.Contains(req.Override, LastServer)
+	}
 	if open {
 		res.Outcome, res.Reason = Held, "the change needs a confirmation"
 		return res, next
--- a/internal/entry/revise.go
+++ b/internal/entry/revise.go
@@ -65,7 +65,8 @@
 		}
 		req.Kind, req.Plan, req.Time = kind, plan, time.Now()
 		req.Server = keys.Server(mux.Vars(r)["server"])
-		if kind == apply.Drain && !h.listedServer(req.Server) {
+		var listed bool
+		if req.Peers, listed = h.cellPeers(req.Server); kind == apply.Drain && !listed {
 			writeResult(w, http.StatusNotFound, apply.Result{
 				Outcome: apply.Refused, Reason: fmt.Sprintf("the host list has no backend server %q", req.Server),
 			})
@@ -189,11 +190,23 @@
 	return apply.WriteDone{Err: err}
 }
 
-func (h *Host) listedServer(name keys.Server) bool {
+// cellPeers returns the other live backend servers of a server's cell, and
+// whether the server is in the host list.
+func (h *Host) cellPeers(name keys.Server) (peers []keys.Server, listed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m, ok := h.members[string(name)]
-	return ok && m.Role() == store.Backend
+	if !ok || m.Role() != store.Backend {
+		return nil, false
+	}
+	svc, _ := h.conf.Service(m.Service())
+	for _, o := range h.members {
+		if o.Role() == store.Backend && o.Service() == m.Service() && o.DataCentre() == m.DataCentre() &&
+			o.Name() != m.Name() && o.State() == store.Live && cellIndex(svc, o) == cellIndex(svc, m) {
+			peers = append(peers, keys.Server(o.Name()))
+		}
+	}
+	return peers, true
 }
 
 // drained reports whether operators have ordered a backend server to be
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -135,13 +135,18 @@
 	if m.Role() != store.Backend || m.Service() != c.name.Service || m.DataCentre() != c.name.DataCentre {
 		return false
 	}
+	return cellIndex(c.svc, m) == c.name.Index
+}
+
+// cellIndex returns the index of a backend server's cell in its data centre.
+func cellIndex(svc config.Service, m store.Member) int {
 	cells := 1
-	for _, dc := range c.svc.DataCentres() {
-		if dc.Name() == c.name.DataCentre {
+	for _, dc := range svc.DataCentres() {
+		if dc.Name() == m.DataCentre() {
 			cells = max(dc.Cells(), 1)
 		}
 	}
-	return int(uint64(keys.Of(c.name.Service, m.Name()))%uint64(cells)) == c.name.Index
+	return int(uint64(keys.Of(m.Service(), m.Name())) % uint64(cells))
 }
 
 func (c *cell) serverSeen(m store.Member, state assign.Listing) assign.ServerSeen {
