--- a/cmd/laburnummux/plan.go
+++ b/cmd/laburnummux/plan.go
@@ -18,7 +18,7 @@
 func planCommand() *cli.Command {
 	return &cli.Command{
 		Name: "plan", Usage: "show what a configuration would change", Description: usagePlan, ArgsUsage: "OVERLAY...",
-		Flags:        append(authorFlags(), baseFlag(), overrideFlag(), fromFlag()),
+		Flags:        append(authorFlags(), baseFlag(), overrideFlag()),
 		OnUsageError: usageError, Action: runPlan,
 	}
 }
@@ -28,12 +28,5 @@
 	if body.Sites, err = mergedSites(cmd); err != nil {
 		return err
 	}
-	if !cmd.IsSet("from") {
-		r, err := revisionInForce(ctx, cmd)
-		if err != nil {
-			return err
-		}
-		body.From = r.Number
-	}
 	return operate(ctx, cmd, http.MethodPost, "/plan", body)
 }
--- a/cmd/laburnummux/statusall.go
+++ b/cmd/laburnummux/statusall.go
@@ -43,8 +43,11 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", s.Host, s.DataCentre, up, s.Ready, s.Revision,
 			s.InForce.UTC().Format(time.RFC3339), s.InFlight)
 	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	for _, n := range f.NotHeard {
-		fmt.Fprintf(w, "%s\t%s\t-\tnot heard: %s\t-\t-\t-\n", n.Host, n.DataCentre, n.Reason)
+		fmt.Printf("not heard from %s in %s: %s\n", n.Host, n.DataCentre, n.Reason)
 	}
-	return w.Flush()
+	return nil
 }
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -100,7 +100,7 @@
 	Author   string
 	Note     string
 	Time     time.Time
-	From     uint64                            // revision from which the change was planned; Replace and Rollback
+	From     uint64                            // revision from which the change was planned; Replace and Rollback; 0 in a plan: the one in force
 	Sites    map[keys.DataCentre]config.Config // Replace
 	To       uint64                            // Rollback
 	Server   keys.Server                       // Drain and Undrain
@@ -183,7 +183,8 @@
 		res.Outcome, res.Reason = Unchanged, "the revision in force has this content already"
 		return res, next
 	}
-	if (req.Kind == Replace || req.Kind == Rollback) && req.From != cur.rev.Number() {
+	anyPlan := req.Plan && req.From == 0
+	if (req.Kind == Replace || req.Kind == Rollback) && !anyPlan && req.From != cur.rev.Number() {
 		return raced(res, req, cur, planned), next
 	}
 	res.Changes = changes
