Bind a removed service's name to its layout

Cause: a host that missed the removal of a service could still serve its old cells when the service is added again with others; a key then had two owners. Change: a revision keeps the layouts of removed services, and another layout is refused.

--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -26,6 +26,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -174,7 +175,7 @@
 	if err != nil {
 		return refused(res, "%v", err), next
 	}
-	next = next.WithDrains(drains)
+	next = next.WithDrains(drains).WithRetired(retire(cur.rev, next))
 	changes, err := Diff(cur.rev, next)
 	if err != nil {
 		return refused(res, "%v", err), next
@@ -237,25 +238,43 @@
 }
 
 // layoutChange says what a revision changes about the cells of a service that
-// exists. Hosts adopt a revision at different times, so with a changed layout
-// the old cell and the new one could both own a key.
+// exists or has existed. Hosts adopt a revision at different times and may miss
+// some, so with a changed layout the old cell and the new one could both own a
+// key.
 func layoutChange(old, next config.Revision) string {
-	before, after := servicesOf(old), servicesOf(next)
-	for _, o := range before {
-		i := slices.IndexFunc(after, func(n config.Service) bool { return n.Name() == o.Name() })
-		if i < 0 {
-			continue
-		}
-		switch n := after[i]; {
-		case !slices.Equal(o.DataCentres(), n.DataCentres()):
-			return fmt.Sprintf("service %s: dataCentres can't change yet: while cells move, two could own a key at once", o.Name())
+	before := maps.Clone(old.Retired())
+	if before == nil {
+		before = make(map[keys.Service]config.Layout)
+	}
+	for _, s := range servicesOf(old) {
+		before[s.Name()] = s.Layout()
+	}
+	for _, s := range servicesOf(next) {
+		o, ok := before[s.Name()]
+		switch n := s.Layout(); {
+		case !ok:
+		case !o.SameCells(n):
+			return fmt.Sprintf("service %s: dataCentres can't change yet: while cells move, two could own a key at once", s.Name())
 		case o.Keyed() != n.Keyed():
-			return fmt.Sprintf("service %s: keyed can't change yet: hosts would disagree on who owns a key", o.Name())
+			return fmt.Sprintf("service %s: keyed can't change yet: hosts would disagree on who owns a key", s.Name())
 		}
 	}
 	return ""
 }
 
+// retire returns the layouts of all services that have been removed.
+func retire(old, next config.Revision) map[keys.Service]config.Layout {
+	retired := make(map[keys.Service]config.Layout)
+	maps.Copy(retired, old.Retired())
+	for _, s := range servicesOf(old) {
+		retired[s.Name()] = s.Layout()
+	}
+	for _, s := range servicesOf(next) {
+		delete(retired, s.Name())
+	}
+	return retired
+}
+
 // servicesOf returns the services of all sites, each once. All sites agree on
 // what layoutChange compares.
 func servicesOf(r config.Revision) (all []config.Service) {
--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -19,6 +19,8 @@
 	note   string
 	sites  map[keys.DataCentre]Config
 	drains []keys.Server // sorted; nil if there are none
+	// retired has the layouts of removed services; nil if there are none.
+	retired map[keys.Service]Layout
 }
 
 // NewRevision returns a revision. It fails if a configuration was merged for
@@ -92,18 +94,19 @@
 }
 
 type wireRevision struct {
-	Number uint64                              `json:"number"`
-	Author string                              `json:"author"`
-	Time   time.Time                           `json:"time"`
-	Note   string                              `json:"note"`
-	Sites  map[keys.DataCentre]json.RawMessage `json:"sites"`
-	Drains []keys.Server                       `json:"drains,omitempty"`
+	Number  uint64                              `json:"number"`
+	Author  string                              `json:"author"`
+	Time    time.Time                           `json:"time"`
+	Note    string                              `json:"note"`
+	Sites   map[keys.DataCentre]json.RawMessage `json:"sites"`
+	Drains  []keys.Server                       `json:"drains,omitempty"`
+	Retired map[keys.Service]wireLayout         `json:"retired,omitempty"`
 }
 
 // EncodeRevision returns the canonical JSON of r. It fails when the result is
 // larger than a value of the store may be.
 func EncodeRevision(r Revision) ([]byte, error) {
-	w := wireRevision{r.number, r.author, r.time, r.note, make(map[keys.DataCentre]json.RawMessage, len(r.sites)), r.drains}
+	w := wireRevision{r.number, r.author, r.time, r.note, make(map[keys.DataCentre]json.RawMessage, len(r.sites)), r.drains, encodeLayouts(r.retired)}
 	for site, c := range r.sites {
 		b, err := json.Marshal(c)
 		if err != nil {
@@ -137,5 +140,5 @@
 	if r, err = NewRevision(w.Number, w.Author, w.Time, w.Note, sites); err != nil {
 		return Revision{}, err
 	}
-	return r.WithDrains(w.Drains), nil
+	return r.WithDrains(w.Drains).WithRetired(decodeLayouts(w.Retired)), nil
 }
