--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -61,7 +61,9 @@
 	DataCentres []keys.DataCentre
 	// TLS makes the system use TLS; nil means plain text.
 	TLS *TLS
-	Log *zap.Logger
+	// Wrap replaces the store of the entry hosts of a data centre, if it is set.
+	Wrap func(keys.DataCentre, store.Store) store.Store
+	Log  *zap.Logger
 }
 
 // TLS says how the parts of an example system use TLS.
@@ -201,7 +203,11 @@
 		}
 	}
 	for _, set := range all {
-		h := entry.New(entry.Config{Settings: set, Store: s.client, Log: s.cfg.Log})
+		var st store.Store = s.client
+		if s.cfg.Wrap != nil {
+			st = s.cfg.Wrap(set.DataCentre(), st)
+		}
+		h := entry.New(entry.Config{Settings: set, Store: st, Log: s.cfg.Log})
 		if err := h.Start(ctx); err != nil {
 			return err
 		}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -29,7 +29,9 @@
 // callerRoutes builds the handler for callers from the configuration. It is
 // replaced as a whole when the configuration changes.
 func (h *Host) callerRoutes(cfg config.Config) http.Handler {
-	m := mux.NewRouter()
+	// By default the router redirects a path that isn't in its cleaned form,
+	// and clients repeat a redirected POST as a GET.
+	m := mux.NewRouter().SkipClean(true)
 	for _, svc := range cfg.Services() {
 		for _, op := range svc.Operations() {
 			m.Methods(op.Method()).Path(op.Template()).Handler(&callerHandler{h, svc, op})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -63,7 +63,16 @@
 }
 
 // relayRoutes serves the requests that other entry hosts pass on.
-func (h *Host) relayRoutes() http.Handler { return http.HandlerFunc(h.serveRelay) }
+func (h *Host) relayRoutes() http.Handler {
+	// A mux would redirect requests whose path isn't in its cleaned form.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == fleetPath {
+			h.serveStatus(w, r)
+			return
+		}
+		h.serveRelay(w, r)
+	})
+}
 
 func (h *Host) serveRelay(w http.ResponseWriter, r *http.Request) {
 	j, ctx, cancel, ok := h.relayJob(r)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/apply"
 	"github.com/laburnummux/laburnummux/internal/assign"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
@@ -19,7 +20,7 @@
 
 const (
 	// ConfigObject is the store object with the configuration in force.
-	ConfigObject = "config/current"
+	ConfigObject = apply.CurrentObject
 
 	minMembersPeriod = 500 * time.Millisecond
 	maxMembersReads  = 80 // reads of the host list a second, all hosts together
@@ -129,7 +130,7 @@
 		if c.owns(m) {
 			listed[keys.Server(m.Name())] = true
 			state := assign.Ready
-			if m.State() == store.Leaving {
+			if m.State() == store.Leaving || c.h.drained(keys.Server(m.Name())) {
 				state = assign.Leaving
 			}
 			c.stepAssign(now, c.serverSeen(m, state))
@@ -151,13 +152,18 @@
 	if m.Role() != store.Backend || m.Service() != c.name.Service || m.DataCentre() != c.name.DataCentre {
 		return false
 	}
+	return cellIndex(c.svc, m) == c.name.Index
+}
+
+// cellIndex returns the index of a backend server's cell in its data centre.
+func cellIndex(svc config.Service, m store.Member) int {
 	cells := 1
-	for _, dc := range c.svc.DataCentres() {
-		if dc.Name() == c.name.DataCentre {
+	for _, dc := range svc.DataCentres() {
+		if dc.Name() == m.DataCentre() {
 			cells = max(dc.Cells(), 1)
 		}
 	}
-	return int(uint64(keys.Of(c.name.Service, m.Name()))%uint64(cells)) == c.name.Index
+	return int(uint64(keys.Of(m.Service(), m.Name())) % uint64(cells))
 }
 
 func (c *cell) serverSeen(m store.Member, state assign.Listing) assign.ServerSeen {
@@ -253,7 +259,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if rev.Number() <= h.revision.Number() {
+	if !apply.Newer(h.revision, rev) {
 		return
 	}
 	h.revision, h.conf, h.inForce = rev, conf, time.Now()
@@ -308,6 +314,7 @@
 	h.mu.Unlock()
 	for c, svc := range kept {
 		c.configure(svc)
+		c.tellMembersNow() // the drains may have changed
 	}
 	for _, c := range stopped {
 		c.stop()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -171,6 +171,22 @@
 // Whole returns the answer's body, if it is short and complete.
 func (r *Result) Whole() ([]byte, bool) { return r.head, r.whole }
 
+// ReadAll returns an answer of at most limit bytes and closes it.
+func (r *Result) ReadAll(limit int) (b []byte, err error) {
+	defer r.Close()
+	if r.whole {
+		return r.head, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(r.body, int64(limit-len(r.head)+1)))
+	if err != nil {
+		return nil, fmt.Errorf("proxy.ReadAll: %w", err)
+	}
+	if len(r.head)+len(rest) > limit {
+		return nil, fmt.Errorf("proxy.ReadAll: answer above %d bytes", limit)
+	}
+	return append(r.head, rest...), nil
+}
+
 // Close frees the connection of an answer that isn't passed on.
 func (r *Result) Close() {
 	if r.body != nil {
