--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -26,6 +26,16 @@
 // routing table wakes it earlier.
 const gapPoll = 20 * time.Millisecond
 
+const (
+	// crashNotice is the least delay before a retry after a lost connection:
+	// by then the next probe has told whether the server crashed, so that a
+	// request that crashes its servers is known to before it runs again.
+	crashNotice = 2 * probePeriod
+	// deadlineGrace lets a request's own deadline end it before that of its
+	// connection does.
+	deadlineGrace = 250 * time.Millisecond
+)
+
 // callerRoutes builds the handler for callers from the configuration. It is
 // replaced as a whole when the configuration changes.
 func (h *Host) callerRoutes(cfg config.Config) http.Handler {
@@ -87,12 +97,19 @@
 	if !ok {
 		return notRun(answer.BadRequest)
 	}
-	if r.ContentLength > int64(c.svc.MaxBodyBytes()) {
+	maxBody := int64(min(c.svc.MaxBodyBytes(), c.h.cfg.Callers().MaxBodyBytes()))
+	if r.ContentLength > maxBody {
 		return notRun(answer.TooLarge)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
-	body, err := proxy.NewBody(http.MaxBytesReader(w, r.Body, int64(c.svc.MaxBodyBytes())), r.ContentLength)
+	// Neither a body that arrives slowly nor an answer that is read slowly may
+	// hold a server's slot beyond the request's deadline.
+	conn := http.NewResponseController(w)
+	conn.SetReadDeadline(time.Now().Add(timeout + deadlineGrace))
+	conn.SetWriteDeadline(time.Now().Add(timeout + deadlineGrace))
+	defer conn.SetWriteDeadline(time.Time{})
+	body, err := proxy.NewBody(http.MaxBytesReader(w, r.Body, maxBody), r.ContentLength)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -100,6 +117,10 @@
 		}
 		return notRun(answer.BadRequest)
 	}
+	if body.Whole() {
+		// The end of the read deadline would look like the caller's hang-up.
+		conn.SetReadDeadline(time.Time{})
+	}
 	caller, _, _ := net.SplitHostPort(r.RemoteAddr)
 	j := job{
 		svc: c.svc, op: c.op, id: id, caller: caller,
@@ -148,10 +169,19 @@
 	call := svc.retry.Call(now, retry.Op{Idempotent: j.op.Idempotent()}, now.Add(clock.Of(time.Until(deadline))))
 	svc.mu.Unlock()
 	var avoid []keys.Server
+	// mayRun is the first result after which the request may have run. From
+	// then on a refusal of a later attempt doesn't mean "not run".
+	var mayRun *result
+	settle := func(res result) result {
+		if res.outcome == answer.NotRun && mayRun != nil {
+			return *mayRun
+		}
+		return res
+	}
 	for {
 		t, changed, res := h.target(ctx, j, avoid)
 		if res.outcome != answer.Unknown {
-			return res
+			return settle(res)
 		}
 		j.cell, j.server, j.hash = t.Cell, t.Server, t.Hash
 		h.began(t.Server)
@@ -168,7 +198,10 @@
 			if h.waitChange(ctx, changed) && j.send.Body.Replayable() {
 				continue
 			}
-			return notRun(res.reason)
+			return settle(notRun(res.reason))
+		}
+		if res.outcome == answer.Unknown && mayRun == nil {
+			mayRun = &res
 		}
 		if !j.svc.Keyed() && j.op.Idempotent() {
 			avoid = append(avoid, t.Server)
@@ -176,17 +209,33 @@
 		svc.mu.Lock()
 		d := svc.retry.Decide(h.clk.Now(), &call, end)
 		svc.mu.Unlock()
-		if !d.Retry || !j.send.Body.Replayable() || res.final {
-			return res
+		if !d.Retry || !j.send.Body.Replayable() || res.settled(j.svc.Keyed()) {
+			return settle(res)
+		}
+		after := d.After.Std()
+		if res.reason == answer.ServerLost {
+			after = max(after, crashNotice)
 		}
 		select {
 		case <-ctx.Done():
-			return res
-		case <-time.After(d.After.Std()):
+			return settle(res)
+		case <-time.After(after):
 		}
 	}
 }
 
+// settled reports whether another attempt would only be refused again. A full
+// queue at one of several equal servers says nothing about the others.
+func (r result) settled(keyed bool) bool {
+	switch r.reason {
+	case answer.Quarantined, answer.BadID, answer.BadRequest, answer.Cancelled, answer.DeadlinePassed:
+		return true
+	case answer.QueueFull, answer.DeadlineTooNear:
+		return keyed
+	}
+	return false
+}
+
 // target finds where a request goes. It waits while its key has no owner. The
 // result's outcome is Unknown if there is a target. changed is closed when
 // routing changes after the choice.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -37,9 +37,7 @@
 	reason  answer.Reason
 	// redirect says that this host isn't the dispatcher, or can't act as one
 	// now: another host may be asked.
-	redirect bool
-	// final says that the answer of a relay settles the request.
-	final     bool
+	redirect  bool
 	answer    *proxy.Result // a short answer, for a repeat of the request
 	delivered error         // why an answer could not be passed on in full
 }
@@ -268,7 +266,7 @@
 
 // isolate keeps requests that may have crashed a server apart from others.
 func (c *cell) isolate(ctx context.Context, l *lane, id uint64, j job) (*lane, retry.Ticket, result, bool) {
-	sig := retry.Signature{Op: string(j.svc.Name()) + "/" + j.op.Name(), Key: j.hash, Body: uint64(digest(j))}
+	sig := signature(j)
 	for {
 		c.mu.Lock()
 		now := c.h.clk.Now()
@@ -295,6 +293,16 @@
 	}
 }
 
+// signature recognises a request that is sent again. Without keys the hash is
+// that of the id or of the chosen server, which differs each time.
+func signature(j job) retry.Signature {
+	sig := retry.Signature{Op: string(j.svc.Name()) + "/" + j.op.Name(), Body: uint64(digest(j))}
+	if j.svc.Keyed() {
+		sig.Key = j.hash
+	}
+	return sig
+}
+
 // wait waits for the turn of a queued request.
 func (c *cell) wait(ctx context.Context, l *lane, id uint64, w *waiter) answer.Reason {
 	select {
@@ -354,7 +362,10 @@
 		return result{outcome: answer.Answered, delivered: out(r)}
 	}
 	o, why := retry.Outcome(attempt(r))
-	return result{outcome: o, reason: why}
+	// A request that only this server may run waits for the key's next owner,
+	// which exists once the probes have missed the server.
+	bound := j.svc.Keyed() || !j.op.Idempotent()
+	return result{outcome: o, reason: why, redirect: bound && r.Failure() == proxy.DialFailed}
 }
 
 // refusal reports whether a server proved that it did not run the request.
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -85,7 +85,14 @@
 	return l
 }
 
+// stop ends the lane. The cell's mutex is held. No later probe would end the
+// attempts whose connection broke, and left in flight they would keep the
+// server reserved when this host dispatches to it again.
 func (l *lane) stop() {
+	for _, t := range l.lost {
+		l.c.quarantine.End(l.c.h.clk.Now(), t, false)
+	}
+	l.lost = nil
 	l.cancel()
 	l.pool.Close()
 }
@@ -224,6 +231,7 @@
 		l.c.h.log.Warn("request quarantined because it crashes backend servers",
 			zap.String("operation", sig.Op), zap.Stringer("hash", sig.Key), zap.String("server", string(l.name)))
 	}
+	l.c.shareSuspects(now)
 	l.wakeIsolated()
 }
 
@@ -254,6 +262,9 @@
 		l.c.quarantine.End(now, t, false)
 	}
 	l.lost = nil
+	// Attempts may have ended here, and a reservation for a suspect that never
+	// came ends by time alone.
+	l.wakeIsolated()
 	l.c.stepHold(now, hold.Reached{
 		Server: l.name, Sent: sent, ServerClock: v.Clock, Boot: v.Boot, State: v.state(), Slots: v.Slots, Seq: applied,
 	})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -20,6 +20,8 @@
 	headerCaller  = answer.HeaderPrefix + "Caller"
 	headerCell    = answer.HeaderPrefix + "Cell"
 	headerDC      = answer.HeaderPrefix + "Data-Centre"
+	// headerSuspects names the service whose suspicions the body has.
+	headerSuspects = answer.HeaderPrefix + "Suspects"
 
 	relayIdle    = 64
 	relayConnect = 100 * time.Millisecond
@@ -66,6 +68,10 @@
 func (h *Host) relayRoutes() http.Handler { return http.HandlerFunc(h.serveRelay) }
 
 func (h *Host) serveRelay(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerSuspects) != "" {
+		h.takeSuspects(w, r)
+		return
+	}
 	j, ctx, cancel, ok := h.relayJob(r)
 	defer cancel()
 	if !ok {
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,10 +28,15 @@
 const patience = 20 * time.Second
 
 func start(t testing.TB, hosts int) *devel.System {
+	t.Helper()
+	return startWith(t, devel.Config{Hosts: hosts, Servers: 2, Log: zap.NewNop()})
+}
+
+func startWith(t testing.TB, cfg devel.Config) *devel.System {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	s, err := devel.Start(ctx, devel.Config{Hosts: hosts, Servers: 2, Log: zap.NewNop()})
+	s, err := devel.Start(ctx, cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,6 +76,23 @@
 }
 
 func call(t testing.TB, method, url, id, body string) (r reply) {
+	t.Helper()
+	return callWithin(t, method, url, id, body, 0)
+}
+
+// plain makes a request whose answer doesn't matter.
+func plain(ctx context.Context, url string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// callWithin makes a request with a timeout in ms, unless it is 0.
+func callWithin(t testing.TB, method, url, id, body string, ms int) (r reply) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
@@ -78,6 +101,9 @@
 	if id != "" {
 		req.Header.Set(answer.HeaderRequestID, id)
 	}
+	if ms > 0 {
+		req.Header.Set(answer.HeaderTimeout, strconv.Itoa(ms))
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{err: err}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -58,6 +58,9 @@
 // Length returns the length in bytes, or -1 when it isn't known.
 func (b *Body) Length() int64 { return b.length }
 
+// Whole reports whether all of the body is kept.
+func (b *Body) Whole() bool { return b.whole }
+
 // Replayable reports whether the body can be sent (again).
 func (b *Body) Replayable() bool { return b.whole || !b.used.Load() }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -220,6 +220,12 @@
 func read(ctx context.Context, resp *http.Response) *Result {
 	res := &Result{status: resp.StatusCode, header: resp.Header, body: resp.Body, length: resp.ContentLength}
 	dropHopHeaders(res.header)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		// Only the end of the connection ends this body, as that of a crash
+		// would, so nothing proves that it is whole.
+		resp.Body.Close()
+		return &Result{failure: Truncated, err: errors.New("proxy.read: answer with neither length nor chunks")}
+	}
 	size := int64(answerHead)
 	if resp.ContentLength >= 0 && resp.ContentLength < size {
 		size = resp.ContentLength
