--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -45,10 +45,12 @@
 			m.Methods(op.Method()).Path(op.Template()).Handler(&callerHandler{h, svc, op})
 		}
 	}
-	m.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	m.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		skipBody(w, r)
 		writeOutcome(w, http.StatusNotFound, notRun(answer.NoRoute))
 	})
-	m.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	m.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		skipBody(w, r)
 		writeOutcome(w, http.StatusMethodNotAllowed, notRun(answer.NoRoute))
 	})
 	return m
@@ -82,6 +84,12 @@
 }
 
 func (c *callerHandler) serve(w http.ResponseWriter, r *http.Request) result {
+	read := false
+	defer func() {
+		if !read {
+			skipBody(w, r)
+		}
+	}()
 	id := r.Header.Get(answer.HeaderRequestID)
 	if id == "" {
 		fresh, err := dedup.NewID()
@@ -109,6 +117,7 @@
 	conn.SetReadDeadline(time.Now().Add(timeout + deadlineGrace))
 	conn.SetWriteDeadline(time.Now().Add(timeout + deadlineGrace))
 	defer conn.SetWriteDeadline(time.Time{})
+	read = true
 	body, err := proxy.NewBody(http.MaxBytesReader(w, r.Body, maxBody), r.ContentLength)
 	if err != nil {
 		var large *http.MaxBytesError
@@ -142,6 +151,15 @@
 	})
 }
 
+// skipBody refuses to read a request's body. Otherwise net/http waits for it,
+// without a bound in time, before it sends the answer.
+func skipBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
+}
+
 // timeout returns the time allowed: the operation's, or less if the caller
 // says so.
 func (c *callerHandler) timeout(r *http.Request) (time.Duration, bool) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -411,7 +411,7 @@
 	c.hold.End(now, j.server, j.hash)
 	if r.Failure() == proxy.Lost {
 		// The next probe tells whether the server has crashed.
-		l.lost = append(l.lost, ticket)
+		l.lost = append(l.lost, lostAttempt{ticket, now})
 	} else {
 		c.quarantine.End(now, ticket, r.Failure() == proxy.OK)
 	}
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -48,9 +50,16 @@
 	limit   *limit.State
 	waiting map[uint64]*waiter
 	boot    string
-	down    bool           // the server refused a connection
-	lost    []retry.Ticket // attempts whose connection broke since the last probe
-	ended   chan struct{}  // closed when an attempt ends
+	down    bool          // the server refused a connection
+	lost    []lostAttempt // attempts whose connection broke since the last probe
+	ended   chan struct{} // closed when an attempt ends
+}
+
+// lostAttempt is an attempt whose connection broke. Only a probe sent later
+// proves that the server didn't crash under it.
+type lostAttempt struct {
+	ticket retry.Ticket
+	at     clock.Time
 }
 
 // waiter is a request in the queue. The channel has room for the one decision
@@ -89,14 +98,23 @@
 // attempts whose connection broke, and left in flight they would keep the
 // server reserved when this host dispatches to it again.
 func (l *lane) stop() {
-	for _, t := range l.lost {
-		l.c.quarantine.End(l.c.h.clk.Now(), t, false)
-	}
-	l.lost = nil
+	l.endLost(l.c.h.clk.Now(), clock.Time(math.MaxInt64))
 	l.cancel()
 	l.pool.Close()
 }
 
+// endLost ends the attempts whose connection broke before a probe was sent
+// that the same boot of the server answered.
+func (l *lane) endLost(now, sent clock.Time) {
+	l.lost = slices.DeleteFunc(l.lost, func(a lostAttempt) bool {
+		if !a.at.Before(sent) {
+			return false
+		}
+		l.c.quarantine.End(now, a.ticket, false)
+		return true
+	})
+}
+
 // idle reports whether no request uses the lane. The cell's mutex is held.
 func (l *lane) idle() bool { return l.limit.Running() == 0 && len(l.waiting) == 0 }
 
@@ -258,10 +276,7 @@
 		l.boot = v.Boot
 	}
 	l.down = false
-	for _, t := range l.lost {
-		l.c.quarantine.End(now, t, false)
-	}
-	l.lost = nil
+	l.endLost(now, sent)
 	// Attempts may have ended here, and a reservation for a suspect that never
 	// came ends by time alone.
 	l.wakeIsolated()
