--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -115,8 +115,10 @@
 	})
 }
 
-// idle reports whether no request uses the lane. The cell's mutex is held.
-func (l *lane) idle() bool { return l.limit.Running() == 0 && len(l.waiting) == 0 }
+// idle reports whether no request uses the lane, and no lost attempt waits for
+// the probe that tells whether the server crashed under it. The cell's mutex is
+// held.
+func (l *lane) idle() bool { return l.limit.Running() == 0 && len(l.waiting) == 0 && len(l.lost) == 0 }
 
 // expire lets time pass in the queue. The cell's mutex is held.
 func (l *lane) expire(now clock.Time) { l.take(l.limit.Expire(now)) }
