--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,6 +63,8 @@
 	idleTimeout = 90 * time.Second
 )
 
+var identity = []string{"identity"}
+
 // Limits bounds the connections of a pool.
 type Limits struct {
 	Idle    int           // kept open without a request
@@ -195,6 +197,11 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: r.Header, Host: p.address, Body: body, ContentLength: r.Body.Length(),
 	}
+	if r.Body.whole && r.Body.length == 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		// The body can't be nil (see Body.open). With an encoding stated, the
+		// transport doesn't start a goroutine to find out that it is empty.
+		req.TransferEncoding = identity
+	}
 	if !r.Body.whole {
 		// The receiver can refuse before any of the body is consumed.
 		req.Header.Set("Expect", "100-continue")
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -200,3 +201,41 @@
 	is.Equal(c, http.Header{"X-Kept": {"1"}})
 	is.Equal(h.Get(answer.HeaderFence), "1.1") // the original is unchanged
 }
+
+// Guards against answers whose end only the end of the connection marks: a
+// server that crashed in the middle of one would look as if it had ended.
+func TestUnframedAnswerIsTruncated(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\nhalf of an ans")
+		c.Close()
+	}()
+	r := NewPool(ln.Addr().String(), limits).Send(t.Context(), newRequest(t, http.MethodGet, ""))
+	is.Equal(r.Failure(), Truncated)
+}
+
+// Guards against a bodiless GET that is sent with a body or a length.
+func TestGetWithoutBody(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Transfer-Encoding") != "" {
+			w.WriteHeader(http.StatusTeapot)
+		}
+	}))
+	defer srv.Close()
+	p := NewPool(srv.Listener.Addr().String(), limits)
+	for range 3 {
+		r := p.Send(t.Context(), newRequest(t, http.MethodGet, ""))
+		is.Equal(r.Failure(), OK)
+		is.Equal(r.Status(), http.StatusOK)
+	}
+	is.Equal(p.Opened(), uint64(1))
+}
