entry: hedge lookups of services without keys

A lookup whose server is slow waited for it. After the 95th percentile of the service's latency a second attempt now goes to another server, within the retry budget; the first answer wins and cancels the other.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/devel"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 	"github.com/laburnummux/laburnummux/pkg/keys"
+	"go.uber.org/zap"
 )
 
 // get makes one request and discards the answer.
@@ -89,3 +91,25 @@
 	b.ReportMetric(float64(took[1])/float64(took[0]), "dispatcher/direct")
 	b.ReportMetric(float64(took[2])/float64(took[0]), "relayed/direct")
 }
+
+// BenchmarkSlowServer reports the latency of lookups when one server of four
+// is 40 ms slower than the others. Caller, host and servers share the process.
+func BenchmarkSlowServer(b *testing.B) {
+	s := startWith(b, devel.Config{Hosts: 1, Servers: 4, Service: 2, Log: zap.NewNop()})
+	url := "http://" + s.Hosts()[0].CallerAddr() + "/catalogue/tins/7"
+	for range 200 {
+		get(b, url, nil)
+	}
+	s.Server("catalogue-north-1-2").Backend().Slow(40)
+	var took []time.Duration
+	for b.Loop() {
+		t := time.Now()
+		get(b, url, nil)
+		took = append(took, time.Since(t))
+	}
+	slices.Sort(took)
+	ms := func(share float64) float64 { return took[int(share*float64(len(took)-1))].Seconds() * 1000 }
+	b.ReportMetric(ms(0.5), "p50-ms")
+	b.ReportMetric(ms(0.99), "p99-ms")
+	b.ReportMetric(ms(0.999), "p99.9-ms")
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -202,10 +202,12 @@
 			return settle(res)
 		}
 		j.cell, j.server, j.hash = t.Cell, t.Server, t.Hash
-		h.began(t.Server)
-		start := h.clk.Now()
-		res, end := h.attempt(ctx, t, j, out)
-		h.ended(t.Server, h.clk.Now().Sub(start), res.outcome == answer.Answered)
+		var end retry.Result
+		if j.hedgeable() {
+			res, end = h.hedged(ctx, svc, &call, t, j, out)
+		} else {
+			res, end = h.timed(ctx, t, j, out)
+		}
 		if res.outcome == answer.Answered {
 			return res
 		}
@@ -300,6 +302,19 @@
 	return ctx.Err() == nil
 }
 
+// timed makes an attempt and measures it for the choice of later ones.
+func (h *Host) timed(ctx context.Context, t route.Target, j job, out deliver) (result, retry.Result) {
+	h.began(t.Server)
+	start := h.clk.Now()
+	res, end := h.attempt(ctx, t, j, out)
+	took := h.clk.Now().Sub(start)
+	h.ended(t.Server, took, res.outcome == answer.Answered)
+	if res.outcome == answer.Answered {
+		end = retry.Complete{Took: took}
+	}
+	return res, end
+}
+
 // attempt sends the job to the dispatcher of its server.
 func (h *Host) attempt(ctx context.Context, t route.Target, j job, out deliver) (result, retry.Result) {
 	if t.Dispatcher == h.self {
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -560,3 +560,23 @@
 		t.Errorf("outcomes %v: the faults or the answers are missing", counts)
 	}
 }
+
+// Guards against a hedged lookup that takes two answers, none, or a foreign
+// one, and against hedges beyond the retry budget.
+func TestHedgedLookups(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1)
+	path := "/catalogue/tins/7"
+	for range 60 { // until there are enough measurements
+		is.Equal(call(t, http.MethodGet, url(s, 0)+path, "", "").outcome, answer.Answered)
+	}
+	s.Server("catalogue-north-1-1").Backend().Slow(200)
+	hedged := 0
+	for n := 0; hedged == 0; n++ {
+		is.True(n < 500)
+		id := newID(t)
+		is.True(own(call(t, http.MethodGet, url(s, 0)+path, id, ""), path, id))
+		is.True(runs(s, id) <= 2)
+		hedged += runs(s, id) - 1
+	}
+}
