--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -40,47 +40,48 @@
 		return res, end
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer cancel() // ends the second attempt
+	fctx, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
 	var won atomic.Bool
-	ends := make(chan attemptEnd, 2)
-	send := func(t route.Target, j job) {
-		res, end := h.timed(ctx, t, j, func(r *proxy.Result) error {
+	claim := func(cancelOther func()) deliver {
+		return func(r *proxy.Result) error {
 			if won.Swap(true) {
 				r.Close()
 				return errHedged
 			}
+			cancelOther()
 			return out(r)
-		})
-		ends <- attemptEnd{res, end}
-	}
-	go send(t, j)
-	timer := time.NewTimer(max(after, clock.Millisecond).Std())
-	defer timer.Stop()
-	select {
-	case e := <-ends:
-		svc.learn(h, call, e.end)
-		return e.res, e.end
-	case <-timer.C:
-	}
-	second, ok := h.second(ctx, svc, call, t, j)
-	if !ok {
-		e := <-ends
-		svc.learn(h, call, e.end)
-		return e.res, e.end
+		}
 	}
-	j.cell, j.server, j.hash = second.Cell, second.Server, second.Hash
-	go send(second, j)
-	e := <-ends
-	if e.lost() {
-		first := e
-		if e = <-ends; e.res.outcome == answer.NotRun && first.res.outcome == answer.Unknown {
-			e = first // it may have run
+	second := make(chan attemptEnd, 1)
+	timer := time.AfterFunc(max(after, clock.Millisecond).Std(), func() {
+		second <- h.hedge(ctx, svc, call, t, j, claim(cancelFirst))
+	})
+	res, end := h.timed(fctx, t, j, claim(func() {}))
+	first := attemptEnd{res, end}
+	e := first
+	if !timer.Stop() && first.lost() {
+		// Without a second attempt, or if it was surely not run, the first counts.
+		if e = <-second; e.end == nil || e.res.outcome == answer.NotRun {
+			e = first
 		}
 	}
 	svc.learn(h, call, e.end)
 	return e.res, e.end
 }
 
+// hedge makes the second attempt, if a server and a token are left for it.
+func (h *Host) hedge(ctx context.Context, svc *service, call *retry.Call, t route.Target, j job, out deliver) (e attemptEnd) {
+	other, ok := h.second(ctx, svc, call, t, j)
+	if !ok {
+		return e
+	}
+	j.cell, j.server, j.hash = other.Cell, other.Server, other.Hash
+	e.res, e.end = h.timed(ctx, other, j, out)
+	return e
+}
+
 // lost reports whether the other attempt may still be, or was, answered.
 func (e attemptEnd) lost() bool {
 	return e.res.outcome != answer.Answered || errors.Is(e.res.delivered, errHedged)
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -19,7 +19,8 @@
 const (
 	// suspectsTimeout bounds one message about suspicions. One that is late is
 	// of little use: the request may have reached the next server by then.
-	suspectsTimeout = 500 * time.Millisecond
+	suspectsTimeout = 2 * time.Second
+	suspectsAgain   = 50 * time.Millisecond
 	// maxSuspects bounds the message in bytes; a full table needs about 128 KiB.
 	maxSuspects = 256 << 10
 	// suspectHosts is the size of a group, and bounds how many hosts of each
@@ -65,10 +66,16 @@
 	if err != nil {
 		return // reading from memory doesn't fail
 	}
-	r := pool.Send(ctx, proxy.Request{
-		Method: http.MethodPut, URL: &url.URL{Path: "/"}, Header: http.Header{headerSuspects: {string(svc)}}, Body: body,
-	})
-	r.Close()
+	for ctx.Err() == nil {
+		r := pool.Send(ctx, proxy.Request{
+			Method: http.MethodPut, URL: &url.URL{Path: "/"}, Header: http.Header{headerSuspects: {string(svc)}}, Body: body,
+		})
+		r.Close()
+		if r.Failure() == proxy.OK || !body.Replayable() {
+			return
+		}
+		time.Sleep(suspectsAgain)
+	}
 }
 
 // suspectHosts returns the hosts to tell: the group, and for a service without
