--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -48,9 +50,16 @@
 	limit   *limit.State
 	waiting map[uint64]*waiter
 	boot    string
-	down    bool           // the server refused a connection
-	lost    []retry.Ticket // attempts whose connection broke since the last probe
-	ended   chan struct{}  // closed when an attempt ends
+	down    bool          // the server refused a connection
+	lost    []lostAttempt // attempts whose connection broke since the last probe
+	ended   chan struct{} // closed when an attempt ends
+}
+
+// lostAttempt is an attempt whose connection broke. Only a probe sent later
+// proves that the server didn't crash under it.
+type lostAttempt struct {
+	ticket retry.Ticket
+	at     clock.Time
 }
 
 // waiter is a request in the queue. The channel has room for the one decision
@@ -86,13 +95,31 @@
 	return l
 }
 
+// stop ends the lane. The cell's mutex is held. No later probe would end the
+// attempts whose connection broke, and left in flight they would keep the
+// server reserved when this host dispatches to it again.
 func (l *lane) stop() {
+	l.endLost(l.c.h.clk.Now(), clock.Time(math.MaxInt64))
 	l.cancel()
 	l.pool.Close()
 }
 
-// idle reports whether no request uses the lane. The cell's mutex is held.
-func (l *lane) idle() bool { return l.limit.Running() == 0 && len(l.waiting) == 0 }
+// endLost ends the attempts whose connection broke before a probe was sent
+// that the same boot of the server answered.
+func (l *lane) endLost(now, sent clock.Time) {
+	l.lost = slices.DeleteFunc(l.lost, func(a lostAttempt) bool {
+		if !a.at.Before(sent) {
+			return false
+		}
+		l.c.quarantine.End(now, a.ticket, false)
+		return true
+	})
+}
+
+// idle reports whether no request uses the lane, and no lost attempt waits for
+// the probe that tells whether the server crashed under it. The cell's mutex is
+// held.
+func (l *lane) idle() bool { return l.limit.Running() == 0 && len(l.waiting) == 0 && len(l.lost) == 0 }
 
 // expire lets time pass in the queue. The cell's mutex is held.
 func (l *lane) expire(now clock.Time) { l.take(l.limit.Expire(now)) }
@@ -225,6 +252,7 @@
 		l.c.h.log.Warn("request quarantined because it crashes backend servers",
 			zap.String("operation", sig.Op), zap.Stringer("hash", sig.Key), zap.String("server", string(l.name)))
 	}
+	l.c.shareSuspects(now)
 	l.wakeIsolated()
 }
 
@@ -251,10 +279,10 @@
 		l.boot = v.Boot
 	}
 	l.down = false
-	for _, t := range l.lost {
-		l.c.quarantine.End(now, t, false)
-	}
-	l.lost = nil
+	l.endLost(now, sent)
+	// Attempts may have ended here, and a reservation for a suspect that never
+	// came ends by time alone.
+	l.wakeIsolated()
 	l.c.stepHold(now, hold.Reached{
 		Server: l.name, Sent: sent, ServerClock: v.Clock, Boot: v.Boot, State: v.state(), Slots: v.Slots, Seq: applied,
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,6 +63,8 @@
 	idleTimeout = 90 * time.Second
 )
 
+var identity = []string{"identity"}
+
 // Limits bounds the connections of a pool.
 type Limits struct {
 	Idle    int           // kept open without a request
@@ -212,6 +214,11 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: r.Header, Host: p.address, Body: body, ContentLength: r.Body.Length(),
 	}
+	if r.Body.whole && r.Body.length == 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		// The body can't be nil (see Body.open). With an encoding stated, the
+		// transport doesn't start a goroutine to find out that it is empty.
+		req.TransferEncoding = identity
+	}
 	if !r.Body.whole {
 		// The receiver can refuse before any of the body is consumed.
 		req.Header.Set("Expect", "100-continue")
@@ -237,6 +244,12 @@
 func read(ctx context.Context, resp *http.Response) *Result {
 	res := &Result{status: resp.StatusCode, header: resp.Header, body: resp.Body, length: resp.ContentLength}
 	dropHopHeaders(res.header)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		// Only the end of the connection ends this body, as that of a crash
+		// would, so nothing proves that it is whole.
+		resp.Body.Close()
+		return &Result{failure: Truncated, err: errors.New("proxy.read: answer with neither length nor chunks")}
+	}
 	size := int64(answerHead)
 	if resp.ContentLength >= 0 && resp.ContentLength < size {
 		size = resp.ContentLength
