Replay recorded traces against stated outcomes

Package replay plays a trace in simulated time against elect, assign and hold, one of each per entry host, and computes imbalance, churn, unavailable time, control traffic and moves. The replay subcommand prints them and exits with status 1 if a stated outcome isn't met.

--- a/cmd/laburnummux/main.go
+++ b/cmd/laburnummux/main.go
@@ -27,6 +27,7 @@
 			statusCommand(),
 			ownerCommand(),
 			dumpCommand(),
+			replayCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/internal/assign/policy.go
+++ b/internal/assign/policy.go
@@ -207,3 +207,6 @@
 	}
 	return best
 }
+
+// Bound returns the imbalance that a policy tolerates.
+func Bound(p Policy) float64 { return policies[p].enter }
--- /dev/null
+++ b/internal/replay/play.go
@@ -0,0 +1,514 @@
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/laburnummux/laburnummux/internal/assign"
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/grant"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// step is the time between two samples of every key.
+	step = 10 * clock.Millisecond
+	// balancePeriod is the time between two samples of the imbalance.
+	balancePeriod = clock.Second
+	// requestTimeout ends a request at a server that is lost.
+	requestTimeout = clock.Second
+	storeDelay     = 5 * clock.Millisecond
+)
+
+// sim plays one trace.
+type sim struct {
+	trace    Trace
+	now      clock.Time
+	rnd      *rand.Rand
+	queue    queue
+	seq      int
+	hosts    []*host
+	servers  []*server
+	byHost   map[keys.Host]*host
+	byServer map[keys.Server]*server
+	store    *object
+	keys     []*key
+	open     []request
+	table    assign.Table // newest that a host has
+	m        measure
+	reloaded bool // rates have changed
+}
+
+// key is a key with its present owner as the newest table has it.
+type key struct {
+	hash   keys.Hash
+	set    string
+	weight float64 // share of the set's load
+	rate   float64
+	due    float64 // requests that are due
+
+	row    bool
+	host   *host
+	server *server
+	last   *server // that served it last
+	gap    clock.Span
+}
+
+// request is in flight.
+type request struct {
+	end    clock.Time
+	host   *host
+	boot   uint64
+	server *server
+	life   int
+	hash   keys.Hash
+}
+
+// Play plays a trace and judges the result.
+func Play(t Trace) Result {
+	s := newSim(t)
+	next := 0
+	for ; s.now <= t.End; s.now = s.now.Add(step) {
+		for next < len(t.Events) && t.Events[next].At <= s.now {
+			at := s.now
+			s.runUntil(max(t.Events[next].At, at.Add(-step)))
+			s.happen(t.Events[next])
+			s.now = at
+			next++
+		}
+		s.runUntil(s.now)
+		s.expectLoad()
+		s.finish()
+		s.sample()
+	}
+	return judge(t, s.m.finish(t))
+}
+
+func newSim(t Trace) *sim {
+	s := &sim{trace: t, rnd: rand.New(rand.NewPCG(t.Seed, 1)), byHost: make(map[keys.Host]*host), byServer: make(map[keys.Server]*server)}
+	s.store = &object{s: s, delay: storeDelay}
+	s.m = measure{hosts: len(t.Hosts), bound: assign.Bound(t.policy), seen: make(map[keys.Fence]bool)}
+	for _, set := range t.Keys {
+		s.addKeys(set)
+	}
+	slices.SortFunc(s.keys, func(a, b *key) int { return cmp.Compare(a.hash, b.hash) })
+	for _, spec := range t.Servers {
+		sv := &server{s: s, name: spec.Name, checks: spec.Checks, offset: clock.Span(s.rnd.Int64N(1e6)), dead: true}
+		s.servers = append(s.servers, sv)
+		s.byServer[sv.name] = sv
+		if !spec.Absent {
+			sv.join()
+			sv.known, sv.listing = true, assign.Ready
+		}
+	}
+	for _, name := range t.Hosts {
+		h := &host{s: s, name: name, offset: clock.Span(s.rnd.Int64N(1e6)), dead: true, listed: true}
+		s.hosts = append(s.hosts, h)
+		s.byHost[name] = h
+	}
+	for _, h := range s.hosts {
+		s.after(clock.Span(s.rnd.Int64N(int64(tickPeriod))), h.start)
+	}
+	return s
+}
+
+func (s *sim) addKeys(set KeySet) {
+	total := 0.0
+	for i := range set.Count {
+		total += math.Pow(float64(i+1), -set.Zipf)
+	}
+	for i := range set.Count {
+		h := keys.Of(keys.Service(set.Name), fmt.Sprint(i, s.trace.Seed))
+		at := (set.From + (set.To-set.From)*float64(h)/math.MaxUint64) * math.MaxUint64
+		if set.From > 0 || set.To < 1 {
+			h = keys.Hash(at)
+		}
+		s.keys = append(s.keys, &key{hash: h, set: set.Name, weight: math.Pow(float64(i+1), -set.Zipf) / total, due: s.rnd.Float64()})
+	}
+}
+
+// timed is an action of the queue. Actions of one time run in their order.
+type timed struct {
+	at  clock.Time
+	seq int
+	do  func()
+}
+
+type queue []timed
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(timed)) }
+func (q *queue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+func (s *sim) after(d clock.Span, do func()) {
+	s.seq++
+	heap.Push(&s.queue, timed{s.now.Add(d), s.seq, do})
+}
+
+func (s *sim) runUntil(end clock.Time) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(timed)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+func (s *sim) count(messages, bytes int) {
+	if s.now >= s.trace.Warm {
+		s.m.messages += messages
+		s.m.bytes += bytes
+	}
+}
+
+// happen carries out an event of the trace.
+func (s *sim) happen(e Event) {
+	sv := s.byServer[e.Server]
+	switch e.Do {
+	case Load:
+		s.setLoad(e)
+	case ServerJoins:
+		sv.join()
+		s.m.expect(s, s.total()/float64(len(s.balanced())))
+		s.list(func() { sv.known, sv.listing = true, assign.Ready; s.tell(sv.seen()) })
+	case ServerLeaves:
+		s.m.expect(s, s.loadOf(sv))
+		sv.state, sv.leftAt = grant.Draining, s.now
+		s.list(func() { sv.listing = assign.Leaving; s.tell(sv.seen()) })
+	case ServerLost:
+		s.m.expect(s, s.loadOf(sv))
+		sv.dead, sv.refuses, sv.sets = true, e.Refuses, nil
+		s.list(func() { sv.listing = assign.Gone; s.tell(sv.seen()) })
+	case ServerFrozen:
+		s.m.expect(s, s.loadOf(sv))
+		sv.frozen = true
+	case ServerReturns:
+		s.m.expect(s, s.total()/float64(len(s.balanced())))
+		sv.frozen = false
+		inbox := sv.inbox
+		sv.inbox = nil
+		for _, do := range inbox {
+			sv.run(sv.life, do)
+		}
+	case HostLost, HostRestarts, HostLeaves, HostPaused:
+		if h := s.hostOf(e); h != nil {
+			s.hostEvent(h, e)
+		}
+	case StoreDown, StoreUp:
+		s.store.down, s.store.delay = e.Do == StoreDown, storeDelay
+	case StoreSlow:
+		s.store.delay = e.Span
+	case CentreCut:
+		s.store.cut = true
+	case CentreRestored:
+		s.store.cut = false
+		for _, sv := range s.servers {
+			if sv.known {
+				s.tell(sv.seen())
+			}
+		}
+		for _, h := range s.hosts {
+			s.tell(assign.HostSeen{Host: h.name, Live: h.listed, Leaving: h.leaving})
+		}
+	}
+}
+
+func (s *sim) hostEvent(h *host, e Event) {
+	switch e.Do {
+	case HostPaused:
+		h.paused = true
+		s.after(e.Span, h.resume)
+	case HostLeaves:
+		h.leaving = true
+		h.run(h.boot, h.digest)
+	case HostLost:
+		h.dead = true
+		s.list(func() {
+			if h.listed = !h.dead; h.dead {
+				s.tell(assign.HostSeen{Host: h.name})
+			}
+		})
+	case HostRestarts:
+		h.dead = true
+		s.after(e.Span, func() { h.listed = true; h.start() })
+	}
+}
+
+// hostOf returns the host that an event names.
+func (s *sim) hostOf(e Event) *host {
+	switch e.Host {
+	case theAssigner:
+		for _, h := range s.hosts {
+			if !h.dead && h.term != 0 {
+				return h
+			}
+		}
+		return nil
+	case theDispatcher:
+		for _, o := range s.table.Owners {
+			if o.Name == e.Server {
+				return s.byHost[o.Dispatcher]
+			}
+		}
+		return nil
+	}
+	return s.byHost[e.Host]
+}
+
+// list changes the host list after its lag.
+func (s *sim) list(do func()) { s.after(s.trace.ListLag, do) }
+
+// tell hands a change of the host list to the assigner.
+func (s *sim) tell(ev assign.Event) {
+	for _, h := range s.hosts {
+		if !s.store.cut {
+			h.run(h.boot, func() { h.stepAssign(ev) })
+		}
+	}
+}
+
+// published takes a new table: its rows tell where requests are sent.
+func (s *sim) published(t assign.Table) {
+	if !t.Newer(s.table.Assignment) {
+		return
+	}
+	s.table = t
+	i := 0
+	for _, r := range t.Rows {
+		if r.Holder != "" && !s.m.seen[r.Fence] {
+			s.m.seen[r.Fence] = true
+			if s.now >= s.trace.Warm {
+				s.m.RangeMoves++
+			}
+		}
+		for ; i < len(s.keys) && s.keys[i].hash <= r.Range.Hi(); i++ {
+			k := s.keys[i]
+			k.row = r.Range.Contains(k.hash) && r.Fence != 0 && !r.Releasing && r.Server >= 0
+			if !k.row {
+				continue
+			}
+			name := r.Holder
+			if name == "" {
+				name = t.Owners[r.Server].Name
+			}
+			k.host, k.server = s.byHost[r.Dispatcher], s.byServer[name]
+		}
+	}
+}
+
+// finish ends requests. One to a lost server that checks fencing tokens ends
+// after its timeout, one to another at the end of the server's machine or
+// connection.
+func (s *sim) finish() {
+	s.open = slices.DeleteFunc(s.open, func(r request) bool {
+		lost := r.server.dead || r.server.life != r.life
+		switch {
+		case r.host.dead || r.host.boot != r.boot:
+			return true
+		case s.now < r.end || r.server.frozen || r.host.paused:
+			return false
+		case lost && r.server.checks && s.now < r.end.Add(requestTimeout):
+			return false
+		case lost && !r.server.checks && !r.server.refuses && r.server.listing != assign.Gone:
+			return false
+		}
+		r.host.hold.End(r.host.clock(), r.server.name, r.hash)
+		return true
+	})
+}
+
+// serves reports whether a request for the key would run now.
+func (s *sim) serves(k *key) bool {
+	if !k.row || k.host == nil || k.host.dead || k.host.paused || k.server.dead || k.server.frozen {
+		return false
+	}
+	_, err := k.host.hold.Check(k.host.clock(), k.server.name, k.hash)
+	return err == nil && k.server.accepts(k.hash)
+}
+
+// sample sends the requests that are due and measures.
+func (s *sim) sample() {
+	counted := s.now >= s.trace.Warm
+	for _, k := range s.keys {
+		ok := s.serves(k)
+		if k.due += k.rate * float64(step) / float64(clock.Second); k.due >= 1 {
+			s.request(k, ok)
+		}
+		if !ok {
+			if counted {
+				k.gap += step
+				s.m.UnavailableKeySeconds += float64(step) / float64(clock.Second)
+				if k.gap >= s.m.LongestGap {
+					s.m.LongestGap, s.m.LongestGapAt = k.gap, s.now
+				}
+			}
+			continue
+		}
+		k.gap = 0
+		if k.last != k.server && k.last != nil && counted {
+			s.m.moved += k.rate
+			s.m.KeyMoves++
+		}
+		k.last = k.server
+	}
+	if counted && s.doubled() {
+		s.m.DoubleOwners++
+	}
+	if counted && s.now%clock.Time(balancePeriod) == 0 {
+		s.balance()
+	}
+}
+
+func (s *sim) request(k *key, ok bool) {
+	for ; k.due >= 1; k.due-- {
+		if !ok {
+			continue // the caller repeats it later
+		}
+		h, sv := k.host, k.server
+		if _, err := h.hold.Begin(h.clock(), sv.name, k.hash); err != nil {
+			continue
+		}
+		s.open = append(s.open, request{s.now.Add(s.trace.Service), h, h.boot, sv, sv.life, k.hash})
+		if sv.leftAt > 0 {
+			s.m.LeavingWork = max(s.m.LeavingWork, s.now.Sub(sv.leftAt))
+		}
+	}
+}
+
+// doubled reports whether two servers could run one hash now.
+func (s *sim) doubled() bool {
+	type span struct {
+		r  keys.Range
+		sv *server
+	}
+	var spans []span
+	for _, sv := range s.servers {
+		if sv.dead || !sv.checks {
+			continue
+		}
+		for _, p := range sv.sets {
+			if sv.clock() >= p.Until {
+				continue
+			}
+			for _, g := range p.Grants {
+				spans = append(spans, span{g.Range, sv})
+			}
+		}
+	}
+	for _, h := range s.hosts {
+		if h.dead || !slices.ContainsFunc(s.servers, func(sv *server) bool { return !sv.checks }) {
+			continue
+		}
+		for _, d := range h.hold.Dump().Servers {
+			sv := s.byServer[d.Server]
+			if sv.checks || sv.dead || d.State == grant.Missed.String() {
+				continue
+			}
+			for _, r := range d.Records {
+				if !r.Releasing && h.clock() < r.Until {
+					spans = append(spans, span{r.Range, sv})
+				}
+			}
+		}
+	}
+	for _, r := range s.open {
+		if !r.server.checks && !r.server.dead {
+			spans = append(spans, span{keys.NewRange(r.hash, r.hash), r.server})
+		}
+	}
+	slices.SortFunc(spans, func(a, b span) int { return cmp.Compare(a.r.Lo(), b.r.Lo()) })
+	for i := range spans {
+		for j := i + 1; j < len(spans) && spans[j].r.Lo() <= spans[i].r.Hi(); j++ {
+			if spans[j].sv != spans[i].sv {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// balanced lists the servers that should have load.
+func (s *sim) balanced() (all []*server) {
+	for _, sv := range s.servers {
+		if !sv.dead && !sv.frozen && sv.leftAt == 0 {
+			all = append(all, sv)
+		}
+	}
+	return all
+}
+
+func (s *sim) total() (sum float64) {
+	for _, k := range s.keys {
+		sum += k.rate
+	}
+	return sum
+}
+
+func (s *sim) loadOf(sv *server) (sum float64) {
+	for _, k := range s.keys {
+		if k.last == sv {
+			sum += k.rate
+		}
+	}
+	return sum
+}
+
+// balance samples the imbalance.
+func (s *sim) balance() {
+	total, most := s.total(), 0.0
+	all := s.balanced()
+	for _, sv := range all {
+		most = max(most, s.loadOf(sv))
+	}
+	if total == 0 || len(all) == 0 {
+		return
+	}
+	ratio := most / (total / float64(len(all)))
+	s.m.loadSum += total
+	s.m.balSum += ratio
+	s.m.ImbalancePeak = max(s.m.ImbalancePeak, ratio)
+	s.m.samples++
+}
+
+// setLoad changes the rates of a key set.
+func (s *sim) setLoad(e Event) {
+	for _, k := range s.keys {
+		if k.set == e.Keys {
+			k.rate = e.Rate * k.weight
+		}
+	}
+	s.reloaded = true
+}
+
+// expectLoad counts what new rates put above the policy's bound, which has to
+// move. Events of one time are taken together.
+func (s *sim) expectLoad() {
+	if !s.reloaded {
+		return
+	}
+	s.reloaded = false
+	all := s.balanced()
+	limit := s.m.bound * s.total() / float64(max(len(all), 1))
+	for _, sv := range all {
+		s.m.expect(s, max(0, s.loadOf(sv)-limit))
+	}
+}
+
+// expect adds to the least load that has to move.
+func (m *measure) expect(s *sim, load float64) {
+	if s.now >= s.trace.Warm {
+		m.least += load
+	}
+}
