hold: report the rate of a range only after a whole window

A new grant reported a rate of 0 until the first window ended, and then the count of a part of a window as if it were a whole one. The assigner took the ranges as idle and moved more load to their server: after each planned move, and with all ranges of a server after each change of its dispatcher.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -230,7 +230,7 @@
 	}
 	for _, rec := range sv.records {
 		r.Held = append(r.Held, grant.Held{Range: rec.r, Fence: rec.fence})
-		if !rec.releasing {
+		if !rec.releasing && rec.meter.known {
 			r.Loads = append(r.Loads, rec.meter.load(rec.r))
 		}
 	}
--- a/internal/hold/lease.go
+++ b/internal/hold/lease.go
@@ -225,7 +225,7 @@
 			}
 		}
 		for _, r := range rest {
-			recs = append(recs, &record{r: r, fence: e.Fence, until: until, complete: e.Complete})
+			recs = append(recs, &record{r: r, fence: e.Fence, until: until, complete: e.Complete, meter: meter{partial: true}})
 			changed, sv.dirty = true, true
 		}
 	}
--- a/internal/hold/load.go
+++ b/internal/hold/load.go
@@ -23,6 +23,12 @@
 
 	rate, hotRate float64
 	hot           keys.Hash
+	// known says that rate was measured over a whole window, or estimated from
+	// one. A new grant has no rate yet; reported as 0 it would draw more
+	// ranges to its server.
+	known bool
+	// partial says that counting began within the present window.
+	partial bool
 }
 
 func (m *meter) count(h keys.Hash) {
@@ -48,6 +54,11 @@
 
 // roll ends the window that lasted for d.
 func (m *meter) roll(d clock.Span) {
+	if m.partial {
+		m.n, m.counts, m.partial = 0, [hotSlots]int{}, false
+		return
+	}
+	m.known = true
 	perSecond := float64(clock.Second) / float64(max(d, 1))
 	m.rate, m.hot, m.hotRate = float64(m.n)*perSecond, 0, 0
 	for i, c := range m.counts {
@@ -64,7 +75,7 @@
 
 // slice estimates the rates of a part of the range until the next window.
 func (m *meter) slice(whole, part keys.Range) meter {
-	c := meter{rate: (m.rate - m.hotRate) * part.Width() / whole.Width()}
+	c := meter{known: m.known, partial: true, rate: (m.rate - m.hotRate) * part.Width() / whole.Width()}
 	if part.Contains(m.hot) {
 		c.rate, c.hot, c.hotRate = c.rate+m.hotRate, m.hot, m.hotRate
 	}
@@ -74,6 +85,7 @@
 // add includes a neighbour's rates; its counts of single hashes are dropped.
 func (m *meter) add(o meter) {
 	m.n, m.rate = m.n+o.n, m.rate+o.rate
+	m.known, m.partial = m.known && o.known, m.partial || o.partial
 	if o.hotRate > m.hotRate {
 		m.hot, m.hotRate = o.hot, o.hotRate
 	}
