assign: don't take servers as cold nor unmeasured ranges as idle after an election

A new assigner started the 10 s ramp of each server when it first heard of it, a little later for servers whose dispatcher had changed, and took ranges without a report as idle. Both moved load though nothing had changed.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -100,6 +100,7 @@
 	wait clock.Time
 
 	rate, hotRate float64
+	measured      bool // rate was reported in this term
 	hot           keys.Hash
 	hotFor        int // decisions for which the row was hot
 	coldFor       int // decisions for which the row was cold
@@ -246,6 +247,11 @@
 			continue
 		}
 		w := &row{r: r.Range, server: ev.Assignment.Owners[r.Server].Name, floor: r.Fence}
+		if sv, _ := s.server(w.server); r.Fence != 0 && !sv.ready {
+			// It served in the earlier term. Starting its ramp again would
+			// move load between servers at each election.
+			sv.ready, sv.readyAt = true, now.Add(-rampTime)
+		}
 		if r.Fence != 0 {
 			w.g = &lessee{server: w.server, host: r.Dispatcher, boot: r.Boot, fence: r.Fence,
 				last: grant.Ack{Term: s.term}, until: now.Add(lease)}
--- a/internal/assign/policy.go
+++ b/internal/assign/policy.go
@@ -81,6 +81,19 @@
 		ld.capacity[sv.name] = c
 		ld.capTotal += c
 	}
+	n := 0
+	for _, w := range s.rows {
+		if w.measured {
+			ld.total += w.rate
+			n++
+		}
+	}
+	for _, w := range s.rows {
+		if !w.measured && n > 0 {
+			w.rate = ld.total / float64(n) // until it is reported
+		}
+	}
+	ld.total = 0
 	for _, w := range s.rows {
 		ld.total += w.rate
 	}
--- a/internal/assign/split.go
+++ b/internal/assign/split.go
@@ -104,7 +104,7 @@
 				continue
 			}
 			if w.r == l.Range {
-				w.rate, w.hot, w.hotRate = l.Rate, l.Hot, l.HotRate
+				w.rate, w.hot, w.hotRate, w.measured = l.Rate, l.Hot, l.HotRate, true
 			}
 		}
 	}
@@ -167,6 +167,7 @@
 		if len(out) > 0 && ok(out[len(out)-1], w) {
 			last := out[len(out)-1]
 			last.r = keys.NewRange(last.r.Lo(), w.r.Hi())
+			last.measured = last.measured && w.measured
 			last.rate, last.floor, last.wait = last.rate+w.rate, max(last.floor, w.floor), 0
 			if w.hotRate > last.hotRate {
 				last.hot, last.hotRate = w.hot, w.hotRate
