elect, hold: hand the assigner role over at a planned stop and renew at once in a new term

A host that stopped kept the role until its promises expired, and the leases of all keys of the cell (400 ms) ended before a successor (300 + 80 ms, then up to 100 ms until the next renewals) could renew them. Resign gives the role up while the leases are valid. TermSeen, which the driver delivers with the first table of a term, sends the next renewal at once.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -102,6 +102,8 @@
 	probed map[Voter]clock.Time
 	asks   map[uint64]sent
 	nonce  uint64
+	// resigned says that this host stands for election no more.
+	resigned bool
 
 	deadSince clock.Time // when the base was found to have no majority
 	dead      bool
@@ -152,6 +154,10 @@
 		s.released(now, ev)
 	case PeerBoot:
 		s.sighted(now, Voter(ev))
+	case Resign:
+		if s.resigned = true; s.bid.on {
+			s.abandon(now)
+		}
 	}
 	s.campaign(now)
 	s.probe(now)
--- a/internal/elect/holder.go
+++ b/internal/elect/holder.go
@@ -105,7 +105,7 @@
 
 // campaign stands for election, asks for promises and takes the role.
 func (s *State) campaign(now clock.Time) {
-	if !s.found || !slices.Contains(s.role.Voters, s.me) {
+	if s.resigned || !s.found || !slices.Contains(s.role.Voters, s.me) {
 		return
 	}
 	if s.bid.on && !s.held.ok && now.Sub(s.bid.since) >= attempt {
--- a/internal/elect/message.go
+++ b/internal/elect/message.go
@@ -75,6 +75,9 @@
 		FromBoot uint64
 		Nonce    uint64
 	}
+	// Resign says that this host is about to stop. It gives the role up before
+	// its promises expire, stands no more, and goes on as a voter.
+	Resign struct{}
 	// PeerBoot says that a message of a host's run was received. It may be
 	// late: it is a reason to ask the host, not a proof of a restart.
 	PeerBoot struct {
@@ -93,6 +96,7 @@
 func (Replied) event()      {}
 func (Released) event()     {}
 func (PeerBoot) event()     {}
+func (Resign) event()       {}
 
 // Action is an output of Step.
 type Action interface{ action() }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -114,6 +114,8 @@
 		s.missed(now, ev)
 	case Transferred:
 		s.transferred(now, ev)
+	case TermSeen:
+		s.urgent = true
 	case Tick:
 	}
 	var acts []Action
--- a/internal/hold/message.go
+++ b/internal/hold/message.go
@@ -43,6 +43,10 @@
 	OK    bool
 }
 
+// TermSeen says that a new assigner has published a table. The next renewal is
+// sent at once: the leases were last renewed under the earlier assigner.
+type TermSeen struct{}
+
 // Tick lets time pass; one is due at least every 20 ms.
 type Tick struct{}
 
@@ -50,6 +54,7 @@
 func (Reached) event()     {}
 func (Missed) event()      {}
 func (Transferred) event() {}
+func (TermSeen) event()    {}
 func (Tick) event()        {}
 
 // Action is an output of Step.
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -206,16 +206,22 @@
 			return
 		}
 		t := to.table
-		to.send(h.name, frameBytes+tableBytes(t), func(h *host) { h.adopt(t) })
+		to.send(h.name, frameBytes+tableBytes(t), func(h *host) { h.adopt(t, "") })
 	})
 	h.s.store.readRole(h, 0)
 }
 
-// adopt keeps the newest copy of the assignment.
-func (h *host) adopt(t assign.Table) {
+// adopt keeps the newest copy of the assignment. From is its assigner, if it is
+// known to be in office.
+func (h *host) adopt(t assign.Table, from keys.Host) {
 	if t.Newer(h.table.Assignment) || !h.table.Newer(t.Assignment) && t.Stored {
+		term := h.table.Term
 		h.table = t
 		h.s.published(t)
+		if t.Term > term && from != "" {
+			h.assigner = from
+			h.stepHold(hold.TermSeen{})
+		}
 	}
 }
 
@@ -251,8 +257,9 @@
 		case assign.Store:
 			h.s.store.writeAssignment(h, a.Assignment)
 		case assign.Publish:
-			h.adopt(a.Table)
-			h.toGroup(frameBytes+tableBytes(a.Table), func(to *host) { to.adopt(a.Table) })
+			from := h.name
+			h.adopt(a.Table, h.name)
+			h.toGroup(frameBytes+tableBytes(a.Table), func(to *host) { to.adopt(a.Table, from) })
 		}
 	}
 }
--- a/internal/replay/parts.go
+++ b/internal/replay/parts.go
@@ -129,7 +129,7 @@
 		ev, rows = elect.RoleRead{Op: op, Role: o.role, Version: o.version, Found: o.version > 0}, o.rows
 	}, func() {
 		if rows.Newer(h.table.Assignment) {
-			h.adopt(assign.Table{Assignment: rows, Stored: true})
+			h.adopt(assign.Table{Assignment: rows, Stored: true}, "")
 		}
 		h.stepElect(ev)
 	}, func() { h.stepElect(elect.RoleFailed{Op: op}) })
--- a/internal/replay/play.go
+++ b/internal/replay/play.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/assign"
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/elect"
 	"github.com/laburnummux/laburnummux/internal/grant"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -232,7 +233,10 @@
 		s.after(e.Span, h.resume)
 	case HostLeaves:
 		h.leaving = true
-		h.run(h.boot, h.digest)
+		h.run(h.boot, func() {
+			h.digest()
+			h.stepElect(elect.Resign{})
+		})
 	case HostLost:
 		h.dead = true
 		s.list(func() {
