assign: start no planned move while the successor couldn't be granted

In the first 410 ms of a term nothing can be granted, because leases of the earlier term may exist. A planned release in that time left its range without an owner until the time was over. The replay also resigns before it announces the stop, so that the leaving assigner starts no moves that it can't finish.

--- a/internal/assign/server.go
+++ b/internal/assign/server.go
@@ -205,8 +205,8 @@
 		from, _ := s.server(g.server)
 		h := s.host(g.host)
 		works := s.live(now, h) && h.boot == g.boot && from.listing != Gone && from.state != grant.Missed
-		if works && !s.usable(now, to) {
-			continue
+		if works && (!s.usable(now, to) || now < s.elected.Add(lease)) {
+			continue // nothing can be granted before the earlier leases end
 		}
 		g.releasing = true
 		if to.host != g.host {
--- a/internal/replay/play.go
+++ b/internal/replay/play.go
@@ -234,8 +234,8 @@
 	case HostLeaves:
 		h.leaving = true
 		h.run(h.boot, func() {
+			h.stepElect(elect.Resign{}) // before it would start to move its servers
 			h.digest()
-			h.stepElect(elect.Resign{})
 		})
 	case HostLost:
 		h.dead = true
