hold: take a refused connection as the loss of the server

A server whose machine refuses the connection was probed three times, 100 ms apart, before its ranges were released. Missed now says that the connection was refused, and the first one suffices: no request can reach the server. The release itself keeps its conditions: requests in flight end, and a server that checks fencing tokens has acknowledged the withdrawal or its grants have ended.

The ownership fuzz delivers it.

--- a/internal/assign/fuzz_test.go
+++ b/internal/assign/fuzz_test.go
@@ -41,7 +41,7 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "hosts"), checks, t.Fatalf)
 		w.trace = t.Logf
 		w.policy = rapid.SampledFrom([]assign.Policy{assign.LeastUnavailable, assign.LeastChurn}).Draw(t, "policy")
-		w.calm = true
+		w.calm, w.refusals = true, true
 		w.run(1500 * ms)
 		w.calm = false
 		t.Repeat(w.faults())
--- a/internal/assign/world_test.go
+++ b/internal/assign/world_test.go
@@ -27,6 +27,7 @@
 	peers  []*backend
 	hashes []keys.Hash
 
+	refusals  bool // dispatchers are told of refused connections
 	calm      bool // no message delay beyond the usual, no loss
 	load      bool
 	storeDown bool
@@ -301,6 +302,12 @@
 	p := w.peer(name)
 	boot, life := n.boot, p.life
 	w.send(string(n.name), string(name), func() {
+		if p.dead && p.refuses && w.refusals {
+			w.after(ms, func() {
+				w.on(n, boot, func(now clock.Time) { w.step(n, now, hold.Missed{Server: name, Refused: true}) })
+			})
+			return
+		}
 		w.at(p, life, func() { w.reached(n, boot, p, now, sent, 0) })
 	})
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -201,7 +201,10 @@
 	if !ok {
 		return
 	}
-	if sv.misses++; sv.misses < maxMisses || sv.state == grant.Missed {
+	if sv.misses++; ev.Refused {
+		sv.misses = maxMisses
+	}
+	if sv.misses < maxMisses || sv.state == grant.Missed {
 		return
 	}
 	sv.state, sv.missedAt, s.urgent = grant.Missed, now, true
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -191,3 +191,15 @@
 	_, err = d.Check(1036, "s", 5)
 	is.Equal(err, ErrUnacknowledged)
 }
+
+// Guards against requests that are sent to a server whose machine has refused
+// a connection, until two more probes have failed.
+func TestRefused(t *testing.T) {
+	is := is.New(t)
+	d := &dispatcher{State: New(Config{Host: "h"})}
+	d.tick(1000)
+	d.grant(1001, 1, false, entry)
+	d.Step(1010, Missed{Server: "s", Refused: true})
+	_, err := d.Check(1010, "s", 5)
+	is.Equal(err, ErrUnreachable)
+}
--- a/internal/hold/message.go
+++ b/internal/hold/message.go
@@ -33,8 +33,12 @@
 	Seq         uint64
 }
 
-// Missed says that a server didn't answer a probe or push in time.
-type Missed struct{ Server keys.Server }
+// Missed says that a server didn't answer a probe or push in time. Refused
+// says that its machine refused the connection: nothing listens there.
+type Missed struct {
+	Server  keys.Server
+	Refused bool
+}
 
 // Transferred is the result of a Transfer.
 type Transferred struct {
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -347,7 +347,7 @@
 			h.after(h.s.trace.Delay, func() {
 				if h.probes[name] == p {
 					p.answered = true
-					h.stepHold(hold.Missed{Server: name})
+					h.stepHold(hold.Missed{Server: name, Refused: true})
 				}
 			})
 			return
