assign: move single hot hashes instead of ranges under LeastUnavailable

The policy chose the range with the most load per width, and every key of it was without an owner for the exchange of a move; hot keys came with their ranges. It now cuts out the most requested hash that fits, if it has at least 5% of a server's share, and moves that one key.

--- a/internal/assign/bench_test.go
+++ b/internal/assign/bench_test.go
@@ -70,7 +70,7 @@
 	}
 	last := make([]keys.Server, traceKeys)
 	gap := make([]clock.Span, traceKeys)
-	var moved, total, keySeconds, sum, peak float64
+	var moved, total, keySeconds, planned, sum, peak float64
 	var longest clock.Span
 	samples := 0
 	for now := clock.Time(0); now < clock.Time(traceEnd); now = now.Add(traceStep) {
@@ -95,6 +95,9 @@
 			if !ok {
 				gap[i] += traceStep
 				keySeconds += float64(traceStep) / 1000
+				if now < clock.Time(traceLoss) || now > clock.Time(traceLoss+clock.Second) {
+					planned += float64(traceStep) / 1000
+				}
 				longest = max(longest, gap[i])
 				continue
 			}
@@ -123,6 +126,8 @@
 	b.ReportMetric(peak, "imbalance-peak")
 	b.ReportMetric(moved/(total*2/11), "churn")
 	b.ReportMetric(keySeconds, "unavailable-key-s")
+	// The rest depends on how many keys the lost server happens to have.
+	b.ReportMetric(planned, "planned-key-s")
 	b.ReportMetric(float64(longest), "longest-gap-ms")
 }
 
--- a/internal/assign/policy.go
+++ b/internal/assign/policy.go
@@ -30,6 +30,9 @@
 	widthShare = 0.05
 	// underLoad is the ratio to the mean below which a server pulls ranges.
 	underLoad = 0.6
+	// singleShare is the part of a server's share from which a single hash is
+	// moved alone.
+	singleShare = 0.05
 )
 
 // limits of a policy. Balancing starts when the ratio of a server's load to
@@ -177,7 +180,10 @@
 			return
 		}
 		limit := min(ld.load[over]-ld.share(over), ld.share(under)-ld.load[under])
-		w := s.candidate(ld, over, limit)
+		w := s.isolate(ld, over, limit)
+		if w == nil {
+			w = s.candidate(ld, over, limit)
+		}
 		if w == nil {
 			if w = s.largest(ld, over, limit); w != nil {
 				s.split(ld, w)
@@ -189,6 +195,31 @@
 	}
 }
 
+// isolate cuts the most requested hash that fits into limit out of its row, so
+// that one key moves instead of a range: LeastUnavailable counts keys. Hashes
+// below singleShare of a server's share aren't worth two more rows.
+func (s *State) isolate(ld *loads, from keys.Server, limit float64) (best *row) {
+	if s.cfg.Policy != LeastUnavailable || len(s.rows)+2 > maxRows || ld.rows[from]+2 > mergeAbove {
+		return nil
+	}
+	least := max(limit/8, singleShare*ld.share(from))
+	for _, w := range s.rows {
+		if w.server != from || w.g == nil || w.g.server != from || w.g.releasing || s.claimant(w) != "" || !w.r.Contains(w.hot) {
+			continue
+		}
+		if w.hotRate >= least && w.hotRate <= limit && (best == nil || w.hotRate > best.hotRate) {
+			best = w
+		}
+	}
+	if best == nil || best.r.Lo() == best.r.Hi() {
+		return best
+	}
+	h, n := best.hot, len(s.rows)
+	s.cut(keys.NewRange(h, h))
+	ld.rows[from] += len(s.rows) - n
+	return s.overlapping(keys.NewRange(h, h))[0]
+}
+
 // candidate returns the row to move from a server that has limit too much.
 // LeastUnavailable prefers the fewest keys for the load, LeastChurn the
 // fewest moves.
