--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -3,8 +3,11 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -226,3 +229,24 @@
 	}
 	is.True(successions > 50) // the overlap was looked for
 }
+
+// Guards against a host that keeps the role though it is about to stop, or
+// that takes it again.
+func TestResign(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Self: "a", Boot: 1, Group: []keys.Host{"a"}, Seed: 1})
+	s.Step(0, RoleRead{Role: Role{Epoch: 1, Voters: []Voter{{"a", 1}}}, Version: 1, Found: true})
+	now := clock.Time(0)
+	for _, ok := s.Holding(now); !ok && now < 1000; _, ok = s.Holding(now) {
+		now += 10
+		s.Step(now, Tick{})
+	}
+	_, ok := s.Holding(now)
+	is.True(ok)
+	is.True(slices.Contains(s.Step(now, Resign{}), Action(Lost{})))
+	for end := now + 1000; now < end; now += 10 {
+		s.Step(now, Tick{})
+		_, ok := s.Holding(now)
+		is.True(!ok)
+	}
+}
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -203,3 +203,17 @@
 	_, err := d.Check(1010, "s", 5)
 	is.Equal(err, ErrUnreachable)
 }
+
+// Guards against a new grant that is reported as idle, or with the count of a
+// part of a window.
+func TestMeterPartial(t *testing.T) {
+	is := is.New(t)
+	m := meter{partial: true}
+	m.count(1)
+	m.roll(clock.Second)
+	is.True(!m.known)
+	m.count(1)
+	m.roll(clock.Second)
+	is.True(m.known)
+	is.Equal(m.rate, 1.0)
+}
