hold: report rates twice per window instead of in each renewal

Rates change once a second, but each of the ten renewals a second repeated them. They are reported twice, so that one lost renewal doesn't cost them, and again to a new assigner.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -91,6 +91,7 @@
 	total    int
 	moved    []moved
 	window   clock.Time
+	loadsDue int // renewals that are to report rates
 }
 
 type moved struct {
@@ -235,10 +236,11 @@
 	}
 	for _, rec := range sv.records {
 		r.Held = append(r.Held, grant.Held{Range: rec.r, Fence: rec.fence})
-		if !rec.releasing && rec.meter.known {
+		if sv.loadsDue > 0 && !rec.releasing && rec.meter.known {
 			r.Loads = append(r.Loads, rec.meter.load(rec.r))
 		}
 	}
+	sv.loadsDue = max(sv.loadsDue-1, 0)
 	sv.moved = slices.DeleteFunc(sv.moved, func(m moved) bool { return now.Sub(m.at) > movedFor })
 	for _, m := range sv.moved {
 		r.Moved = append(r.Moved, m.Moved)
--- a/internal/hold/lease.go
+++ b/internal/hold/lease.go
@@ -155,7 +155,12 @@
 	if !ok || s.ack.Covers(a) {
 		return
 	}
-	s.urgent = s.urgent || a.Term > s.ack.Term
+	if a.Term > s.ack.Term {
+		s.urgent = true
+		for _, sv := range s.servers {
+			sv.loadsDue = loadReports // a new assigner knows no rates
+		}
+	}
 	s.ack = a
 	until := asked.Add(min(ev.Span, grant.Lease) - grant.Margin)
 	for _, sv := range s.servers {
--- a/internal/hold/load.go
+++ b/internal/hold/load.go
@@ -9,6 +9,9 @@
 const (
 	// loadWindow is the time over which request rates are measured.
 	loadWindow = clock.Second
+	// loadReports is how many renewals repeat the rates of a window. Two, so
+	// that a lost renewal doesn't cost them.
+	loadReports = 2
 	// hotSlots is the number of candidates for the hottest hash. Every hash
 	// with more than 1/(hotSlots+1) of the requests keeps a slot.
 	hotSlots = 8
@@ -100,5 +103,5 @@
 	for _, rec := range sv.records {
 		rec.meter.roll(d)
 	}
-	sv.window = now
+	sv.window, sv.loadsDue = now, loadReports
 }
