--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -43,6 +43,7 @@
 	answeredAt clock.Time
 	probes     map[keys.Server]*probe
 	digestAt   clock.Time
+	beatAt     clock.Time // last tick of assign and hold
 }
 
 // probe is the newest probe of a server.
@@ -110,6 +111,10 @@
 		h.tellMembers()
 		h.stepAssign(assign.Elected{Term: h.term, Assignment: h.table.Assignment})
 	}
+	if now.Sub(h.beatAt) < h.s.trace.Step {
+		return
+	}
+	h.beatAt = now
 	if now >= h.digestAt {
 		h.digest()
 	}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -47,6 +47,9 @@
 	// Delay is the time that a message takes, Service that of a request.
 	Delay   clock.Span `json:"delayMs"`
 	Service clock.Span `json:"serviceMs"`
+	// Step is the time between two samples, and between two ticks of assign and
+	// hold, which allow up to 20 ms. Default 10 ms.
+	Step clock.Span `json:"stepMs"`
 	// ListLag is the time after which the host list shows a change.
 	ListLag clock.Span `json:"listLagMs"`
 	Outcome Outcome    `json:"outcome"`
@@ -151,7 +154,7 @@
 	if err != nil {
 		return t, err
 	}
-	t = Trace{Delay: 1, Service: 5, ListLag: 2 * clock.Second}
+	t = Trace{Step: 10, Delay: 1, Service: 5, ListLag: 2 * clock.Second}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err = dec.Decode(&t); err != nil {
@@ -175,6 +178,9 @@
 	if t.Warm < 0 || t.End <= t.Warm || t.Delay < 1 || t.Service < 1 {
 		return errors.New("endMs must exceed warmMs; delayMs and serviceMs must be positive")
 	}
+	if t.Step != 10 && t.Step != 20 {
+		return errors.New("stepMs must be 10 or 20")
+	}
 	for i := range t.Keys {
 		k := &t.Keys[i]
 		if k.To == 0 {
