--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -119,6 +119,8 @@
 		s.missed(now, ev)
 	case Transferred:
 		s.transferred(now, ev)
+	case TermSeen:
+		s.urgent = true
 	case Tick:
 	}
 	var acts []Action
@@ -204,7 +206,10 @@
 	if !ok {
 		return
 	}
-	if sv.misses++; sv.misses < maxMisses || sv.state == grant.Missed {
+	if sv.misses++; ev.Refused {
+		sv.misses = maxMisses
+	}
+	if sv.misses < maxMisses || sv.state == grant.Missed {
 		return
 	}
 	sv.state, sv.missedAt, s.urgent = grant.Missed, now, true
@@ -236,7 +241,7 @@
 	}
 	for _, rec := range sv.records {
 		r.Held = append(r.Held, grant.Held{Range: rec.r, Fence: rec.fence})
-		if !rec.releasing && sv.loadsDue {
+		if !rec.releasing && sv.loadsDue && rec.meter.known {
 			r.Loads = append(r.Loads, rec.meter.load(rec.r))
 		}
 	}
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -215,6 +215,10 @@
 	loads := func(r Renew) int { return len(r.Servers[0].Loads) }
 	answer(renew(), 1)
 	first := renew()
+	for n := 0; loads(first) == 0 && n < 20; n++ { // until a whole window has passed
+		answer(first, 1)
+		first = renew()
+	}
 	is.Equal(loads(first), 1)
 	is.Equal(loads(renew()), 1) // not answered yet
 	answer(first, 1)
@@ -222,3 +226,29 @@
 	answer(renew(), 2)
 	is.Equal(loads(renew()), 1) // the new assigner doesn't know them
 }
+
+// Guards against requests that are sent to a server whose machine has refused
+// a connection, until two more probes have failed.
+func TestRefused(t *testing.T) {
+	is := is.New(t)
+	d := &dispatcher{State: New(Config{Host: "h"})}
+	d.tick(1000)
+	d.grant(1001, 1, false, entry)
+	d.Step(1010, Missed{Server: "s", Refused: true})
+	_, err := d.Check(1010, "s", 5)
+	is.Equal(err, ErrUnreachable)
+}
+
+// Guards against a new grant that is reported as idle, or with the count of a
+// part of a window.
+func TestMeterPartial(t *testing.T) {
+	is := is.New(t)
+	m := meter{partial: true}
+	m.count(1)
+	m.roll(clock.Second)
+	is.True(!m.known)
+	m.count(1)
+	m.roll(clock.Second)
+	is.True(m.known)
+	is.Equal(m.rate, 1.0)
+}
--- a/internal/hold/message.go
+++ b/internal/hold/message.go
@@ -33,8 +33,12 @@
 	Seq         uint64
 }
 
-// Missed says that a server didn't answer a probe or push in time.
-type Missed struct{ Server keys.Server }
+// Missed says that a server didn't answer a probe or push in time. Refused
+// says that its machine refused the connection: nothing listens there.
+type Missed struct {
+	Server  keys.Server
+	Refused bool
+}
 
 // Transferred is the result of a Transfer.
 type Transferred struct {
@@ -43,6 +47,10 @@
 	OK    bool
 }
 
+// TermSeen says that a new assigner has published a table. The next renewal is
+// sent at once: the leases were last renewed under the earlier assigner.
+type TermSeen struct{}
+
 // Tick lets time pass; one is due at least every 20 ms.
 type Tick struct{}
 
@@ -50,6 +58,7 @@
 func (Reached) event()     {}
 func (Missed) event()      {}
 func (Transferred) event() {}
+func (TermSeen) event()    {}
 func (Tick) event()        {}
 
 // Action is an output of Step.
