entry: end the records of queued requests before a range is transferred

Cause: a range's release takes its queued requests out of the queue, but their deduplication records ended only when their goroutines noticed. The transfer in between carried them as "running", so the next dispatcher answered the retry "unknown" though nothing had run. Ruled out: requests in flight (the release waits for them) and the server. Change: the records end with the removal from the queue, under the same lock. A request between the queue and the lease check can still be answered so; that takes microseconds and is true, if not helpful.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -28,6 +28,8 @@
 	id     string // request id
 	caller string
 	send   proxy.Request
+	// record is the deduplication record of a non-idempotent job.
+	record dedup.Token
 }
 
 // result is the end of a job. An answered result has an answer to deliver,
@@ -95,6 +97,7 @@
 	case dedup.Refused:
 		return notRun(v.Reason)
 	}
+	j.record = v.Token
 	var kept dedup.Answer
 	res := c.run(ctx, j, func(r *proxy.Result) error {
 		if body, whole := r.Whole(); whole {
@@ -249,7 +252,7 @@
 	l.take(acts)
 	var w *waiter
 	if v.Decision == limit.Queued {
-		w = &waiter{hash: j.hash, done: make(chan answer.Reason, 1)}
+		w = &waiter{hash: j.hash, record: j.record, done: make(chan answer.Reason, 1)}
 		l.waiting[id] = w
 	}
 	c.mu.Unlock()
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -15,6 +15,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/dedup"
 	"github.com/laburnummux/laburnummux/internal/grant"
 	"github.com/laburnummux/laburnummux/internal/hold"
 	"github.com/laburnummux/laburnummux/internal/limit"
@@ -65,8 +66,9 @@
 // waiter is a request in the queue. The channel has room for the one decision
 // that ends the wait.
 type waiter struct {
-	hash keys.Hash
-	done chan answer.Reason // ReasonNone: the request has a slot
+	hash   keys.Hash
+	record dedup.Token
+	done   chan answer.Reason // ReasonNone: the request has a slot
 }
 
 func newLane(c *cell, s grant.Server) *lane {
@@ -144,7 +146,9 @@
 }
 
 // flush refuses the queued requests of a range that is being released, so that
-// they are sent to the next dispatcher and leave no record behind.
+// they are sent to the next dispatcher. Their records end here and not when
+// their goroutines notice: a record that is transferred as "running" makes the
+// next dispatcher answer "unknown".
 func (l *lane) flush(now clock.Time, r keys.Range) {
 	for id, w := range l.waiting {
 		if !r.Contains(w.hash) {
@@ -152,6 +156,7 @@
 		}
 		removed, acts := l.limit.Cancel(now, id)
 		if removed {
+			l.c.dedup.Finish(now, w.record, answer.NotRun, dedup.Answer{})
 			l.wake(id, answer.NotDispatcher)
 		}
 		l.take(acts)
