--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -62,21 +62,21 @@
 
 // Host is an entry host.
 type Host struct {
-	cfg     config.Settings
-	self    keys.Host
-	boot    uint64
-	clk     *clock.Clock
-	log     *zap.Logger
-	st      store.Store
-	metrics *stats.Metrics
-	peers   *peers.Peers
-	events  *ring.Ring[event]
-	tree    *super.Supervisor
-	doors   *listeners
-	started time.Time
-	secure  security
-	watched []certs.Checker
-	auditor *zap.Logger
+	cfg       config.Settings
+	self      keys.Host
+	boot      uint64
+	clk       *clock.Clock
+	log       *zap.Logger
+	st        store.Store
+	metrics   *stats.Metrics
+	peers     *peers.Peers
+	events    *ring.Ring[event]
+	tree      *super.Supervisor
+	listeners *listeners
+	started   time.Time
+	secure    security
+	watched   []certs.Checker
+	auditor   *zap.Logger
 
 	leaving  atomic.Bool
 	callers  atomic.Int64 // callers' requests in flight
@@ -153,20 +153,20 @@
 	if err = h.loadSecurity(); err != nil {
 		return err
 	}
-	if h.doors, err = h.listen(); err != nil {
+	if h.listeners, err = h.listen(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel, h.done = cancel, make(chan struct{})
 	h.tree = super.New("entry", h.log)
-	h.tree.Add("doors", h.doors.run)
+	h.tree.Add("listeners", h.listeners.run)
 	h.tree.Add("peers", h.peers.Run)
 	h.tree.Add("control", h.control)
 	h.tree.Add("members", h.followMembers)
 	h.tree.Add("configuration", h.followConfig)
 	h.tree.Add("files", h.followFiles)
 	go h.run(ctx)
-	h.log.Info("entry host started", zap.Uint64("boot", h.boot), zap.String("callers", h.doors.callerAddr()))
+	h.log.Info("entry host started", zap.Uint64("boot", h.boot), zap.String("callers", h.listeners.callerAddr()))
 	return nil
 }
 
@@ -189,7 +189,7 @@
 	// The balancer notices the failing readiness check; until then requests
 	// that still arrive are served.
 	err = h.waitIdle(ctx)
-	h.doors.shutdown(ctx)
+	h.listeners.shutdown(ctx)
 	h.cancel()
 	<-h.done
 	return err
@@ -261,10 +261,10 @@
 func (h *Host) PeerCounters() peers.Counters { return h.peers.Counters() }
 
 // CallerAddr returns the address of the callers' listener.
-func (h *Host) CallerAddr() string { return h.doors.callerAddr() }
+func (h *Host) CallerAddr() string { return h.listeners.callerAddr() }
 
 // OperatorAddr returns the address of the operators' listener.
-func (h *Host) OperatorAddr() string { return h.doors.operatorAddr() }
+func (h *Host) OperatorAddr() string { return h.listeners.operatorAddr() }
 
 func (h *Host) cellList() []*cell {
 	h.mu.Lock()
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -287,7 +287,7 @@
 	}
 	h.services = services
 	h.router.SetLayouts(layouts)
-	h.doors.setCallers(h.callerRoutes(conf))
+	h.listeners.setCallers(h.callerRoutes(conf))
 	h.notify()
 	h.events.Push(configEvent{})
 }
