Test SIGTERM to a serve process under load

Cause: the stop under load was tested inside one process only. Change: six writers send bookings to the stopped process until its readiness check fails, as a balancer does; none may lose its answer.

--- a/cmd/laburnummux/process_test.go
+++ b/cmd/laburnummux/process_test.go
@@ -10,6 +10,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -251,13 +253,20 @@
 	}
 }
 
-// Guards against a stop that doesn't end the process regularly, or after which
-// the hosts that are left don't serve.
+// Guards against a stop on SIGTERM that cuts off or loses requests in flight,
+// that doesn't end the process regularly, or after which the hosts that are
+// left don't serve.
 func TestTerminate(t *testing.T) {
 	for _, hosts := range []int{2, 3} {
 		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
 			is := is.New(t)
 			_, ps := group(t, hosts)
+			var cut, answered atomic.Int64
+			var wg sync.WaitGroup
+			for w := range 6 {
+				wg.Go(func() { load(t, ps[0], w, &answered, &cut) })
+			}
+			waitFor(t, func() bool { return answered.Load() > 200 })
 			ps[0].signal(t, syscall.SIGTERM)
 			select {
 			case err := <-ps[0].done:
@@ -265,11 +274,39 @@
 			case <-time.After(patience):
 				t.Fatal("the process did not stop")
 			}
+			wg.Wait()
+			is.Equal(cut.Load(), int64(0))
 			is.Equal(status(t, ps[1], "/ledger/tin-1", http.MethodGet, "").status, http.StatusOK)
 		})
 	}
 }
 
+// load sends bookings to p until its readiness check fails, as a balancer
+// does, and counts those whose answer did not arrive.
+func load(t *testing.T, p *process, worker int, answered, cut *atomic.Int64) {
+	for n := 0; ; n++ {
+		resp, err := http.Get("http://" + p.operators + "/readyz")
+		if err != nil {
+			return
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusNoContent {
+			return
+		}
+		id, err := dedup.NewID()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		switch r := status(t, p, fmt.Sprintf("/ledger/tin-%d-%d/entries", worker, n), http.MethodPost, id.String()); r.status {
+		case 0:
+			cut.Add(1)
+		case http.StatusOK:
+			answered.Add(1)
+		}
+	}
+}
+
 // Guards against settings that are accepted though they are wrong, and against
 // a daemon that starts with them.
 func TestBadSettings(t *testing.T) {
