--- /dev/null
+++ b/internal/entry/crash_test.go
@@ -0,0 +1,118 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/devel"
+	"github.com/laburnummux/laburnummux/internal/entry"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// Guards against a request that crashes one server after the other: it runs at
+// most twice, other hosts learn of it, and its neighbours are answered.
+func TestCrashingRequest(t *testing.T) {
+	tests := []struct{ name, method, path, op, neighbour string }{
+		{"keyed", http.MethodPost, "/ledger/tin-3/entries", "ledger/post-entry", "/ledger/tin-3"},
+		{"keyless", http.MethodPost, "/bookings", "bookings/book", "/bookings/4"},
+		{"keyless lookup", http.MethodGet, "/catalogue/tins/9", "catalogue/get-tin", "/catalogue/tins/4"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, 2)
+			waitOnce(t, s)
+			for _, n := range s.Servers() {
+				s.Server(n).Backend().CrashOn(tt.path, "poison")
+			}
+			const most = 2 // crashes after which a request is quarantined
+			crashes, before, refused := 0, runsOf(s), 0
+			end := time.Now().Add(patience)
+			for n := 0; refused < len(s.Hosts()); n++ {
+				if time.Now().After(end) {
+					t.Fatal("the request is not quarantined at every host")
+				}
+				id := newID(t)
+				r := call(t, tt.method, url(s, n)+tt.path, id, "poison")
+				is.True(r.outcome != answer.Answered)
+				crashes += runs(s, id)
+				if refused++; r.reason != answer.Quarantined.String() {
+					refused = 0
+				}
+				if runs(s, id) > 0 {
+					t.Logf("run %d ended as %s, %s", crashes, r.outcome, r.reason)
+					waitSuspected(t, s, tt.op, min(crashes, most))
+				}
+				is.True(crashes <= most)
+				for _, n := range s.Servers() {
+					if srv := s.Server(n); srv.Backend().Runs(id).Started > 0 {
+						is.NoErr(srv.Restart())
+					}
+				}
+			}
+			is.Equal(crashes, most)
+			is.True(runsOf(s) >= before+crashes)
+			for h := range s.Hosts() {
+				waitFor(t, func() bool {
+					return call(t, http.MethodGet, url(s, h)+tt.neighbour, "", "").outcome == answer.Answered
+				})
+			}
+		})
+	}
+}
+
+func runsOf(s *devel.System) (n int) {
+	for _, name := range s.Servers() {
+		for _, r := range s.Server(name).Backend().AllRuns() {
+			n += r.Started
+		}
+	}
+	return n
+}
+
+// waitSuspected waits until all hosts that have a cell of the service know the
+// suspicion, or the quarantine after the second crash.
+func waitSuspected(t testing.TB, s *devel.System, op string, crashes int) {
+	t.Helper()
+	service, _, _ := strings.Cut(op, "/")
+	waitFor(t, func() bool {
+		known := 0
+		for _, h := range s.Hosts() {
+			if knows(t, h, service, op, crashes) {
+				known++
+			}
+		}
+		// Suspicions of a keyed service stay in the group of its cell.
+		return known == len(s.Hosts()) || service == "ledger" && known >= 2
+	})
+}
+
+func knows(t testing.TB, h *entry.Host, service, op string, crashes int) bool {
+	var d struct {
+		Cells []struct {
+			Cell       string `json:"cell"`
+			Quarantine struct {
+				Table []struct {
+					Op      string `json:"op"`
+					Crashes int    `json:"crashes"`
+				} `json:"table"`
+			} `json:"quarantine"`
+		} `json:"cells"`
+	}
+	if err := json.Unmarshal(call(t, http.MethodGet, "http://"+h.OperatorAddr()+"/dump", "", "").body, &d); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range d.Cells {
+		for _, e := range c.Quarantine.Table {
+			if strings.HasPrefix(c.Cell, service) && e.Op == op && e.Crashes >= crashes {
+				return true
+			}
+		}
+	}
+	return false
+}
