--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -11,7 +11,6 @@
 	"github.com/laburnummux/laburnummux/internal/entry"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 )
 
 // Guards against a request that crashes one server after the other: it runs at
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/devel"
-	"github.com/laburnummux/laburnummux/internal/entry"
 	"github.com/laburnummux/laburnummux/internal/fakes"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 	"github.com/matryer/is"
