Report churn, unavailable time and imbalance of each cell

Change: each host follows the routing tables that it adopts; status and metrics have imbalance, the share moved, the time without an owner and the longest gap. A range that had no owner in between counts as a gap, not as moved. Conclusion: hot keys are still in the assigner's dump only.

--- a/cmd/laburnummux/client.go
+++ b/cmd/laburnummux/client.go
@@ -129,6 +129,14 @@
 	fmt.Printf("host %s in %s, up %s, ready: %s\nconfiguration revision %d, in force since %s\n\n", s.Host, s.DataCentre,
 		(time.Duration(s.UptimeMs) * time.Millisecond).Round(time.Second), s.Ready, s.Revision, s.InForce.Format(time.RFC3339))
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CELL\tOWNED\tIMBALANCE\tMOVED\tUNOWNED\tLONGEST GAP")
+	for _, c := range s.Cells {
+		fmt.Fprintf(w, "%s\t%.2f%%\t%.2f\t%.2f\t%s\t%s\n", c.Cell, 100*c.Owned, c.Imbalance, c.Moved, c.Unowned.Std(), c.LongestGap.Std())
+	}
+	if err = w.Flush(); err != nil {
+		return err
+	}
+	fmt.Println()
 	fmt.Fprintln(w, "CELL\tASSIGNER\tVERSION\tSTORED\tSERVER\tDISPATCHER\tRANGES\tSHARE")
 	for _, c := range s.Cells {
 		for _, v := range c.Servers {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -105,6 +105,9 @@
 	Ranges   int         `json:"ranges"`
 	Owned    float64     `json:"owned"` // share of the cell's hash space that has an owner
 	Servers  []ServerRow `json:"servers"`
+	// Imbalance is the largest share of a server over the mean.
+	Imbalance float64 `json:"imbalance"`
+	route.Measures
 }
 
 // ServerRow is a backend server in a CellStatus.
@@ -128,7 +131,9 @@
 	h.mu.Lock()
 	s.Revision, s.InForce = h.revision.Number(), h.inForce
 	for _, t := range h.router.Tables() {
-		s.Cells = append(s.Cells, cellStatus(t, h.router.Layout(t.Cell().Service).Width(t.Cell())))
+		c := cellStatus(t, h.router.Layout(t.Cell().Service).Width(t.Cell()))
+		c.Measures = h.router.Measures(h.clk.Now(), t.Cell())
+		s.Cells = append(s.Cells, c)
 	}
 	h.mu.Unlock()
 	return s
@@ -157,6 +162,7 @@
 		if total > 0 {
 			c.Servers[i].Share /= total
 		}
+		c.Imbalance = max(c.Imbalance, c.Servers[i].Share*float64(len(c.Servers)))
 	}
 	return c
 }
@@ -244,18 +250,20 @@
 type collector struct{ h *Host }
 
 var (
-	inFlightDesc = prometheus.NewDesc("laburnummux_requests_in_flight", "Callers' requests in flight.", nil, nil)
-	revisionDesc = prometheus.NewDesc("laburnummux_configuration_revision", "Revision in force.", nil, nil)
-	rangesDesc   = prometheus.NewDesc("laburnummux_ranges", "Ranges with an owner.", []string{"cell", "server"}, nil)
-	imbalanced   = prometheus.NewDesc("laburnummux_share_ratio", "Largest share of the hash space over the mean.", []string{"cell"}, nil)
-	messagesDesc = prometheus.NewDesc("laburnummux_peer_messages_total", "Messages to other entry hosts.", []string{"result"}, nil)
-	bytesDesc    = prometheus.NewDesc("laburnummux_peer_sent_bytes_total", "Bytes sent to other entry hosts.", nil, nil)
-	droppedDesc  = prometheus.NewDesc("laburnummux_events_dropped_total", "Control events dropped.", nil, nil)
+	inFlightDesc  = prometheus.NewDesc("laburnummux_requests_in_flight", "Callers' requests in flight.", nil, nil)
+	revisionDesc  = prometheus.NewDesc("laburnummux_configuration_revision", "Revision in force.", nil, nil)
+	rangesDesc    = prometheus.NewDesc("laburnummux_ranges", "Ranges with an owner.", []string{"cell", "server"}, nil)
+	imbalanceDesc = prometheus.NewDesc("laburnummux_share_ratio", "Largest share of the hash space over the mean.", []string{"cell"}, nil)
+	movedDesc     = prometheus.NewDesc("laburnummux_moved_share_total", "Share of the cell's hash space that changed its server, summed.", []string{"cell"}, nil)
+	unownedDesc   = prometheus.NewDesc("laburnummux_unowned_seconds_total", "Time without an owner, weighted by the share without one.", []string{"cell"}, nil)
+	messagesDesc  = prometheus.NewDesc("laburnummux_peer_messages_total", "Messages to other entry hosts.", []string{"result"}, nil)
+	bytesDesc     = prometheus.NewDesc("laburnummux_peer_sent_bytes_total", "Bytes sent to other entry hosts.", nil, nil)
+	droppedDesc   = prometheus.NewDesc("laburnummux_events_dropped_total", "Control events dropped.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{inFlightDesc, revisionDesc, rangesDesc, imbalanced, messagesDesc, bytesDesc, droppedDesc} {
+	for _, d := range []*prometheus.Desc{inFlightDesc, revisionDesc, rangesDesc, imbalanceDesc, movedDesc, unownedDesc, messagesDesc, bytesDesc, droppedDesc} {
 		ch <- d
 	}
 }
@@ -272,12 +280,12 @@
 	gauge(inFlightDesc, float64(s.InFlight))
 	gauge(revisionDesc, float64(s.Revision))
 	for _, cell := range s.Cells {
-		largest := 0.0
 		for _, srv := range cell.Servers {
 			gauge(rangesDesc, float64(srv.Ranges), cell.Cell, string(srv.Server))
-			largest = max(largest, srv.Share)
 		}
-		gauge(imbalanced, largest*float64(len(cell.Servers)), cell.Cell)
+		gauge(imbalanceDesc, cell.Imbalance, cell.Cell)
+		ch <- prometheus.MustNewConstMetric(movedDesc, prometheus.CounterValue, cell.Moved, cell.Cell)
+		ch <- prometheus.MustNewConstMetric(unownedDesc, prometheus.CounterValue, cell.Unowned.Std().Seconds(), cell.Cell)
 	}
 	p := c.h.peers.Counters()
 	counter(messagesDesc, p.Sent, "sent")
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -18,7 +18,7 @@
 func (h *Host) updateRoute(t *route.Table) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.router.Update(t) {
+	if h.router.Update(h.clk.Now(), t) {
 		h.metrics.Table(t.Cell())
 		h.notify()
 	}
--- a/internal/route/capacity_test.go
+++ b/internal/route/capacity_test.go
@@ -26,7 +26,7 @@
 			for k, x := range r.Divide(128) {
 				rows = append(rows, Row{Range: x, Fence: 1, Backend: k % 16, Dispatcher: "north-1-e001"})
 			}
-			s.Update(NewTable(c, 1, 1, "a", true, backends, rows))
+			s.Update(0, NewTable(c, 1, 1, "a", true, backends, rows))
 		}
 	}
 	s.SetLayouts(ls)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,7 +9,7 @@
 //
 //	s := route.New(seed)
 //	s.SetLayouts(map[keys.Service]route.Layout{"ledger": svc.Cells()})
-//	s.Update(table)
+//	s.Update(now, table)
 //	target, miss := s.Lookup("ledger", keys.Of("ledger", key))
 //
 // For a service without keys, Pick chooses a server by the host's own
@@ -163,6 +163,7 @@
 	layouts map[keys.Service]Layout
 	tables  map[keys.Cell]*Table
 	loads   map[keys.Server]*load
+	seen    map[keys.Cell]*follower
 	rng     *rand.Rand
 }
 
@@ -172,6 +173,7 @@
 		layouts: make(map[keys.Service]Layout),
 		tables:  make(map[keys.Cell]*Table),
 		loads:   make(map[keys.Server]*load),
+		seen:    make(map[keys.Cell]*follower),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -183,6 +185,7 @@
 	for c := range s.tables {
 		if !slices.ContainsFunc(ls[c.Service], func(p config.CellRange) bool { return p.Cell == c }) {
 			delete(s.tables, c)
+			delete(s.seen, c)
 		}
 	}
 }
@@ -192,14 +195,29 @@
 
 // Update adopts t unless the state has a newer version, and reports whether
 // it did.
-func (s *State) Update(t *Table) bool {
-	if old := s.tables[t.cell]; old != nil && !t.Newer(old.term, old.version) {
+func (s *State) Update(now clock.Time, t *Table) bool {
+	old := s.tables[t.cell]
+	if old != nil && !t.Newer(old.term, old.version) {
 		return false
 	}
+	f := s.seen[t.cell]
+	if f == nil {
+		f = new(follower)
+		s.seen[t.cell] = f
+	}
+	f.update(now, old, t, s.layouts[t.cell.Service].Width(t.cell))
 	s.tables[t.cell] = t
 	return true
 }
 
+// Measures returns what was seen of a cell up to now.
+func (s *State) Measures(now clock.Time, c keys.Cell) Measures {
+	if f := s.seen[c]; f != nil {
+		return f.at(now)
+	}
+	return Measures{}
+}
+
 // Table returns the table of a cell, or nil.
 func (s *State) Table(c keys.Cell) *Table { return s.tables[c] }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -19,7 +19,7 @@
 	l := layout("north-1")
 	s.SetLayouts(map[keys.Service]Layout{"ledger": l})
 	parts := keys.Full().Divide(2)
-	s.Update(NewTable(l[0].Cell, term, version, "a", true,
+	s.Update(0, NewTable(l[0].Cell, term, version, "a", true,
 		[]Backend{{Name: "s1", Dispatcher: "a"}, {Name: "s2", Dispatcher: "b"}},
 		[]Row{{parts[1], 2, 1, ""}, {parts[0], 1, 0, ""}, {parts[0], 1, 9, ""}}))
 	return s
@@ -44,7 +44,7 @@
 			is := is.New(t)
 			s := newTestState(2, 5)
 			c := s.Layout("ledger")[0].Cell
-			is.Equal(s.Update(NewTable(c, tt.term, tt.version, "b", true, nil, nil)), tt.adopted)
+			is.Equal(s.Update(0, NewTable(c, tt.term, tt.version, "b", true, nil, nil)), tt.adopted)
 		})
 	}
 }
@@ -88,6 +88,47 @@
 	}
 }
 
+// Guards against churn and unavailable time that operators are shown wrongly:
+// a move, a gap and its end, and a split without a move.
+func TestMeasures(t *testing.T) {
+	is := is.New(t)
+	s := New(1)
+	s.SetLayouts(map[keys.Service]Layout{"ledger": layout("north-1")})
+	cell := s.Layout("ledger")[0].Cell
+	quarters := keys.Full().Divide(4)
+	backends := []Backend{{Name: "s1"}, {Name: "s2"}}
+	version := uint64(0)
+	update := func(now clock.Time, owner ...int) {
+		var rows []Row
+		for i, o := range owner {
+			if o >= 0 {
+				rows = append(rows, Row{Range: quarters[i], Backend: o})
+			}
+		}
+		version++
+		is.True(s.Update(now, NewTable(cell, 1, version, "a", true, backends, rows)))
+	}
+	about := func(got, want float64) { t.Helper(); is.True(got > want-1e-6 && got < want+1e-6) }
+	update(0, 0, 0, 1, 1)
+	is.Equal(s.Measures(500, cell), Measures{})
+	update(1000, 0, 1, 1, 1) // one quarter moves
+	about(s.Measures(1000, cell).Moved, 0.25)
+	update(2000, 0, 1, -1, -1) // half of the hashes lose their owner
+	is.Equal(s.Measures(2100, cell).Unowned, clock.Span(50))
+	is.Equal(s.Measures(2100, cell).LongestGap, clock.Span(100))
+	update(2400, 0, 1, 0, -1)
+	update(2600, 0, 1, 0, 1)
+	m := s.Measures(9000, cell)
+	is.Equal(m.Unowned, clock.Span(400/2+200/4))
+	is.Equal(m.LongestGap, clock.Span(600))
+	about(m.Moved, 0.25) // a range without an owner in between isn't counted again
+	s.Update(9000, NewTable(cell, 1, 99, "a", true, backends, []Row{
+		{Range: keys.NewRange(quarters[0].Lo(), 5)}, {Range: keys.NewRange(6, quarters[0].Hi())},
+		{Range: quarters[1], Backend: 1}, {Range: quarters[2]}, {Range: quarters[3], Backend: 1},
+	}))
+	about(s.Measures(9000, cell).Moved, 0.25)
+}
+
 // Guards against sending lookups to a slow server as often as to a fast one.
 func TestPickPrefersFastServer(t *testing.T) {
 	is := is.New(t)
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -105,6 +105,14 @@
 // Overlaps reports whether r and o have a hash in common.
 func (r Range) Overlaps(o Range) bool { return r.lo <= o.hi && o.lo <= r.hi }
 
+// Intersect returns the part that r and o have in common.
+func (r Range) Intersect(o Range) (common Range, ok bool) {
+	if !r.Overlaps(o) {
+		return Range{}, false
+	}
+	return Range{lo: max(r.lo, o.lo), hi: min(r.hi, o.hi)}, true
+}
+
 // Width returns the share of the hash space that r covers, from 0 to 1.
 func (r Range) Width() float64 { return (float64(r.hi-r.lo) + 1) / math.Pow(2, 64) }
 
