entry: never say "not run" about a named booking that no dispatcher was asked about

Ruled out: the dispatcher, which answers from its records before its queue. Change: a non-idempotent request with the caller's own id that meets no dispatcher is answered "unknown"; one whose id the entry host made keeps "not-run", since it can't be a repeat. Figures: TestRepeatWithoutOwner fails without the change and passes with it; go test ./internal/entry passes. Conclusion: fixed. Callers that want "not-run" in a gap leave the id out and repeat with the one that they are given.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -93,7 +93,8 @@
 		}
 	}()
 	id := r.Header.Get(answer.HeaderRequestID)
-	if id == "" {
+	named := id != ""
+	if !named {
 		fresh, err := dedup.NewID()
 		if err != nil {
 			return notRun(answer.BadID)
@@ -134,7 +135,7 @@
 	}
 	caller, _, _ := net.SplitHostPort(r.RemoteAddr)
 	j := job{
-		svc: c.svc, op: c.op, id: id, caller: caller,
+		svc: c.svc, op: c.op, id: id, named: named, caller: caller,
 		send: proxy.Request{Method: r.Method, URL: r.URL, Header: proxy.FromCaller(r.Header), Body: body},
 	}
 	// A repeat with the same id must meet the record of the first.
@@ -201,7 +202,7 @@
 	for {
 		t, changed, res := h.target(ctx, j, avoid)
 		if res.outcome != answer.Unknown {
-			return settle(res)
+			return settle(j.unconfirmed(res))
 		}
 		j.cell, j.server, j.hash = t.Cell, t.Server, t.Hash
 		var end retry.Result
@@ -220,7 +221,7 @@
 			if h.waitChange(ctx, changed) && j.send.Body.Replayable() {
 				continue
 			}
-			return settle(notRun(res.reason))
+			return settle(j.unconfirmed(notRun(res.reason)))
 		}
 		if res.outcome == answer.Unknown && mayRun == nil {
 			mayRun = &res
@@ -246,6 +247,17 @@
 	}
 }
 
+// unconfirmed turns the refusal of a request that met no dispatcher into the
+// outcome that is certain. Only the dispatcher knows whether an id has run: a
+// caller that repeats a booking while its key has no owner must not be told
+// that the booking was not run.
+func (j *job) unconfirmed(res result) result {
+	if res.outcome == answer.NotRun && res.reason != answer.NoRoute && j.named && !j.op.Idempotent() {
+		return unknown(res.reason)
+	}
+	return res
+}
+
 // settled reports whether another attempt would only be refused again. A full
 // queue at one of several equal servers says nothing about the others.
 func (r result) settled(keyed bool) bool {
@@ -377,7 +389,7 @@
 	switch res.reason {
 	case answer.EarlierAttempt, answer.StillRunning:
 		return http.StatusConflict
-	case answer.DeadlinePassed:
+	case answer.DeadlinePassed, answer.NoOwner, answer.NotDispatcher, answer.Unreachable, answer.Draining:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -27,6 +27,9 @@
 	id     string // request id
 	caller string
 	send   proxy.Request
+	// named says that the caller chose the id, so it may have sent the request
+	// before.
+	named bool
 	// record is the deduplication record of a non-idempotent job.
 	record dedup.Token
 }
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -227,6 +227,30 @@
 	}
 }
 
+// Guards against a repeated booking that is answered "not-run" while its key
+// has no owner, though the first attempt ran: its caller would book again under
+// a new id. A request whose id the entry host made can't be a repeat.
+func TestRepeatWithoutOwner(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1)
+	waitOnce(t, s)
+	url := "http://" + s.Hosts()[0].CallerAddr() + "/ledger/tin-7/entries"
+	id := newID(t)
+	r := call(t, http.MethodPost, url, id, "")
+	is.Equal(r.outcome, answer.Answered)
+	cell := string(r.owner[:len(r.owner)-1]) // without the server's number
+	for _, n := range s.Servers() {
+		if strings.HasPrefix(string(n), cell) {
+			s.Server(n).Kill()
+		}
+	}
+	waitFor(t, func() bool {
+		return callWithin(t, http.MethodPost, url, "", "", 100).reason == answer.NoOwner.String()
+	})
+	is.Equal(callWithin(t, http.MethodPost, url, id, "", 100).outcome, answer.Unknown)
+	is.Equal(callWithin(t, http.MethodPost, url, "", "", 100).outcome, answer.NotRun)
+}
+
 func waitFor(t testing.TB, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !ok(); {
