--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -80,33 +80,15 @@
 		}
 	}
 	h.mu.Lock()
-	gone := make([]store.Member, 0)
-	for name, x := range h.members {
-		if _, ok := m[name]; !ok && x.Role() == store.Backend {
-			gone = append(gone, x)
-		}
-	}
 	h.members = m
 	h.mu.Unlock()
 	h.peers.SetAddresses(addrs)
 	h.events.Push(gossipEvent{spread.Listed{Members: entries}})
 	for _, c := range h.cellList() {
-		c.tellGone(gone)
 		c.tellMembersNow()
 	}
 }
 
-// tellGone tells the assigner which backend servers the platform has removed.
-func (c *cell) tellGone(gone []store.Member) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range gone {
-		if c.owns(m) {
-			c.stepAssign(c.h.clk.Now(), c.serverSeen(m, assign.Gone))
-		}
-	}
-}
-
 func (c *cell) tellMembersNow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
