--- /dev/null
+++ b/cmd/laburnummux/front.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/front"
+	"github.com/laburnummux/laburnummux/internal/logs"
+	"github.com/laburnummux/laburnummux/platform"
+)
+
+const usageFront = `Run an entry host on the users' platform. Its settings are in the file that
+the environment variable ` + platform.BootVariable + ` names.
+
+  laburnummux front --metrics 9464`
+
+func frontCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "front",
+		Usage:       "run an entry host on the users' platform",
+		Description: usageFront,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "metrics", Usage: "`PORT` for metrics", Value: "9464"},
+			&cli.StringFlag{Name: "level", Usage: "lowest `LEVEL` of log lines", Value: "info"},
+		},
+		Action: runFront,
+	}
+}
+
+func runFront(ctx context.Context, cmd *cli.Command) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("front: %w", err)
+		}
+	}()
+	path := os.Getenv(platform.BootVariable)
+	settings, err := platform.LoadBoot(path)
+	if err != nil {
+		return err
+	}
+	if port := cmd.String("metrics"); port != "" {
+		settings.Metrics = settings.IP + ":" + port
+	}
+	level, err := zap.ParseAtomicLevel(cmd.String("level"))
+	if err != nil {
+		return err
+	}
+	sink := logs.NewSink(os.Stdout)
+	sinkCtx, stopSink := context.WithCancel(context.WithoutCancel(ctx))
+	w := &sinkWorker{sink: sink, done: make(chan error, 1)}
+	go w.run(sinkCtx)
+	defer func() {
+		stopSink()
+		if e := <-w.done; err == nil {
+			err = e
+		}
+	}()
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(settings.Grace.Std()),
+		fx.Supply(settings, logs.New(sink, level.Level())),
+		fx.Provide(newFront),
+		fx.Invoke(func(*front.Host) {}),
+	)
+	return runApp(ctx, app)
+}
+
+// sinkWorker writes the log lines.
+type sinkWorker struct {
+	sink *logs.Sink
+	done chan error
+}
+
+func (w *sinkWorker) run(ctx context.Context) { w.done <- w.sink.Run(ctx) }
+
+func newFront(lc fx.Lifecycle, s front.Settings, log *zap.Logger) *front.Host {
+	var h *front.Host
+	st := platform.NewState(s.Store, log, func(call string, err error) { h.StoreCall(call, err) })
+	h = front.New(front.Config{
+		Settings: s, Store: st, Granter: platform.NewGranter(), Codec: platform.Codec{}, ReadyPath: platform.ReadyPath,
+		Reload: func() (front.Settings, error) { return platform.LoadBoot(os.Getenv(platform.BootVariable)) },
+		Log:    log, Registry: prometheus.NewRegistry(),
+	})
+	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
+	return h
+}
--- a/cmd/laburnummux/main.go
+++ b/cmd/laburnummux/main.go
@@ -23,6 +23,7 @@
 			checkCommand(),
 			showCommand(),
 			serveCommand(),
+			frontCommand(),
 			devCommand(),
 			planCommand(),
 			applyCommand(),
--- /dev/null
+++ b/internal/front/beat.go
@@ -0,0 +1,152 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/mesh"
+)
+
+const (
+	// beatEvery is the longest time between two beats.
+	beatEvery = 150 * time.Millisecond
+	// beatGap is the shortest time between two beats; it bounds the datagrams
+	// under load.
+	beatGap = 8 * time.Millisecond
+	// reportEvery is the period of reports to the assigner.
+	reportEvery = 500 * time.Millisecond
+	// joinEvery is the period in which a host that hears few others asks the
+	// store for their addresses.
+	joinEvery = 3 * time.Second
+)
+
+// beat tells the other hosts how this one is, at once after changes.
+func (h *Host) beat(ctx context.Context) error {
+	var seq uint64
+	var reported time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.change:
+		case <-time.After(beatEvery):
+		}
+		seq++
+		h.sendBeat(seq)
+		if time.Since(reported) >= reportEvery {
+			reported = time.Now()
+			h.report()
+		}
+		h.expire()
+		time.Sleep(beatGap)
+	}
+}
+
+// expire drops servers whose grace is over.
+func (h *Host) expire() {
+	h.mu.Lock()
+	changed := h.view.Expire(h.clock.Now())
+	h.mu.Unlock()
+	if changed {
+		h.servers()
+	}
+}
+
+func (h *Host) sendBeat(seq uint64) {
+	now := h.clock.Now()
+	b := mesh.Beat{From: h.cfg.Settings.Host, Run: h.run, Seq: seq, IP: h.cfg.Settings.IP, Leaving: h.leaving.Load(), Term: h.duty.term()}
+	b.Busy, b.Waiting, b.Suspect = h.relay.Busy()
+	h.members.mu.Lock()
+	b.Members = h.members.some(now)
+	b.Known, b.Version = h.members.tableVersion()
+	h.relay.Hosts(len(h.members.all) + 1)
+	h.members.mu.Unlock()
+	h.send(h.members.targets(now), mesh.Message{Beat: &b})
+}
+
+// send sends a message to several hosts.
+func (h *Host) send(ips []string, msg mesh.Message) {
+	if len(ips) == 0 {
+		return
+	}
+	data, err := mesh.Encode(msg)
+	if err != nil {
+		h.log.Error("message isn't sent", zap.Error(err))
+		return
+	}
+	for _, ip := range ips {
+		if err := h.mesh.Send(ip, data); err != nil {
+			h.log.Debug("message isn't sent", zap.Error(err))
+		}
+	}
+}
+
+// report tells the assigner what this host has observed.
+func (h *Host) report() {
+	busy, paces := h.relay.Observed()
+	rep := mesh.Report{From: h.cfg.Settings.Host, Busy: busy, Paces: paces}
+	if h.duty.term() > 0 {
+		h.duty.report(&rep)
+		return
+	}
+	if _, ip, _, _ := h.members.leader(); ip != "" && (len(busy) > 0 || len(paces) > 0) {
+		h.send([]string{ip}, mesh.Message{Report: &rep})
+	}
+}
+
+// receive takes the messages of other hosts.
+func (h *Host) receive(ctx context.Context) error {
+	return h.mesh.Run(ctx, h.got, h.badMessage)
+}
+
+func (h *Host) badMessage(err error) { h.log.Warn("message can't be read", zap.Error(err)) }
+
+func (h *Host) got(msg mesh.Message) {
+	if b := msg.Beat; b != nil {
+		h.members.beat(h.clock.Now(), b)
+		h.relay.Peer(b.From, b.Busy, b.Waiting, b.Suspect)
+	}
+	if msg.Report != nil {
+		h.duty.report(msg.Report)
+	}
+	if len(msg.Tables) > 0 {
+		h.tables(msg.Tables)
+	}
+}
+
+// join makes this host known in the store, and looks others up there while it
+// hears few of them: seeds may be stale.
+func (h *Host) join(ctx context.Context) error {
+	registered := false
+	for {
+		if !registered {
+			err := h.cfg.Store.PutHost(ctx, h.cfg.Settings.Host, h.cfg.Settings.IP)
+			h.storeResult(err)
+			registered = err == nil
+		}
+		if st := h.members.standing(h.clock.Now()); st.alive < 2 || !st.majority {
+			h.lookUp(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+func (h *Host) lookUp(ctx context.Context) {
+	ips, err := h.cfg.Store.Hosts(ctx)
+	h.storeResult(err)
+	if err != nil {
+		return
+	}
+	h.members.mu.Lock()
+	defer h.members.mu.Unlock()
+	now := h.clock.Now()
+	for name, ip := range ips {
+		h.members.named(now, name, ip)
+	}
+}
--- /dev/null
+++ b/internal/front/call.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/owner"
+)
+
+// claim takes the assigner's role in the store.
+type claim struct {
+	d     *duty
+	began clock.Time
+}
+
+func (c *claim) run(ctx context.Context) {
+	h := c.d.h
+	ev := claimEnded{began: c.began}
+	defer func() { c.d.result(ctx, ev) }()
+	var rev uint64
+	if ev.prior, rev, ev.err = h.cfg.Store.Role(ctx); ev.err != nil {
+		return
+	}
+	ev.rec = ev.prior
+	ev.rec.Term, ev.rec.Seq = ev.prior.Term+1, 0
+	ev.rec.Holder, ev.rec.Run = h.cfg.Settings.Host, h.run
+	ev.rev, ev.err = h.cfg.Store.PutRole(ctx, ev.rec, rev)
+}
+
+// confirmation reads the record.
+type confirmation struct {
+	d       *duty
+	began   clock.Time
+	version uint64
+}
+
+func (c *confirmation) run(ctx context.Context) {
+	ev := confirmEnded{began: c.began}
+	ev.rec, ev.rev, ev.err = c.d.h.cfg.Store.Role(ctx)
+	c.d.result(ctx, ev)
+}
+
+// write replaces the record.
+type write struct {
+	d     *duty
+	act   owner.Write
+	rev   uint64
+	began clock.Time
+}
+
+func (c *write) run(ctx context.Context) {
+	ev := writeEnded{version: c.act.Version, began: c.began}
+	ev.rev, ev.err = c.d.h.cfg.Store.PutRole(ctx, c.act.Record, c.rev)
+	c.d.result(ctx, ev)
+}
+
+// grantCall sends a grant.
+type grantCall struct {
+	d    *duty
+	g    owner.Grant
+	sent clock.Time
+}
+
+func (c *grantCall) run(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, grantTimeout.Std())
+	defer cancel()
+	out, err := c.d.h.cfg.Granter.Grant(call, c.g)
+	c.d.h.metrics.calls.WithLabelValues("grant", outcomeName(out)).Inc()
+	if out != owner.Done {
+		c.d.h.log.Info("grant isn't acknowledged", zap.String("server", string(c.g.Server)), zap.Uint16("from", uint16(c.g.From)),
+			zap.Uint16("to", uint16(c.g.To)), zap.Uint64("fence", uint64(c.g.Fence)), zap.String("outcome", outcomeName(out)), zap.Error(err))
+	}
+	c.d.result(ctx, granted{g: c.g, sent: c.sent, out: out})
+}
+
+// releaseCall sends a release.
+type releaseCall struct {
+	d *duty
+	r owner.Release
+}
+
+func (c *releaseCall) run(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, releaseTimeout.Std())
+	defer cancel()
+	out, handover, err := c.d.h.cfg.Granter.Release(call, c.r)
+	c.d.h.metrics.calls.WithLabelValues("release", outcomeName(out)).Inc()
+	c.d.h.log.Info("release", zap.String("server", string(c.r.Server)), zap.Uint16("from", uint16(c.r.From)),
+		zap.Uint16("to", uint16(c.r.To)), zap.Uint64("fence", uint64(c.r.Fence)), zap.String("outcome", outcomeName(out)), zap.Error(err))
+	c.d.result(ctx, released{r: c.r, out: out, handover: handover})
+}
+
+func outcomeName(o owner.Outcome) string {
+	switch o {
+	case owner.Done:
+		return "done"
+	case owner.Refused:
+		return "refused"
+	case owner.Failed:
+		return "failed"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/front/config.go
@@ -0,0 +1,19 @@
+package front
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/intent"
+)
+
+// configure puts a configuration in force, unless a newer one is.
+func (h *Host) configure(cfg *intent.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old := h.relay.Config(); old != nil && old.Version() >= cfg.Version() {
+		return
+	}
+	h.relay.Configure(cfg)
+	h.log.Info("configuration", zap.Uint64("version", cfg.Version()), zap.Int("routes", cfg.Routes()))
+	h.duty.changed()
+}
--- /dev/null
+++ b/internal/front/members.go
@@ -0,0 +1,224 @@
+package front
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// aliveFor is how long a host counts as alive without a beat.
+	aliveFor = 700 * clock.Millisecond
+	// quietAfter is when a silent host gets beats at a lower rate only.
+	quietAfter = 3 * clock.Second
+	// forgetAfter is when a silent host is no longer known. It bounds how long
+	// a lost host takes part of the retry budget.
+	forgetAfter = 60 * clock.Second
+	// namedMax is how many other hosts a beat names.
+	namedMax = 8
+)
+
+// member is another host.
+type member struct {
+	name    keys.Host
+	ip      string
+	run     int64
+	heard   clock.Time
+	told    clock.Time // when it was last named or seen, for forgetting
+	sent    clock.Time
+	leaving bool
+	term    uint64 // of its role, if it is the assigner
+	known   uint64 // term of its tables
+	version uint64
+}
+
+// members are the other hosts, as far as they are known.
+type members struct {
+	self  keys.Host
+	ip    string
+	mu    sync.Mutex
+	seeds []string
+	all   map[keys.Host]*member
+
+	tables   map[keys.Service]owner.Table
+	assigner keys.Host  // whose beat had the highest term
+	term     uint64     // the highest term of a beat or table
+	heard    clock.Time // when the assigner was last heard
+}
+
+func newMembers(self keys.Host, ip string, seeds []string) *members {
+	return &members{self: self, ip: ip, seeds: seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
+}
+
+// named adds a host that another one has named.
+func (ms *members) named(now clock.Time, name keys.Host, ip string) {
+	if name == ms.self || ip == ms.ip || ip == "" {
+		return
+	}
+	m := ms.all[name]
+	if m == nil {
+		ms.all[name] = &member{name: name, ip: ip, told: now}
+		return
+	}
+	if now.Sub(m.heard) > quietAfter {
+		m.ip = ip // it may have been replaced at another address
+	}
+}
+
+// beat takes a beat. It reports whether the host's process is a new one.
+func (ms *members) beat(now clock.Time, b *mesh.Beat) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if b.From == ms.self {
+		return
+	}
+	m := ms.all[b.From]
+	if m == nil {
+		m = &member{name: b.From}
+		ms.all[b.From] = m
+	}
+	if b.Run < m.run {
+		return // of a former process
+	}
+	m.ip, m.run, m.heard, m.told, m.leaving = b.IP, b.Run, now, now, b.Leaving
+	m.term, m.known, m.version = b.Term, b.Known, b.Version
+	for _, o := range b.Members {
+		ms.named(now, o.Host, o.IP)
+	}
+	switch {
+	case b.Term > 0 && b.Term >= ms.term:
+		ms.assigner, ms.term, ms.heard = b.From, b.Term, now
+	case ms.assigner == b.From:
+		ms.assigner, ms.heard = "", 0 // it has given the role up
+	}
+}
+
+// tableNewer takes a table if it replaces the known one.
+func (ms *members) tableNewer(t owner.Table) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if old, ok := ms.tables[t.Service]; ok && !t.Newer(old) {
+		return false
+	}
+	ms.tables[t.Service] = t
+	ms.term = max(ms.term, t.Term)
+	return true
+}
+
+// tableVersion returns the oldest term and version of the known tables.
+func (ms *members) tableVersion() (term, version uint64) {
+	first := true
+	for _, t := range ms.tables {
+		if first || t.Term < term || t.Term == term && t.Version < version {
+			term, version, first = t.Term, t.Version, false
+		}
+	}
+	return term, version
+}
+
+// targets returns the addresses that are due for a beat.
+func (ms *members) targets(now clock.Time) (ips []string) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	known := make(map[string]bool, len(ms.all))
+	for name, m := range ms.all {
+		if now.Sub(m.told) > forgetAfter {
+			delete(ms.all, name)
+			continue
+		}
+		known[m.ip] = true
+		if now.Sub(m.heard) > quietAfter && now.Sub(m.sent) < clock.Second {
+			continue
+		}
+		m.sent = now
+		ips = append(ips, m.ip)
+	}
+	for _, ip := range ms.seeds {
+		if !known[ip] && ip != ms.ip {
+			ips = append(ips, ip)
+		}
+	}
+	return ips
+}
+
+// some returns a few hosts to name in a beat.
+func (ms *members) some(now clock.Time) (out []mesh.Member) {
+	for _, m := range ms.all {
+		if now.Sub(m.heard) < quietAfter && m.heard != 0 {
+			out = append(out, mesh.Member{Host: m.name, IP: m.ip})
+		}
+	}
+	if len(out) > namedMax {
+		slices.SortFunc(out, func(a, b mesh.Member) int { return cmp.Compare(a.Host, b.Host) })
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:namedMax]
+	}
+	return out
+}
+
+// standing says how this host stands among the others.
+type standing struct {
+	rank     int  // number of live hosts with a lower name
+	majority bool // it hears most of the hosts that it knows
+	alive    int
+	known    int
+}
+
+func (ms *members) standing(now clock.Time) (st standing) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	st.alive, st.known = 1, 1
+	for _, m := range ms.all {
+		if m.leaving {
+			continue
+		}
+		st.known++
+		if m.heard == 0 || now.Sub(m.heard) > aliveFor {
+			continue
+		}
+		st.alive++
+		if m.name < ms.self {
+			st.rank++
+		}
+	}
+	st.majority = 2*st.alive > st.known
+	return st
+}
+
+// leader returns the assigner, its address and when it was last heard.
+func (ms *members) leader() (name keys.Host, ip string, term uint64, heard clock.Time) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if m := ms.all[ms.assigner]; m != nil {
+		ip = m.ip
+	}
+	return ms.assigner, ip, ms.term, ms.heard
+}
+
+// runOf returns the start of a host's present process, or 0.
+func (ms *members) runOf(name keys.Host) int64 {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if m := ms.all[name]; m != nil {
+		return m.run
+	}
+	return 0
+}
+
+// behind returns the addresses of live hosts whose tables are older.
+func (ms *members) behind(now clock.Time, term, version uint64) (ips []string) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if now.Sub(m.heard) < quietAfter && (m.known < term || m.known == term && m.version < version) {
+			ips = append(ips, m.ip)
+		}
+	}
+	return ips
+}
--- /dev/null
+++ b/internal/front/reload.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// reloadEvery is the period in which the settings are read again: they may
+// change without a signal.
+const reloadEvery = 2 * time.Second
+
+// reload applies changed settings, on SIGHUP and by itself.
+func (h *Host) reload(ctx context.Context) error {
+	if h.cfg.Reload == nil {
+		<-ctx.Done()
+		return nil
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			h.log.Info("reload", zap.String("cause", "SIGHUP"))
+		case <-time.After(reloadEvery):
+		}
+		s, err := h.cfg.Reload()
+		if err != nil {
+			h.log.Warn("settings can't be read; the former ones stay in force", zap.Error(err))
+			continue
+		}
+		s.Metrics = h.cfg.Settings.Metrics
+		h.mu.Lock()
+		changed := !reflect.DeepEqual(s, h.settings)
+		h.settings = s
+		h.mu.Unlock()
+		if !changed {
+			continue
+		}
+		h.members.mu.Lock()
+		h.members.seeds = s.Seeds
+		h.members.mu.Unlock()
+		h.log.Info("settings have changed", zap.Strings("seeds", s.Seeds))
+	}
+}
--- /dev/null
+++ b/internal/front/store.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"context"
+	"errors"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Errors of a Store.
+var (
+	ErrNotFound = errors.New("not found")
+	ErrConflict = errors.New("changed by another writer")
+	ErrHistory  = errors.New("history is gone")
+	ErrBusy     = errors.New("refused; nothing was done")
+	ErrNoAnswer = errors.New("no answer; may have been done")
+)
+
+// ServerEvent is a change of a server's entry.
+type ServerEvent struct {
+	ID     keys.Server
+	Server fleet.Server
+	Gone   bool
+}
+
+// Store has what lasts.
+type Store interface {
+	// Config returns the configuration and the store's revision of it.
+	Config(ctx context.Context) (*intent.Config, uint64, error)
+	// WatchConfig waits for a change after a revision. It returns nil and the
+	// next revision if there was none.
+	WatchConfig(ctx context.Context, rev uint64, wait clock.Span) (*intent.Config, uint64, error)
+	// Servers returns the servers that can be used or are leaving.
+	Servers(ctx context.Context) ([]fleet.Server, uint64, error)
+	WatchServers(ctx context.Context, rev uint64, wait clock.Span) ([]ServerEvent, uint64, error)
+	// Role returns the assigner's record; revision 0 means that there is none.
+	Role(ctx context.Context) (owner.Record, uint64, error)
+	// PutRole replaces the record if its revision is still rev.
+	PutRole(ctx context.Context, rec owner.Record, rev uint64) (uint64, error)
+	// Hosts returns the addresses of the entry hosts, possibly seconds old.
+	Hosts(ctx context.Context) (map[keys.Host]string, error)
+	PutHost(ctx context.Context, h keys.Host, ip string) error
+}
+
+// Granter calls backend servers about their keys.
+type Granter interface {
+	Grant(ctx context.Context, g owner.Grant) (owner.Outcome, error)
+	Release(ctx context.Context, r owner.Release) (out owner.Outcome, handover string, err error)
+}
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,167 @@
+// Package intent has the routing configuration that operators declare: which
+// requests go to which services, and what may be done with them.
+//
+// A Config is immutable. A new one replaces the old one as a whole, so a
+// request sees either all of a version or nothing of it.
+//
+// # Usage
+//
+//	cfg := intent.New(version, routes, services, limits)
+//	if rt := cfg.Match(host, path); rt != nil {
+//		service := rt.Pick(n)
+//	}
+package intent
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+//go:generate go tool stringer -type=Repeat -linecomment -output=repeat_string.go
+
+// Repeat says whether the requests of a route may run more than once.
+type Repeat int
+
+// Values of Repeat.
+const (
+	Once       Repeat = iota // once
+	Idempotent               // idempotent
+)
+
+// Part is a service that gets a share of a route's requests.
+type Part struct {
+	Service keys.Service
+	Weight  int
+}
+
+// Route says what happens to the requests of one host name and path prefix.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Repeat    Repeat
+	Timeout   clock.Span // longest time until the final answer
+	Objective clock.Span // time within which an answer has its full worth
+	Attempts  int        // most servers that one request is sent to
+	Priority  int        // 0 is the highest
+	Parts     []Part
+}
+
+// Service is a group of servers that serve the same requests.
+type Service struct {
+	Name  keys.Service
+	Conns int        // connections that a server accepts from all hosts together
+	Keyed bool       // a server runs only requests whose key it owns
+	Warm  clock.Span // how long a key is slow at a new owner without a handover
+}
+
+// Limits bound what callers send and how long they take.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderWait  clock.Span
+	Idle        clock.Span // how long a connection may be idle
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	version  uint64
+	routes   map[string][]*Route // by host name, longest prefix first
+	services map[keys.Service]Service
+	limits   Limits
+	count    int
+}
+
+// New returns a Config.
+func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
+	c := &Config{
+		version:  version,
+		routes:   make(map[string][]*Route),
+		services: make(map[keys.Service]Service, len(services)),
+		limits:   limits,
+		count:    len(routes),
+	}
+	for i := range routes {
+		rt := &routes[i]
+		host := strings.ToLower(rt.Host)
+		c.routes[host] = append(c.routes[host], rt)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	return c
+}
+
+// Version increases with each change.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns the bounds for callers.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Routes returns the number of routes.
+func (c *Config) Routes() int { return c.count }
+
+// Service returns a service by its name.
+func (c *Config) Service(name keys.Service) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Keyed returns the names of the keyed services in order.
+func (c *Config) Keyed() (names []keys.Service) {
+	for name, s := range c.services {
+		if s.Keyed {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Match returns the route with the longest prefix of path, or nil. host may
+// have a port.
+func (c *Config) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, rt := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, rt.Prefix) {
+			return rt
+		}
+	}
+	return nil
+}
+
+// Pick returns the service of the n-th request of the route. Any stretch of
+// consecutive numbers is divided in proportion to the weights, with the least
+// deviation; random choice would miss the weights in short stretches.
+func (r *Route) Pick(n uint64) keys.Service {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	if total <= 0 {
+		return r.Parts[0].Service
+	}
+	// The golden ratio's multiples spread evenly over the unit interval for
+	// every prefix of the sequence.
+	const golden = 0x9e3779b97f4a7c15
+	x := float64(n*golden) / (1 << 64) * float64(total)
+	for _, p := range r.Parts {
+		if x < float64(p.Weight) {
+			return p.Service
+		}
+		x -= float64(p.Weight)
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
--- /dev/null
+++ b/internal/owner/balance.go
@@ -0,0 +1,362 @@
+package owner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// balanceEvery is the period of decisions about load.
+	balanceEvery = 500 * clock.Millisecond
+	// halfLife of the observed load. Hot keys change within seconds.
+	halfLife = 2 * clock.Second
+	// enter is the ratio of a server's load to its share above which ranges
+	// are moved away; leave is the ratio that a move aims at.
+	enter = 1.35
+	leave = 1.05
+	// minLoad is the load of a service, in busy slots, below which nothing is
+	// moved.
+	minLoad = 1.0
+	// maxMoves is the number of ranges of a service that may be under way at
+	// a time. Requests for them wait meanwhile.
+	maxMoves = 4
+	// maxRows bounds the ranges of a server, each of which is renewed alone.
+	maxRows = 12
+	// speedWeight is the weight of one observation of a server's speed.
+	speedWeight = 0.05
+)
+
+// load has the decayed number of busy slots for each key.
+type load struct {
+	at   clock.Time
+	keys map[Key]float64
+}
+
+// speed is the time that a server takes, relative to the mean of its service.
+type speed struct{ ratio float64 }
+
+// Busy is the time that servers have spent on a key.
+type Busy struct {
+	Key  Key        `cbor:"1,keyasint"`
+	Time clock.Span `cbor:"2,keyasint"`
+}
+
+// Pace is the observed pace of a server: the sum over N requests of the time
+// taken relative to the mean of their route.
+type Pace struct {
+	Server keys.Server `cbor:"1,keyasint"`
+	N      int         `cbor:"2,keyasint"`
+	Ratio  float64     `cbor:"3,keyasint"`
+}
+
+// Loads adds what a host has observed.
+func (a *Assigner) Loads(now clock.Time, s keys.Service, busy []Busy) {
+	l := a.load[s]
+	if l == nil {
+		l = &load{at: now, keys: make(map[Key]float64)}
+		a.load[s] = l
+	}
+	l.decay(now)
+	// A steady load of one busy slot converges to 1.
+	gain := math.Ln2 / float64(halfLife)
+	for _, b := range busy {
+		l.keys[b.Key] += float64(b.Time) * gain
+	}
+}
+
+// Paces adds observed paces of servers.
+func (a *Assigner) Paces(paces []Pace) {
+	for _, p := range paces {
+		if p.N <= 0 {
+			continue
+		}
+		sp := a.speed[p.Server]
+		if sp == nil {
+			sp = &speed{ratio: 1}
+			a.speed[p.Server] = sp
+		}
+		w := 1 - math.Pow(1-speedWeight, float64(p.N))
+		sp.ratio += w * (p.Ratio/float64(p.N) - sp.ratio)
+	}
+}
+
+func (l *load) decay(now clock.Time) {
+	if now <= l.at {
+		return
+	}
+	f := math.Exp2(-float64(now.Sub(l.at)) / float64(halfLife))
+	l.at = now
+	for k, v := range l.keys {
+		if v *= f; v < 1e-4 {
+			delete(l.keys, k)
+			continue
+		}
+		l.keys[k] = v
+	}
+}
+
+// capacity returns the relative number of requests that a server can serve.
+func (a *Assigner) capacity(id keys.Server) float64 {
+	c := float64(max(a.servers[id].Slots, 1))
+	if sp := a.speed[id]; sp != nil {
+		c /= min(max(sp.ratio, 0.4), 2.5)
+	}
+	return c
+}
+
+// group returns the usable servers of a service in order.
+func (a *Assigner) group(s keys.Service) (ids []keys.Server) {
+	for id := range a.servers {
+		if a.usable(s, id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// weights returns the load of each server: its observed load plus a small part
+// for the width of its ranges, so that keys without load are spread too.
+func (a *Assigner) weights(s keys.Service) (of map[keys.Server]float64, total float64) {
+	of = make(map[keys.Server]float64)
+	rows := a.tables[s]
+	base := minLoad / float64(int(MaxKey)+1)
+	for _, w := range rows {
+		if id := w.next(); id != "" {
+			of[id] += base * w.width()
+		}
+		total += base * w.width()
+	}
+	if l := a.load[s]; l != nil {
+		for k, v := range l.keys {
+			total += v
+			if id := a.rowOf(s, k).next(); id != "" {
+				of[id] += v
+			}
+		}
+	}
+	return of, total
+}
+
+func (w *row) width() float64 { return float64(int(w.To) - int(w.From) + 1) }
+
+// next returns the server that has the row, or that will have it.
+func (w *row) next() keys.Server {
+	if w.releasing {
+		return w.dest
+	}
+	return w.Server
+}
+
+func (a *Assigner) rowOf(s keys.Service, k Key) *row {
+	rows := a.tables[s]
+	i, _ := slices.BinarySearchFunc(rows, k, func(w *row, k Key) int {
+		switch {
+		case w.To < k:
+			return -1
+		case w.From > k:
+			return 1
+		}
+		return 0
+	})
+	return rows[i]
+}
+
+// divide cuts a table without owners into one range per server.
+func (a *Assigner) divide(s keys.Service) {
+	ids := a.group(s)
+	if len(ids) == 0 {
+		return
+	}
+	n := int(MaxKey) + 1
+	var rows []*row
+	for i, id := range ids {
+		from, to := i*n/len(ids), (i+1)*n/len(ids)-1
+		rows = append(rows, &row{Row: Row{From: Key(from), To: Key(to)}, dest: id})
+	}
+	a.tables[s] = rows
+}
+
+// leastLoaded returns the server with the most room for a row.
+func (a *Assigner) leastLoaded(s keys.Service, w *row) (best keys.Server) {
+	of, _ := a.weights(s)
+	least := math.Inf(1)
+	for _, id := range a.group(s) {
+		// A new run of the same server has taken nothing over and may get it.
+		if id == w.Server && w.releasing && a.servers[id].Born == w.Born {
+			continue
+		}
+		if x := of[id] / a.capacity(id); x < least {
+			best, least = id, x
+		}
+	}
+	if best != "" {
+		w.dest = best // counts as its load from now on
+	}
+	return best
+}
+
+// rebalance starts to move ranges from the most loaded servers to the least.
+func (a *Assigner) rebalance(now clock.Time, s keys.Service) {
+	ids := a.group(s)
+	if len(ids) < 2 || a.outage || now < a.listed.Add(settle) {
+		return
+	}
+	if l := a.load[s]; l != nil {
+		l.decay(now)
+	}
+	moving := 0
+	for _, w := range a.tables[s] {
+		if w.Server == "" || w.releasing || !w.acked {
+			moving++
+		}
+	}
+	of, total := a.weights(s)
+	capacity := 0.0
+	for _, id := range ids {
+		capacity += a.capacity(id)
+	}
+	mean := total / capacity
+	ratio := func(id keys.Server) float64 { return of[id] / a.capacity(id) / mean }
+	for ; moving < maxMoves; moving++ {
+		hot := slices.MaxFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
+		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
+		empty := of[idle] == 0
+		if ratio(idle) > 1 || ratio(hot) < enter && !empty {
+			return
+		}
+		want := min(max(ratio(hot)-leave, 0.25)*a.capacity(hot), (leave-ratio(idle))*a.capacity(idle)) * mean
+		w, part := a.piece(s, hot, want)
+		if w == nil && empty {
+			w, part = a.half(s, hot)
+		}
+		if w == nil {
+			return
+		}
+		w.dest = idle
+		w.leave()
+		of[hot] -= part
+		of[idle] += part
+	}
+}
+
+// piece cuts off the narrowest stretch of a server's keys that has about the
+// wanted load. It returns nil if no stretch helps.
+func (a *Assigner) piece(s keys.Service, id keys.Server, want float64) (best *row, part float64) {
+	l := a.load[s]
+	if l == nil || want <= 0 {
+		return nil, 0
+	}
+	rows := 0
+	var from, to Key
+	width := math.Inf(1)
+	for _, w := range a.tables[s] {
+		if w.Server != id || w.releasing || !w.acked || w.calling {
+			continue
+		}
+		rows++
+		f, t, sum := l.stretch(w, want)
+		if sum >= want/3 && float64(t-f) < width {
+			best, from, to, part, width = w, f, t, sum, float64(t-f)
+		}
+	}
+	if best == nil || rows >= maxRows {
+		return nil, 0
+	}
+	return a.cut(s, best, from, to), part
+}
+
+// half cuts off the upper half of a server's widest range. A server that has
+// just joined gets it if there is too little load to choose by.
+func (a *Assigner) half(s keys.Service, id keys.Server) (part *row, load float64) {
+	var best *row
+	for _, w := range a.tables[s] {
+		if w.Server == id && !w.releasing && w.acked && !w.calling && (best == nil || w.width() > best.width()) {
+			best = w
+		}
+	}
+	if best == nil || best.From == best.To {
+		return nil, 0
+	}
+	mid := best.From + (best.To-best.From)/2 + 1
+	return a.cut(s, best, mid, best.To), minLoad * float64(best.To-mid) / float64(MaxKey)
+}
+
+// stretch returns the narrowest run of loaded keys of a row with at least the
+// wanted load, or all but the heaviest key if one alone has more.
+func (l *load) stretch(w *row, want float64) (from, to Key, sum float64) {
+	var ks []Key
+	for k := range l.keys {
+		if k >= w.From && k <= w.To {
+			ks = append(ks, k)
+		}
+	}
+	slices.Sort(ks)
+	best := math.Inf(1)
+	lo, acc := 0, 0.0
+	for _, k := range ks {
+		acc += l.keys[k]
+		for acc-l.keys[ks[lo]] >= want {
+			acc -= l.keys[ks[lo]]
+			lo++
+		}
+		// A run with far more than is wanted would only swap the roles.
+		if acc < want*0.6 || acc > want*1.5 {
+			continue
+		}
+		if d := float64(k - ks[lo]); d < best {
+			best, from, to, sum = d, ks[lo], k, acc
+		}
+	}
+	return from, to, sum
+}
+
+// cut splits a row so that the range from..to has a row of its own.
+func (a *Assigner) cut(s keys.Service, w *row, from, to Key) *row {
+	rows := a.tables[s]
+	i := slices.Index(rows, w)
+	parts := make([]*row, 0, 3)
+	if from > w.From {
+		left := *w
+		left.To = from - 1
+		parts = append(parts, &left)
+	}
+	mid := *w
+	mid.From, mid.To = from, to
+	parts = append(parts, &mid)
+	if to < w.To {
+		right := *w
+		right.From = to + 1
+		parts = append(parts, &right)
+	}
+	a.tables[s] = slices.Replace(rows, i, i+1, parts...)
+	return &mid
+}
+
+// merge joins neighbours with the same owner and fence.
+func (a *Assigner) merge(s keys.Service) {
+	rows := a.tables[s]
+	out := rows[:0]
+	for _, w := range rows {
+		if n := len(out); n > 0 && out[n-1].joins(w) {
+			p := out[n-1]
+			p.To = w.To
+			p.heldUntil, p.lateUntil = max(p.heldUntil, w.heldUntil), max(p.lateUntil, w.lateUntil)
+			p.callAt = min(p.callAt, w.callAt)
+			continue
+		}
+		out = append(out, w)
+	}
+	clear(rows[len(out):])
+	a.tables[s] = out
+}
+
+func (w *row) joins(o *row) bool {
+	return w.Server != "" && w.Server == o.Server && w.Born == o.Born && w.Fence == o.Fence &&
+		w.acked && o.acked && !w.calling && !o.calling && !w.releasing && !o.releasing &&
+		w.silent == 0 && o.silent == 0 && w.recorded == o.recorded
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/link"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Metrics counts requests and sends.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+	opened   prometheus.Counter
+	foreign  prometheus.Counter
+}
+
+// NewMetrics registers the relay's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnummux_requests_total", Help: "Callers' requests by service, reason of the outcome and status.",
+		}, []string{"service", "why", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "laburnummux_request_seconds", Help: "Time until the final answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
+		}, []string{"service"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnummux_sends_total", Help: "Requests sent to servers, by service and result.",
+		}, []string{"service", "result"}),
+		opened:  prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_connections_opened_total", Help: "Connections opened to servers."}),
+		foreign: prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_foreign_responses_total", Help: "Responses that belonged to another request."}),
+	}
+	reg.MustRegister(m.requests, m.latency, m.sends, m.opened, m.foreign)
+	return m
+}
+
+func (m *Metrics) request(s keys.Service, why string, status int, took clock.Span) {
+	if m == nil {
+		return
+	}
+	m.requests.WithLabelValues(string(s), why, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(string(s)).Observe(took.Std().Seconds())
+}
+
+func (m *Metrics) sent(s keys.Service, res link.Result) {
+	if m == nil {
+		return
+	}
+	result := strconv.Itoa(res.Status)
+	if res.Err != nil {
+		result = "error"
+	}
+	m.sends.WithLabelValues(string(s), result).Inc()
+	m.foreign.Add(float64(res.Skipped))
+	if res.Opened {
+		m.opened.Inc()
+	}
+}
