front: one watcher of the store per data centre, views from peers

Now the first live host of a data centre watches in turns of 1 s, the others fetch newer views from it and watch themselves when no view is fresh. Suspicions are sent apart, at most 24.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -170,6 +170,9 @@
 			c.pending.Add(-1)
 			break
 		}
+		// The last request of a connection is the first one that is read after
+		// the host has begun to leave. Those behind it are sent again elsewhere.
+		ex.close = ex.close || c.s.draining.Load()
 		c.out <- ex
 		go ex.run(c)
 		if ex.close {
@@ -366,9 +369,6 @@
 		return true
 	}
 	closed = a.Close || ex.close
-	if c.s.draining.Load() && c.pending.Load() == 1 && !c.reading.Load() {
-		closed = true // requests that were read behind this one are answered first
-	}
 	if closed {
 		c.closing.Store(true)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,9 +20,8 @@
 )
 
 // lapseGrace is how long a server outlives the loss of its entry in an outage
-// of the store. It must stay below the bound for leaving servers (2 s), which
-// holds for entries that vanish for any reason.
-const lapseGrace = 1500 * clock.Millisecond
+// of the store. Such entries are back about 2 s after the store is.
+const lapseGrace = 2500 * clock.Millisecond
 
 // Server is a backend server.
 type Server struct {
@@ -106,6 +105,14 @@
 	return list
 }
 
+// Entries returns the servers that have an entry, in the order of their names.
+func (v *View) Entries() []Server {
+	return slices.DeleteFunc(v.List(), func(sv Server) bool {
+		_, lapsed := v.lapsed[sv.ID]
+		return lapsed
+	})
+}
+
 // Get returns a server by its name.
 func (v *View) Get(id keys.Server) (Server, bool) {
 	sv, ok := v.servers[id]
--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -38,6 +38,7 @@
 		if time.Since(reported) >= reportEvery {
 			reported = time.Now()
 			h.report()
+			h.sendSuspects()
 		}
 		h.expire()
 		time.Sleep(beatGap)
@@ -56,8 +57,10 @@
 
 func (h *Host) sendBeat(seq uint64) {
 	now := h.clock.Now()
-	b := mesh.Beat{From: h.cfg.Settings.Host, Run: h.run, Seq: seq, IP: h.cfg.Settings.IP, Leaving: h.leaving.Load(), Term: h.duty.term()}
-	b.Busy, b.Waiting, b.Suspect = h.relay.Busy()
+	s := h.cfg.Settings
+	b := mesh.Beat{From: s.Host, Run: h.run, Seq: seq, IP: s.IP, DC: s.DC, Leaving: h.leaving.Load(), Term: h.duty.term()}
+	b.Busy, b.Waiting = h.relay.Busy()
+	b.Config, b.Servers, b.Fresh = h.versions(now)
 	h.members.mu.Lock()
 	b.Members = h.members.some(now)
 	b.Known, b.Version = h.members.tableVersion()
@@ -66,6 +69,13 @@
 	h.send(h.members.targets(now), mesh.Message{Beat: &b})
 }
 
+// sendSuspects tells the other hosts which requests may crash servers.
+func (h *Host) sendSuspects() {
+	if list := h.relay.Suspects(); len(list) > 0 {
+		h.send(h.members.everyone(h.clock.Now()), mesh.Message{Suspects: list})
+	}
+}
+
 // send sends a message to several hosts.
 func (h *Host) send(ips []string, msg mesh.Message) {
 	if len(ips) == 0 {
@@ -106,7 +116,11 @@
 func (h *Host) got(msg mesh.Message) {
 	if b := msg.Beat; b != nil {
 		h.members.beat(h.clock.Now(), b)
-		h.relay.Peer(b.From, b.Busy, b.Waiting, b.Suspect)
+		h.relay.Peer(b.From, b.Busy, b.Waiting)
+		h.offered()
+	}
+	if len(msg.Suspects) > 0 {
+		h.relay.Suspect(msg.Suspects)
 	}
 	if msg.Report != nil {
 		h.duty.report(msg.Report)
@@ -147,6 +161,6 @@
 	defer h.members.mu.Unlock()
 	now := h.clock.Now()
 	for name, ip := range ips {
-		h.members.named(now, name, ip)
+		h.members.named(now, name, ip, "")
 	}
 }
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -7,13 +7,15 @@
 )
 
 // configure puts a configuration in force, unless a newer one is.
-func (h *Host) configure(cfg *intent.Config) {
+func (h *Host) configure(cfg *intent.Config, rev uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.seen.configRev = max(h.seen.configRev, rev)
 	if old := h.relay.Config(); old != nil && old.Version() >= cfg.Version() {
 		return
 	}
 	h.relay.Configure(cfg)
 	h.log.Info("configuration", zap.Uint64("version", cfg.Version()), zap.Int("routes", cfg.Routes()))
 	h.duty.changed()
+	h.changed()
 }
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -440,5 +440,5 @@
 	d.h.metrics.moved.Set(d.a.Moved())
 	d.h.tables(tables)
 	d.resent = d.now()
-	d.h.send(d.h.members.targets(d.h.clock.Now()), mesh.Message{Tables: tables})
+	d.h.send(d.h.members.everyone(d.h.clock.Now()), mesh.Message{Tables: tables})
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -71,9 +71,11 @@
 	listed   bool // the servers are known
 	storeBad clock.Time
 	storeUp  bool
+	seen     seen
 
 	leaving atomic.Bool
 	change  chan struct{} // the number of requests at servers has changed
+	newer   chan struct{} // another host may have a newer view
 	stop    context.CancelFunc
 	stopped chan struct{}
 	front   net.Listener
@@ -88,7 +90,7 @@
 	}
 	h := &Host{
 		cfg: cfg, clock: clock.System(), run: time.Now().UnixMilli(), log: cfg.Log, settings: cfg.Settings,
-		view: fleet.NewView(), change: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
+		view: fleet.NewView(), change: make(chan struct{}, 1), newer: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
 	}
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
@@ -99,7 +101,7 @@
 		Metrics: relay.NewMetrics(cfg.Registry),
 	})
 	h.callers = caller.New(caller.Config{Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log})
-	h.members = newMembers(s.Host, s.IP, s.Seeds)
+	h.members = newMembers(s)
 	h.duty = newDuty(h)
 	return h
 }
@@ -142,6 +144,7 @@
 	root.Add("beat", h.beat)
 	root.Add("config", h.watchConfig)
 	root.Add("servers", h.watchServers)
+	root.Add("view", h.fetchViews)
 	root.Add("duty", h.duty.run)
 	root.Add("join", h.join)
 	root.Add("reload", h.reload)
@@ -193,8 +196,12 @@
 	h.changed()
 	time.Sleep(outOfRotation)
 	end := began.Add(h.cfg.Settings.Grace.Std() - stopReserve)
+	refuse := end.Add(-stopReserve)
 	for h.callers.Open() > 0 && time.Now().Before(end) {
 		h.callers.Shut()
+		if time.Now().After(refuse) {
+			h.relay.Stop() // what still waits can be served elsewhere
+		}
 		time.Sleep(stopPoll)
 	}
 	h.log.Info("stopped", zap.Int("connections", h.callers.Open()), zap.Duration("took", time.Since(began)))
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -63,6 +63,7 @@
 	ready.HandleFunc(h.cfg.ReadyPath, h.ready).Methods(http.MethodGet)
 	control := mux.NewRouter()
 	control.HandleFunc("/dump", h.dump).Methods(http.MethodGet)
+	control.HandleFunc(viewPath, h.serveView).Methods(http.MethodGet)
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", promhttp.HandlerFor(h.cfg.Registry, promhttp.HandlerOpts{}))
 	for addr, handler := range map[string]http.Handler{s.Ready: ready, s.Control: control, s.Metrics: metrics} {
@@ -111,7 +112,7 @@
 	if c := h.relay.Config(); c != nil {
 		d.Config = c.Version()
 	}
-	d.Busy, d.Waiting, _ = h.relay.Busy()
+	d.Busy, d.Waiting = h.relay.Busy()
 	h.members.mu.Lock()
 	d.Tables = h.members.tables
 	b, err := json.Marshal(d)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -20,6 +20,9 @@
 	// forgetAfter is when a silent host is no longer known. It bounds how long
 	// a lost host takes part of the retry budget.
 	forgetAfter = 60 * clock.Second
+	// awayGap is the shortest time between two beats to a host in another data
+	// centre.
+	awayGap = 190 * clock.Millisecond
 	// namedMax is how many other hosts a beat names.
 	namedMax = 8
 )
@@ -36,11 +39,17 @@
 	term    uint64 // of its role, if it is the assigner
 	known   uint64 // term of its tables
 	version uint64
+	dc      keys.DataCentre
+	config  uint64     // version of its configuration
+	servers uint64     // revision of its list of servers
+	avoid   clock.Time // its view could not be fetched; not asked until then
+	fresh   clock.Span // since the store had confirmed both when it was heard
 }
 
 // members are the other hosts, as far as they are known.
 type members struct {
 	self  keys.Host
+	dc    keys.DataCentre
 	ip    string
 	mu    sync.Mutex
 	seeds []string
@@ -52,18 +61,18 @@
 	heard    clock.Time // when the assigner was last heard
 }
 
-func newMembers(self keys.Host, ip string, seeds []string) *members {
-	return &members{self: self, ip: ip, seeds: seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
+func newMembers(s Settings) *members {
+	return &members{self: s.Host, dc: s.DC, ip: s.IP, seeds: s.Seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
 }
 
 // named adds a host that another one has named.
-func (ms *members) named(now clock.Time, name keys.Host, ip string) {
+func (ms *members) named(now clock.Time, name keys.Host, ip string, dc keys.DataCentre) {
 	if name == ms.self || ip == ms.ip || ip == "" {
 		return
 	}
 	m := ms.all[name]
 	if m == nil {
-		ms.all[name] = &member{name: name, ip: ip, told: now}
+		ms.all[name] = &member{name: name, ip: ip, dc: dc, told: now, fresh: -1}
 		return
 	}
 	if now.Sub(m.heard) > quietAfter {
@@ -88,8 +97,9 @@
 	}
 	m.ip, m.run, m.heard, m.told, m.leaving = b.IP, b.Run, now, now, b.Leaving
 	m.term, m.known, m.version = b.Term, b.Known, b.Version
+	m.dc, m.config, m.servers, m.fresh = b.DC, b.Config, b.Servers, b.Fresh
 	for _, o := range b.Members {
-		ms.named(now, o.Host, o.IP)
+		ms.named(now, o.Host, o.IP, o.DC)
 	}
 	switch {
 	case b.Term > 0 && b.Term >= ms.term:
@@ -122,7 +132,9 @@
 	return term, version
 }
 
-// targets returns the addresses that are due for a beat.
+// targets returns the addresses that are due for a beat. Hosts in other data
+// centres get fewer: bytes between data centres are expensive, and most
+// requests stay in their own.
 func (ms *members) targets(now clock.Time) (ips []string) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
@@ -133,7 +145,14 @@
 			continue
 		}
 		known[m.ip] = true
-		if now.Sub(m.heard) > quietAfter && now.Sub(m.sent) < clock.Second {
+		gap := clock.Span(0)
+		if m.dc != ms.dc {
+			gap = awayGap
+		}
+		if now.Sub(m.heard) > quietAfter {
+			gap = clock.Second
+		}
+		if now.Sub(m.sent) < gap {
 			continue
 		}
 		m.sent = now
@@ -151,7 +170,7 @@
 func (ms *members) some(now clock.Time) (out []mesh.Member) {
 	for _, m := range ms.all {
 		if now.Sub(m.heard) < quietAfter && m.heard != 0 {
-			out = append(out, mesh.Member{Host: m.name, IP: m.ip})
+			out = append(out, mesh.Member{Host: m.name, IP: m.ip, DC: m.dc})
 		}
 	}
 	if len(out) > namedMax {
@@ -191,6 +210,18 @@
 	return st
 }
 
+// everyone returns the addresses of all hosts that were heard lately.
+func (ms *members) everyone(now clock.Time) (ips []string) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if m.heard != 0 && now.Sub(m.heard) < quietAfter {
+			ips = append(ips, m.ip)
+		}
+	}
+	return ips
+}
+
 // leader returns the assigner, its address and when it was last heard.
 func (ms *members) leader() (name keys.Host, ip string, term uint64, heard clock.Time) {
 	ms.mu.Lock()
@@ -222,3 +253,57 @@
 	}
 	return ips
 }
+
+// watchers reports whether this host comes first in its data centre, and how
+// old the freshest view of another live host is, or -1 if none watches.
+func (ms *members) watchers(now clock.Time) (first bool, fresh clock.Span) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	first, fresh = true, -1
+	for _, m := range ms.all {
+		if m.heard == 0 || now.Sub(m.heard) > aliveFor {
+			continue
+		}
+		if m.dc == ms.dc && !m.leaving && m.name < ms.self {
+			first = false
+		}
+		if m.fresh < 0 {
+			continue
+		}
+		if age := m.fresh + now.Sub(m.heard); fresh < 0 || age < fresh {
+			fresh = age
+		}
+	}
+	return first, fresh
+}
+
+// newer returns the address of a live host with a newer view, or "". near
+// restricts it to the own data centre.
+func (ms *members) newer(now clock.Time, config, servers uint64, near bool) (ip string) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if m.heard == 0 || now.Sub(m.heard) > aliveFor || near && m.dc != ms.dc || now < m.avoid {
+			continue
+		}
+		if m.config > config || m.servers > servers {
+			ip = m.ip
+			if m.dc == ms.dc {
+				return ip
+			}
+		}
+	}
+	return ip
+}
+
+// unreachable notes that a host's view couldn't be fetched.
+func (ms *members) unreachable(now clock.Time, ip string) {
+	const avoid = clock.Second
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if m.ip == ip {
+			m.avoid = now.Add(avoid)
+		}
+	}
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -14,9 +14,23 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. Each one is a priced
-	// call; silent connections are noticed by keep-alive probes, not by it.
-	watchWait = 15 * clock.Second
+	// watchWait is how long a watch waits for a change. It bounds how long a
+	// host is wrong about being in touch with the store, and how long a watch
+	// that hears nothing goes unnoticed.
+	watchWait = clock.Second
+	// serversGap is the pause after changes of servers. Entries often change
+	// in groups, and every answer of a watch is a priced call.
+	serversGap = 100 * time.Millisecond
+	// staleAfter is the age of the freshest known view from which on a host
+	// watches the store itself. It leaves time for the call within the bound
+	// of 2 s for configurations and leaving servers.
+	staleAfter = 1350 * clock.Millisecond
+	// peersFirst is how long a new process waits for other hosts' views before
+	// it asks the store.
+	peersFirst = 400 * clock.Millisecond
+	// followPoll is how often a host that doesn't watch checks whether it
+	// should.
+	followPoll = 50 * time.Millisecond
 	// storePauseMin and storePauseMax bound the pause after a failed call.
 	storePauseMin = 100 * time.Millisecond
 	storePauseMax = 800 * time.Millisecond
@@ -30,11 +44,54 @@
 	massShare = 0.2
 )
 
+// seen is how far this host has seen the store. h.mu guards it.
+type seen struct {
+	configRev   uint64     // of the configuration
+	serversRev  uint64     // of the last change of the servers
+	configAt    clock.Time // when the store last confirmed the configuration
+	serversAt   clock.Time // and the servers
+	configOnce  bool       // it has confirmed it at least once
+	serversOnce bool
+}
+
+// fresh returns how old the confirmation by the store is, or -1 without one.
+func (s seen) fresh(now clock.Time) clock.Span {
+	if !s.configOnce || !s.serversOnce {
+		return -1
+	}
+	return now.Sub(min(s.configAt, s.serversAt))
+}
+
+// versions returns what a beat says of this host's view.
+func (h *Host) versions(now clock.Time) (config, servers uint64, fresh clock.Span) {
+	if c := h.relay.Config(); c != nil {
+		config = c.Version()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return config, h.seen.serversRev, h.seen.fresh(now)
+}
+
+// watches reports whether this host has to watch the store itself: it comes
+// first among the live hosts of its data centre, or no other host has a fresh
+// view.
+func (h *Host) watches() bool {
+	now := h.clock.Now()
+	first, fresh := h.members.watchers(now)
+	if now < clock.Time(peersFirst) {
+		return false
+	}
+	return first || fresh < 0 || fresh > staleAfter
+}
+
 // pause waits after a failed call, longer each time, and not all hosts at the
 // same moment.
 func pause(ctx context.Context, fails int) {
 	d := min(storePauseMin<<min(fails, 4), storePauseMax)
-	d = d/2 + rand.N(d/2)
+	sleep(ctx, d/2+rand.N(d/2))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
@@ -59,24 +116,33 @@
 	}
 }
 
-// watchConfig keeps the configuration in force.
-func (h *Host) watchConfig(ctx context.Context) error {
+// follow calls next while this host has to watch the store. next returns the
+// revision to go on from; 0 means to read everything again.
+func (h *Host) follow(ctx context.Context, what string, next func(ctx context.Context, rev uint64) (uint64, error)) error {
 	var rev uint64
 	fails := 0
 	for ctx.Err() == nil {
-		err := h.nextConfig(ctx, &rev)
+		if !h.watches() {
+			rev = 0
+			sleep(ctx, followPoll)
+			continue
+		}
+		n, err := next(ctx, rev)
 		if ctx.Err() != nil {
 			return nil
 		}
 		h.storeResult(err)
 		if err == nil {
-			fails = 0
+			rev, fails = n, 0
 			continue
 		}
-		h.log.Debug("configuration watch ended", zap.Error(err))
+		h.log.Info("watch ended", zap.String("what", what), zap.Uint64("rev", rev), zap.Error(err))
 		if errors.Is(err, ErrHistory) {
 			rev = 0
-			continue
+			if fails == 0 {
+				fails++
+				continue
+			}
 		}
 		// A watch may be cut off at any time; the next one continues from the
 		// same revision.
@@ -86,95 +152,112 @@
 	return nil
 }
 
-func (h *Host) nextConfig(ctx context.Context, rev *uint64) error {
-	get := h.cfg.Store.Config
-	if *rev != 0 {
-		cfg, next, err := h.cfg.Store.WatchConfig(ctx, *rev, watchWait)
+// watchConfig keeps the configuration in force.
+func (h *Host) watchConfig(ctx context.Context) error {
+	return h.follow(ctx, "configuration", h.nextConfig)
+}
+
+func (h *Host) nextConfig(ctx context.Context, rev uint64) (next uint64, err error) {
+	began := h.clock.Now()
+	if rev == 0 {
+		cfg, next, err := h.cfg.Store.Config(ctx)
 		if err != nil {
-			return err
-		}
-		*rev = next
-		if cfg != nil {
-			h.configure(cfg)
+			return 0, err
 		}
-		return nil
+		h.configure(cfg, next)
+		h.confirmConfig(began)
+		return next, nil
 	}
-	cfg, next, err := get(ctx)
+	cfg, next, err := h.cfg.Store.WatchConfig(ctx, rev, watchWait)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	*rev = next
-	h.configure(cfg)
-	return nil
+	if cfg != nil {
+		h.configure(cfg, next)
+	}
+	h.confirmConfig(h.clock.Now())
+	return next, nil
+}
+
+func (h *Host) confirmConfig(at clock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen.configAt, h.seen.configOnce = at, true
 }
 
 // watchServers keeps the list of servers.
 func (h *Host) watchServers(ctx context.Context) error {
-	var rev uint64
-	fails := 0
-	for ctx.Err() == nil {
-		err := h.nextServers(ctx, &rev)
-		if ctx.Err() != nil {
-			return nil
-		}
-		h.storeResult(err)
-		if err == nil {
-			fails = 0
-			continue
-		}
-		h.log.Debug("server watch ended", zap.Error(err))
-		if errors.Is(err, ErrHistory) {
-			rev = 0
-			continue
-		}
-		pause(ctx, fails)
-		fails++
-	}
-	return nil
+	return h.follow(ctx, "servers", h.nextServers)
 }
 
-func (h *Host) nextServers(ctx context.Context, rev *uint64) error {
-	if *rev == 0 {
+func (h *Host) nextServers(ctx context.Context, rev uint64) (next uint64, err error) {
+	began := h.clock.Now()
+	if rev == 0 {
 		list, next, err := h.cfg.Store.Servers(ctx)
 		if err != nil {
-			return err
+			return 0, err
 		}
-		*rev = next
-		h.mu.Lock()
-		now := h.clock.Now()
-		seen := make(map[keys.Server]bool, len(list))
-		for _, sv := range list {
-			seen[sv.ID] = true
-		}
-		lost := 0
-		for _, sv := range h.view.List() {
-			if !seen[sv.ID] && !sv.Draining {
-				lost++
-			}
-		}
-		h.view.Replace(now, list, h.outage(now, lost))
-		h.listed = true
-		h.mu.Unlock()
-		h.servers()
-		return nil
+		h.replace(list, next, false)
+		h.confirmServers(began)
+		return next, nil
 	}
-	evs, next, err := h.cfg.Store.WatchServers(ctx, *rev, watchWait)
+	evs, next, err := h.cfg.Store.WatchServers(ctx, rev, watchWait)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	if len(evs) > 0 {
+		h.apply(evs, next)
 	}
-	*rev = next
-	if len(evs) == 0 {
-		return nil
+	h.confirmServers(h.clock.Now())
+	if len(evs) > 0 {
+		h.servers()
+		sleep(ctx, serversGap)
+	}
+	return next, nil
+}
+
+func (h *Host) confirmServers(at clock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen.serversAt, h.seen.serversOnce = at, true
+}
+
+// replace takes a complete list as of a revision. outage means that another
+// host has seen the store fail.
+func (h *Host) replace(list []fleet.Server, rev uint64, outage bool) {
+	h.mu.Lock()
+	if rev < h.seen.serversRev {
+		h.mu.Unlock()
+		return
 	}
-	h.apply(evs)
+	now := h.clock.Now()
+	has := make(map[keys.Server]bool, len(list))
+	for _, sv := range list {
+		has[sv.ID] = true
+	}
+	lost := 0
+	for _, sv := range h.view.List() {
+		if !has[sv.ID] && !sv.Draining {
+			lost++
+			h.log.Info("server entry is gone", zap.String("server", string(sv.ID)), zap.Bool("outage", outage))
+		}
+	}
+	h.view.Replace(now, list, outage || h.outage(now, lost))
+	h.listed = true
+	h.seen.serversRev = rev
+	h.mu.Unlock()
 	h.servers()
-	return nil
+	h.changed()
 }
 
 // apply changes the view by the events of a watch.
-func (h *Host) apply(evs []ServerEvent) {
+func (h *Host) apply(evs []ServerEvent, rev uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if rev <= h.seen.serversRev {
+		return // another host's list was newer
+	}
+	h.seen.serversRev = rev
 	now := h.clock.Now()
 	lost := 0
 	for _, ev := range evs {
@@ -196,6 +279,7 @@
 				zap.Bool("draining", ev.Server.Draining), zap.Int64("born", ev.Server.Born))
 		}
 	}
+	h.changed()
 }
 
 // outage reports whether entries that vanish now may have lapsed because the
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	cfg := intent.New(version, routes, services, limits)
+//	cfg := intent.New(intent.Document{Version: 7, Routes: routes, Services: services, Limits: limits})
 //	if rt := cfg.Match(host, path); rt != nil {
 //		service := rt.Pick(n)
 //	}
@@ -67,8 +67,17 @@
 	Idle        clock.Span // how long a connection may be idle
 }
 
+// Document is a configuration in a form that can be encoded.
+type Document struct {
+	Version  uint64    `cbor:"1,keyasint"`
+	Routes   []Route   `cbor:"2,keyasint"`
+	Services []Service `cbor:"3,keyasint"`
+	Limits   Limits    `cbor:"4,keyasint"`
+}
+
 // Config is one version of the configuration.
 type Config struct {
+	doc      Document
 	version  uint64
 	routes   map[string][]*Route // by host name, longest prefix first
 	services map[keys.Service]Service
@@ -76,29 +85,33 @@
 	count    int
 }
 
-// New returns a Config.
-func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
+// New returns a Config. The document must not be changed afterwards.
+func New(doc Document) *Config {
 	c := &Config{
-		version:  version,
+		doc:      doc,
+		version:  doc.Version,
 		routes:   make(map[string][]*Route),
-		services: make(map[keys.Service]Service, len(services)),
-		limits:   limits,
-		count:    len(routes),
+		services: make(map[keys.Service]Service, len(doc.Services)),
+		limits:   doc.Limits,
+		count:    len(doc.Routes),
 	}
-	for i := range routes {
-		rt := &routes[i]
+	for i := range doc.Routes {
+		rt := &doc.Routes[i]
 		host := strings.ToLower(rt.Host)
 		c.routes[host] = append(c.routes[host], rt)
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for _, s := range services {
+	for _, s := range doc.Services {
 		c.services[s.Name] = s
 	}
 	return c
 }
 
+// Document returns the configuration's document.
+func (c *Config) Document() Document { return c.doc }
+
 // Version increases with each change.
 func (c *Config) Version() uint64 { return c.version }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -32,6 +33,8 @@
 	Beat   *Beat         `cbor:"1,keyasint,omitempty"`
 	Report *Report       `cbor:"2,keyasint,omitempty"`
 	Tables []owner.Table `cbor:"3,keyasint,omitempty"`
+	// Suspects are requests that may crash servers.
+	Suspects []retry.Suspicion `cbor:"4,keyasint,omitempty"`
 }
 
 // Beat says how a host is.
@@ -47,13 +50,17 @@
 	Busy    map[keys.Server]int  `cbor:"9,keyasint,omitempty"`
 	Waiting map[keys.Service]int `cbor:"10,keyasint,omitempty"`
 	Members []Member             `cbor:"11,keyasint,omitempty"` // some of those that it knows
-	Suspect []retry.Suspicion    `cbor:"12,keyasint,omitempty"`
+	Config  uint64               `cbor:"13,keyasint,omitempty"` // version of its configuration
+	Servers uint64               `cbor:"14,keyasint,omitempty"` // revision of its list of servers
+	Fresh   clock.Span           `cbor:"15,keyasint"`           // since the store has confirmed both to it; negative: it doesn't watch
+	DC      keys.DataCentre      `cbor:"16,keyasint,omitempty"`
 }
 
 // Member is a host as others name it.
 type Member struct {
-	Host keys.Host `cbor:"1,keyasint"`
-	IP   string    `cbor:"2,keyasint"`
+	Host keys.Host       `cbor:"1,keyasint"`
+	IP   string          `cbor:"2,keyasint"`
+	DC   keys.DataCentre `cbor:"3,keyasint"`
 }
 
 // Report tells the assigner what a host has observed since its last report.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -36,7 +36,7 @@
 	extra = 1
 	// awayCost is added to the score of a server in another data centre, in
 	// units of a mean request. Bytes between data centres are expensive.
-	awayCost = 0.25
+	awayCost = 0.6
 	// coldFactor is how much slower a server is that has just started.
 	coldFactor = 2.0
 	// failWeight is the weight of the last result in a server's failure rate.
@@ -106,6 +106,7 @@
 	WaitedOut            // waited-out
 	NoServer             // no-server
 	NoOwner              // no-owner
+	Stopping             // stopping
 )
 
 // Result is the end of a request at a server.
@@ -153,6 +154,7 @@
 	peers    map[keys.Host]*peer
 	tables   map[keys.Service]owner.Table
 	turn     int
+	stopped  bool
 }
 
 // New returns the state of a host in a data centre.
@@ -249,6 +251,9 @@
 // Offer takes a request. The actions may start or refuse it at once, and start
 // others.
 func (s *State) Offer(now clock.Time, r Request) []Action {
+	if s.stopped {
+		return []Action{Refuse{ID: r.ID, Why: Stopping, After: retryMin}}
+	}
 	x := s.service(r.Service)
 	if wait := s.expected(x, r); now.Add(wait) > s.limit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, After: after(wait)}}
@@ -475,6 +480,19 @@
 	return acts
 }
 
+// Stop refuses all requests that wait, and from now on every new one: the host
+// ends.
+func (s *State) Stop() (acts []Action) {
+	s.stopped = true
+	for _, x := range s.services {
+		for _, r := range x.queue {
+			acts = append(acts, Refuse{ID: r.ID, Why: Stopping, After: retryMin})
+		}
+		x.queue = nil
+	}
+	return acts
+}
+
 // why explains a refusal after a wait.
 func (s *State) why(r *Request) Why {
 	switch {
--- a/internal/place/why_string.go
+++ b/internal/place/why_string.go
@@ -12,11 +12,12 @@
 	_ = x[WaitedOut-1]
 	_ = x[NoServer-2]
 	_ = x[NoOwner-3]
+	_ = x[Stopping-4]
 }
 
-const _Why_name = "queue-fullwaited-outno-serverno-owner"
+const _Why_name = "queue-fullwaited-outno-serverno-ownerstopping"
 
-var _Why_index = [...]uint8{0, 10, 20, 29, 37}
+var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45}
 
 func (i Why) String() string {
 	idx := int(i) - 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,8 +15,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,14 +131,31 @@
 }
 
 // Peer takes another host's requests.
-func (r *Relay) Peer(h keys.Host, busy map[keys.Server]int, waiting map[keys.Service]int, suspects []retry.Suspicion) {
+func (r *Relay) Peer(h keys.Host, busy map[keys.Server]int, waiting map[keys.Service]int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.cfg.Clock.Now()
-	if len(suspects) > 0 {
-		r.suspect.Import(now, suspects)
-	}
-	r.deliver(r.place.Peer(now, h, busy, waiting))
+	r.deliver(r.place.Peer(r.cfg.Clock.Now(), h, busy, waiting))
+}
+
+// suspectsMax is the most suspicions that are told at a time.
+const suspectsMax = 24
+
+// Suspects returns the requests that most probably crash servers.
+func (r *Relay) Suspects() []retry.Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := slices.DeleteFunc(r.suspect.Export(r.cfg.Clock.Now()), func(s retry.Suspicion) bool { return s.Crashes == 0 && !s.Quarantined })
+	slices.SortStableFunc(list, func(a, b retry.Suspicion) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.Left, a.Left))
+	})
+	return list[:min(len(list), suspectsMax)]
+}
+
+// Suspect takes the suspicions of another host.
+func (r *Relay) Suspect(list []retry.Suspicion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspect.Import(r.cfg.Clock.Now(), list)
 }
 
 // Hosts sets the number of hosts that share the retry budget.
@@ -146,13 +165,18 @@
 	r.hosts = n
 }
 
-// Busy returns this host's requests at each server and in each queue, and the
-// requests that are suspected of crashing servers.
-func (r *Relay) Busy() (busy map[keys.Server]int, waiting map[keys.Service]int, suspects []retry.Suspicion) {
+// Busy returns this host's requests at each server and in each queue.
+func (r *Relay) Busy() (busy map[keys.Server]int, waiting map[keys.Service]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.place.Busy()
+}
+
+// Stop refuses the requests that wait for a server, and those that come later.
+func (r *Relay) Stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	busy, waiting = r.place.Busy()
-	return busy, waiting, r.suspect.Export(r.cfg.Clock.Now())
+	r.deliver(r.place.Stop())
 }
 
 // Observed returns what was observed since the last call, for the assigner.
