--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -16,7 +16,9 @@
 	// under load.
 	beatGap = 8 * time.Millisecond
 	// reportEvery is the period of reports to the assigner.
-	reportEvery = 500 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
+	// gossipEvery is the period in which a host names others and suspicions.
+	gossipEvery = time.Second
 	// joinEvery is the period in which a host that hears few others asks the
 	// store for their addresses.
 	joinEvery = 3 * time.Second
@@ -25,7 +27,7 @@
 // beat tells the other hosts how this one is, at once after changes.
 func (h *Host) beat(ctx context.Context) error {
 	var seq uint64
-	var reported time.Time
+	var reported, gossiped time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,10 +36,13 @@
 		case <-time.After(beatEvery):
 		}
 		seq++
-		h.sendBeat(seq)
+		h.sendBeat(seq, time.Since(gossiped) >= gossipEvery)
 		if time.Since(reported) >= reportEvery {
 			reported = time.Now()
 			h.report()
+		}
+		if time.Since(gossiped) >= gossipEvery {
+			gossiped = time.Now()
 			h.sendSuspects()
 		}
 		h.expire()
@@ -55,14 +60,16 @@
 	}
 }
 
-func (h *Host) sendBeat(seq uint64) {
+func (h *Host) sendBeat(seq uint64, gossip bool) {
 	now := h.clock.Now()
 	s := h.cfg.Settings
 	b := mesh.Beat{From: s.Host, Run: h.run, Seq: seq, IP: s.IP, DC: s.DC, Leaving: h.leaving.Load(), Term: h.duty.term()}
 	b.Busy, b.Waiting = h.relay.Busy()
 	b.Config, b.Servers, b.Fresh = h.versions(now)
 	h.members.mu.Lock()
-	b.Members = h.members.some(now)
+	if gossip {
+		b.Members = h.members.some(now)
+	}
 	b.Known, b.Version = h.members.tableVersion()
 	h.relay.Hosts(len(h.members.all) + 1)
 	h.members.mu.Unlock()
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -23,6 +23,9 @@
 	// awayGap is the shortest time between two beats to a host in another data
 	// centre.
 	awayGap = 190 * clock.Millisecond
+	// watchersMax is the number of data centres with a host that watches the
+	// store. A second one goes on while the first is cut off.
+	watchersMax = 2
 	// namedMax is how many other hosts a beat names.
 	namedMax = 8
 )
@@ -254,18 +257,25 @@
 	return ips
 }
 
-// watchers reports whether this host comes first in its data centre, and how
-// old the freshest view of another live host is, or -1 if none watches.
+// watchers reports whether this host is one of those that watch the store: the
+// first live host of each of the first data centres. fresh is the age of the
+// freshest view of another live host, or -1 if none watches.
 func (ms *members) watchers(now clock.Time) (first bool, fresh clock.Span) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	first, fresh = true, -1
+	before := make(map[keys.DataCentre]bool)
 	for _, m := range ms.all {
 		if m.heard == 0 || now.Sub(m.heard) > aliveFor {
 			continue
 		}
-		if m.dc == ms.dc && !m.leaving && m.name < ms.self {
-			first = false
+		if !m.leaving {
+			if m.dc == ms.dc && m.name < ms.self {
+				first = false
+			}
+			if m.dc < ms.dc {
+				before[m.dc] = true
+			}
 		}
 		if m.fresh < 0 {
 			continue
@@ -274,7 +284,7 @@
 			fresh = age
 		}
 	}
-	return first, fresh
+	return first && len(before) < watchersMax, fresh
 }
 
 // newer returns the address of a live host with a newer view, or "". near
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -53,10 +53,11 @@
 
 // Service is a group of servers that serve the same requests.
 type Service struct {
-	Name  keys.Service
-	Conns int        // connections that a server accepts from all hosts together
-	Keyed bool       // a server runs only requests whose key it owns
-	Warm  clock.Span // how long a key is slow at a new owner without a handover
+	Name   keys.Service
+	Health string     // path that tells whether a server is healthy
+	Conns  int        // connections that a server accepts from all hosts together
+	Keyed  bool       // a server runs only requests whose key it owns
+	Warm   clock.Span // how long a key is slow at a new owner without a handover
 }
 
 // Limits bound what callers send and how long they take.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -48,6 +48,11 @@
 	// idleMargin is how much earlier than the server an unused connection is
 	// given up, so that a request never meets the server's close.
 	idleMargin = 1500 * time.Millisecond
+	// probesMax is how many times in a row an unused connection is kept open,
+	// probeBefore how long before its end, and probeTimeout bounds the wait.
+	probesMax    = 2
+	probeBefore  = 1100 * time.Millisecond
+	probeTimeout = 2 * time.Second
 	// answerMax bounds the body of a response.
 	answerMax = 64 << 20
 	// skipMax is how many responses to other requests are skipped on a
@@ -94,8 +99,8 @@
 type conn struct {
 	net.Conn
 	br     *bufio.Reader
-	idle   time.Time
 	expiry time.Time
+	probes int // sent since its last request
 }
 
 // Pool has the connections to one server.
@@ -120,22 +125,56 @@
 	p.idle = nil
 }
 
-// Sweep closes connections that have been unused for too long.
-func (p *Pool) Sweep(now time.Time) {
+// Sweep closes connections that have been unused for too long. The one that
+// was used last is kept open by asking the server for its health at the given
+// path, a few times: that costs less than a new connection.
+func (p *Pool) Sweep(ctx context.Context, now time.Time, health string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left := p.idle[:0]
-	for _, c := range p.idle {
-		if now.Before(c.expiry) {
+	for i, c := range p.idle {
+		last := i == len(p.idle)-1
+		switch {
+		case !now.Before(c.expiry):
+			c.Close()
+		case last && health != "" && c.probes < probesMax && c.expiry.Sub(now) <= probeBefore:
+			c.probes++
+			pr := &probe{p: p, c: c, path: health}
+			go pr.run(ctx)
+		default:
 			left = append(left, c)
-			continue
 		}
-		c.Close()
 	}
 	clear(p.idle[len(left):])
 	p.idle = left
 }
 
+// probe keeps a connection open with a health request.
+type probe struct {
+	p    *Pool
+	c    *conn
+	path string
+}
+
+func (pr *probe) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if !pr.c.quiet() {
+		pr.c.Close()
+		return
+	}
+	var res Result
+	stop := context.AfterFunc(ctx, func() { pr.c.Close() })
+	keep := pr.p.exchange(pr.c, Request{Method: http.MethodGet, Target: pr.path, Host: pr.p.addr, Mine: anyAnswer}, &res)
+	if !stop() || !keep || res.Status != http.StatusOK || pr.c.br.Buffered() > 0 {
+		pr.c.Close()
+		return
+	}
+	pr.p.put(pr.c)
+}
+
+func anyAnswer(http.Header) bool { return true }
+
 // take returns an unused connection that is still good, or nil.
 func (p *Pool) take(now time.Time) *conn {
 	p.mu.Lock()
@@ -144,6 +183,7 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if now.Before(c.expiry) && c.quiet() {
+			c.probes = 0
 			return c
 		}
 		c.Close()
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -11,13 +11,19 @@
 
 const (
 	// balanceEvery is the period of decisions about load.
-	balanceEvery = 500 * clock.Millisecond
+	balanceEvery = 250 * clock.Millisecond
 	// halfLife of the observed load. Hot keys change within seconds.
 	halfLife = 2 * clock.Second
 	// enter is the ratio of a server's load to its share above which ranges
 	// are moved away; leave is the ratio that a move aims at.
-	enter = 1.35
+	enter = 1.3
 	leave = 1.05
+	// busyFrom is the part of a server's slots that must be in use until
+	// ranges are moved away: below it requests hardly wait for each other.
+	busyFrom = 0.35
+	// doubt is the number of standard deviations by which a load must exceed
+	// its share. Loads are estimated from few requests.
+	doubt = 1.5
 	// minLoad is the load of a service, in busy slots, below which nothing is
 	// moved.
 	minLoad = 1.0
@@ -26,6 +32,8 @@
 	maxMoves = 4
 	// maxRows bounds the ranges of a server, each of which is renewed alone.
 	maxRows = 12
+	// unitWeight is the weight of one observation of what a request adds.
+	unitWeight = 0.02
 	// speedWeight is the weight of one observation of a server's speed.
 	speedWeight = 0.05
 )
@@ -34,6 +42,7 @@
 type load struct {
 	at   clock.Time
 	keys map[Key]float64
+	unit float64 // what one request adds
 }
 
 // speed is the time that a server takes, relative to the mean of its service.
@@ -64,7 +73,9 @@
 	// A steady load of one busy slot converges to 1.
 	gain := math.Ln2 / float64(halfLife)
 	for _, b := range busy {
-		l.keys[b.Key] += float64(b.Time) * gain
+		x := float64(b.Time) * gain
+		l.keys[b.Key] += x
+		l.unit += unitWeight * (x - l.unit)
 	}
 }
 
@@ -226,7 +237,7 @@
 		hot := slices.MaxFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := of[idle] == 0
-		if ratio(idle) > 1 || ratio(hot) < enter && !empty {
+		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, of[hot], mean) {
 			return
 		}
 		want := min(max(ratio(hot)-leave, 0.25)*a.capacity(hot), (leave-ratio(idle))*a.capacity(idle)) * mean
@@ -244,6 +255,20 @@
 	}
 }
 
+// overloaded reports whether a server's load is above its share by more than
+// chance explains.
+func (a *Assigner) overloaded(s keys.Service, id keys.Server, x, mean float64) bool {
+	share := a.capacity(id) * mean
+	if x < enter*share || x < busyFrom*a.capacity(id) {
+		return false
+	}
+	unit := 0.0
+	if l := a.load[s]; l != nil {
+		unit = l.unit
+	}
+	return x-share > doubt*math.Sqrt(x*unit)
+}
+
 // piece cuts off the narrowest stretch of a server's keys that has about the
 // wanted load. It returns nil if no stretch helps.
 func (a *Assigner) piece(s keys.Service, id keys.Server, want float64) (best *row, part float64) {
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -56,6 +56,7 @@
 	tried   []keys.Server // in order
 	maybe   bool          // a server may have run it
 	queued  clock.Span    // time spent waiting for a server
+	opened  bool          // a new connection was opened for it
 	lastErr error
 }
 
@@ -110,6 +111,9 @@
 	id := r.next
 	r.waiting[id] = ch
 	svc, _ := f.cfg.Service(f.service)
+	if svc.Keyed && f.meta.HasKey && f.sends == 0 && f.queued == 0 {
+		r.asked(f)
+	}
 	r.deliver(r.place.Offer(now, place.Request{
 		ID: id, Service: f.service, Keyed: svc.Keyed && f.meta.HasKey, Key: f.meta.Key, Priority: f.route.Priority,
 		Objective: f.began.Add(f.route.Objective), Deadline: f.deadline, Arrived: f.began, Avoid: f.tried,
@@ -190,9 +194,6 @@
 	if v.kind == answered && !v.place.Failed {
 		v.place.Mean = r.observe(f, sv.ID, took)
 	}
-	if f.meta.HasKey && (v.kind == answered || v.kind == broken) {
-		r.spent(f, took)
-	}
 	r.mu.Unlock()
 	f.done(sv, v.place)
 	return f.conclude(ctx, sv, res, v)
@@ -254,6 +255,7 @@
 // conclude decides whether the request is answered or sent again.
 func (f *flight) conclude(ctx context.Context, sv fleet.Server, res link.Result, v verdict) (a caller.Answer, final bool) {
 	f.lastErr = res.Err
+	f.opened = f.opened || res.Opened
 	repeatable := f.route.Repeat == intent.Idempotent
 	switch v.kind {
 	case ended:
@@ -340,6 +342,9 @@
 		if len(f.tried) > 0 {
 			fields = append(fields, zap.String("server", string(f.tried[len(f.tried)-1])))
 		}
+		if f.opened {
+			fields = append(fields, zap.Bool("opened", true))
+		}
 		if f.lastErr != nil {
 			fields = append(fields, zap.NamedError("cause", f.lastErr))
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,8 @@
 	meanWeight = 0.05
 	// defaultLeft is how long a caller waits that doesn't say so.
 	defaultLeft = 30 * clock.Second
+	// defaultMean is the assumed time of a request on a route without any yet.
+	defaultMean = 100 * clock.Millisecond
 	// minLeft is the shortest time for which a request is still sent.
 	minLeft = 5 * clock.Millisecond
 )
@@ -81,7 +83,8 @@
 
 type pool struct {
 	*link.Pool
-	addr string
+	addr    string
+	service keys.Service
 }
 
 // New returns a Relay that knows no configuration yet.
@@ -111,7 +114,7 @@
 			if p != nil {
 				p.Close()
 			}
-			r.pools[sv.ID] = &pool{Pool: link.NewPool(sv.Addr), addr: sv.Addr}
+			r.pools[sv.ID] = &pool{Pool: link.NewPool(sv.Addr), addr: sv.Addr, service: sv.Service}
 		}
 	}
 	for id, p := range r.pools {
@@ -213,13 +216,23 @@
 		r.deliver(r.place.Tick(r.cfg.Clock.Now()))
 		if n%sweepEvery == 0 {
 			for _, p := range r.pools {
-				p.Sweep(time.Now())
+				p.Sweep(ctx, time.Now(), r.health(p.service))
 			}
 		}
 		r.mu.Unlock()
 	}
 }
 
+// health returns the path of a service's health check.
+func (r *Relay) health(s keys.Service) string {
+	c := r.config.Load()
+	if c == nil {
+		return ""
+	}
+	svc, _ := c.Service(s)
+	return svc.Health
+}
+
 // deliver hands actions to the requests that wait for them. r.mu is held.
 func (r *Relay) deliver(acts []place.Action) {
 	for _, act := range acts {
@@ -295,12 +308,18 @@
 	return clock.Span(m)
 }
 
-// spent adds the time that a key's request took at its server.
-func (r *Relay) spent(f *flight, took clock.Span) {
+// asked adds a keyed request to the load that its key is reported with. The
+// time is an estimate: what an overloaded server has finished would understate
+// the load.
+func (r *Relay) asked(f *flight) {
 	m := r.busy[f.service]
 	if m == nil {
 		m = make(map[owner.Key]clock.Span)
 		r.busy[f.service] = m
 	}
-	m[f.meta.Key] += took
+	mean, ok := r.means[f.route.Name]
+	if !ok {
+		mean = float64(defaultMean)
+	}
+	m[f.meta.Key] += clock.Span(mean)
 }
