owner: a failed call must not hide an unanswered grant

Cause: a renewal without an answer and later ones that couldn't connect; the latter cleared the time until which the former may still arrive. Now only unanswered calls set that time and nothing clears it. Ruled out: clocks (same term, same assigner), late release. Besides: a server that doesn't answer gets no ranges for 10 s; one key that overloads its server goes to a faster one, or its neighbours leave; a claim that finds a newer assigner waits for it.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -23,6 +23,12 @@
 	if ev.prior, rev, ev.err = h.cfg.Store.Role(ctx); ev.err != nil {
 		return
 	}
+	if _, _, known, _ := h.members.leader(); ev.prior.Term > known && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host {
+		// Another host has taken the role since; its beats are on their way.
+		h.members.learn(h.clock.Now(), ev.prior.Holder, ev.prior.Term)
+		ev.err = ErrConflict
+		return
+	}
 	ev.rec = ev.prior
 	ev.rec.Term, ev.rec.Seq = ev.prior.Term+1, 0
 	ev.rec.Holder, ev.rec.Run = h.cfg.Settings.Host, h.run
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -235,6 +235,15 @@
 	return ms.assigner, ip, ms.term, ms.heard
 }
 
+// learn notes an assigner that the store names.
+func (ms *members) learn(now clock.Time, name keys.Host, term uint64) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if term > ms.term {
+		ms.assigner, ms.term, ms.heard = name, term, now
+	}
+}
+
 // runOf returns the start of a host's present process, or 0.
 func (ms *members) runOf(name keys.Host) int64 {
 	ms.mu.Lock()
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -32,6 +32,8 @@
 	maxMoves = 4
 	// maxRows bounds the ranges of a server, each of which is renewed alone.
 	maxRows = 12
+	// fasterBy is how much faster a server must be for a hot key to move there.
+	fasterBy = 1.25
 	// unitWeight is the weight of one observation of what a request adds.
 	unitWeight = 0.02
 	// speedWeight is the weight of one observation of a server's speed.
@@ -236,12 +238,15 @@
 	for ; moving < maxMoves; moving++ {
 		hot := slices.MaxFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
-		empty := of[idle] == 0
+		empty := !a.holds(s, idle)
 		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, of[hot], mean) {
 			return
 		}
 		want := min(max(ratio(hot)-leave, 0.25)*a.capacity(hot), (leave-ratio(idle))*a.capacity(idle)) * mean
 		w, part := a.piece(s, hot, want)
+		if w == nil {
+			w, part, idle = a.isolate(s, hot, idle)
+		}
 		if w == nil && empty {
 			w, part = a.half(s, hot)
 		}
@@ -255,6 +260,11 @@
 	}
 }
 
+// holds reports whether any range is with a server, or on its way there.
+func (a *Assigner) holds(s keys.Service, id keys.Server) bool {
+	return slices.ContainsFunc(a.tables[s], func(w *row) bool { return w.Server == id || w.releasing && w.dest == id })
+}
+
 // overloaded reports whether a server's load is above its share by more than
 // chance explains.
 func (a *Assigner) overloaded(s keys.Service, id keys.Server, x, mean float64) bool {
@@ -295,6 +305,72 @@
 	return a.cut(s, best, from, to), part
 }
 
+// isolate separates a key that alone overloads its server from the others. The
+// key goes to a faster server if there is one; else the other keys of its
+// server go away, so that they don't wait behind it. It returns the range to
+// move and where to.
+func (a *Assigner) isolate(s keys.Service, hot, idle keys.Server) (w *row, load float64, dest keys.Server) {
+	l := a.load[s]
+	if l == nil {
+		return nil, 0, idle
+	}
+	var heavy *row
+	var key Key
+	for k, v := range l.keys {
+		if r := a.rowOf(s, k); r.Server == hot && !r.releasing && r.acked && !r.calling && v > load {
+			heavy, key, load = r, k, v
+		}
+	}
+	if heavy == nil || load < busyFrom*a.capacity(hot) {
+		return nil, 0, idle
+	}
+	fast := hot
+	for _, id := range a.group(s) {
+		if a.capacity(id) > a.capacity(fast)*fasterBy {
+			fast = id
+		}
+	}
+	if fast != hot && a.heaviest(s, fast) < load/2 {
+		return a.cut(s, heavy, key, key), load, fast
+	}
+	var best *row
+	for _, r := range a.tables[s] {
+		if r.Server == hot && r != heavy && !r.releasing && r.acked && !r.calling && (best == nil || r.width() > best.width()) {
+			best = r
+		}
+	}
+	switch {
+	case best != nil:
+	case key > heavy.From && key-heavy.From >= heavy.To-key:
+		best = a.cut(s, heavy, heavy.From, key-1)
+	case key < heavy.To:
+		best = a.cut(s, heavy, key+1, heavy.To)
+	default:
+		return nil, 0, idle
+	}
+	return best, a.loadOf(s, best), idle
+}
+
+// heaviest returns the load of a server's heaviest key.
+func (a *Assigner) heaviest(s keys.Service, id keys.Server) (x float64) {
+	for k, v := range a.load[s].keys {
+		if a.rowOf(s, k).next() == id {
+			x = max(x, v)
+		}
+	}
+	return x
+}
+
+// loadOf returns the load of a row's keys.
+func (a *Assigner) loadOf(s keys.Service, w *row) (x float64) {
+	for k, v := range a.load[s].keys {
+		if k >= w.From && k <= w.To {
+			x += v
+		}
+	}
+	return x
+}
+
 // half cuts off the upper half of a server's widest range. A server that has
 // just joined gets it if there is too little load to choose by.
 func (a *Assigner) half(s keys.Service, id keys.Server) (part *row, load float64) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -39,7 +39,7 @@
 	suspectAfter = 1500 * clock.Millisecond
 	// failedFor is how long a server that didn't answer a grant gets no further
 	// ranges.
-	failedFor = 3 * clock.Second
+	failedFor = 10 * clock.Second
 	// retryGrant is the pause before an unanswered or refused grant is sent
 	// again.
 	retryGrant = 200 * clock.Millisecond
@@ -306,7 +306,6 @@
 	hold := a.cfg.Hold
 	w.calling = true
 	w.callAt = now.Add(a.cfg.Hold / renewals)
-	w.lateUntil = max(w.lateUntil, now.Add(a.cfg.Timeout+a.cfg.held(hold)))
 	return Grant{Service: s, Server: w.Server, Addr: w.addr, From: w.From, To: w.To, Fence: w.Fence, Hold: hold, Handover: w.handover}
 }
 
@@ -333,20 +332,13 @@
 				w.acked, w.heldUntil = true, 0
 			}
 			w.heldUntil = max(w.heldUntil, now.Add(a.cfg.held(g.Hold)))
-			if w.lateUntil == late {
-				w.lateUntil = 0
-			}
 			w.silent, w.handover = 0, ""
 			delete(a.failed, w.Server)
 		case Refused:
-			// A server that has seen a higher fence never takes this one.
-			if w.lateUntil == late {
-				w.lateUntil = 0
-			}
 			w.leave()
 		case Failed, Unknown:
-			if out == Failed && w.lateUntil == late {
-				w.lateUntil = 0
+			if out == Unknown {
+				w.lateUntil = max(w.lateUntil, late)
 			}
 			if w.silent == 0 {
 				w.silent = max(now, 1)
