owner: slow servers get fewer keys while there is room

Cause: with half of the slots idle a third of the keys lay on servers that take 1.6 times as long; a single hot key moved every second.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -32,6 +32,14 @@
 	maxMoves = 4
 	// maxRows bounds the ranges of a server, each of which is renewed alone.
 	maxRows = 12
+	// minPace and maxPace bound the estimated paces.
+	minPace, maxPace = 0.4, 2.5
+	// maxSpare is the exponent of a server's pace by which it gets less below
+	// the utilization idleAt; it falls to 0 at fullAt.
+	maxSpare       = 2.0
+	idleAt, fullAt = 0.35, 0.7
+	// stayFor is how long a moved range stays where it is.
+	stayFor = 5 * clock.Second
 	// fasterBy is how much faster a server must be for a hot key to move there.
 	fasterBy = 1.25
 	// unitWeight is the weight of one observation of what a request adds.
@@ -112,13 +120,37 @@
 	}
 }
 
-// capacity returns the relative number of requests that a server can serve.
-func (a *Assigner) capacity(id keys.Server) float64 {
-	c := float64(max(a.servers[id].Slots, 1))
+// pace returns the time that a server takes, relative to the others.
+func (a *Assigner) pace(id keys.Server) float64 {
 	if sp := a.speed[id]; sp != nil {
-		c /= min(max(sp.ratio, 0.4), 2.5)
+		return min(max(sp.ratio, minPace), maxPace)
+	}
+	return 1
+}
+
+// slots returns the number of mean requests that a server can run at a time.
+func (a *Assigner) slots(id keys.Server) float64 {
+	return float64(max(a.servers[id].Slots, 1)) / a.pace(id)
+}
+
+// capacity returns the part of the load that a server should get. While there
+// is room, slow servers get less than their slots allow, as their requests take
+// longer even if none waits.
+func (a *Assigner) capacity(id keys.Server) float64 {
+	return a.slots(id) / math.Pow(a.pace(id), a.spare)
+}
+
+// spareOf returns the exponent by which slow servers get less: 0 at high
+// utilization, maxSpare at low.
+func (a *Assigner) spareOf(s keys.Service, total float64) float64 {
+	sum := 0.0
+	for _, id := range a.group(s) {
+		sum += a.slots(id)
 	}
-	return c
+	if sum == 0 {
+		return 0
+	}
+	return maxSpare * min(max((fullAt-total/sum)/(fullAt-idleAt), 0), 1)
 }
 
 // group returns the usable servers of a service in order.
@@ -229,6 +261,7 @@
 		}
 	}
 	of, total := a.weights(s)
+	a.spare = a.spareOf(s, total)
 	capacity := 0.0
 	for _, id := range ids {
 		capacity += a.capacity(id)
@@ -290,7 +323,7 @@
 	var from, to Key
 	width := math.Inf(1)
 	for _, w := range a.tables[s] {
-		if w.Server != id || w.releasing || !w.acked || w.calling {
+		if w.Server != id || !a.movable(w) {
 			continue
 		}
 		rows++
@@ -317,7 +350,7 @@
 	var heavy *row
 	var key Key
 	for k, v := range l.keys {
-		if r := a.rowOf(s, k); r.Server == hot && !r.releasing && r.acked && !r.calling && v > load {
+		if r := a.rowOf(s, k); r.Server == hot && a.movable(r) && v > load {
 			heavy, key, load = r, k, v
 		}
 	}
@@ -335,7 +368,7 @@
 	}
 	var best *row
 	for _, r := range a.tables[s] {
-		if r.Server == hot && r != heavy && !r.releasing && r.acked && !r.calling && (best == nil || r.width() > best.width()) {
+		if r.Server == hot && r != heavy && a.movable(r) && (best == nil || r.width() > best.width()) {
 			best = r
 		}
 	}
@@ -371,12 +404,18 @@
 	return x
 }
 
+// movable reports whether a row can be moved for its load. One that has just
+// moved stays for a while: each move keeps its requests waiting.
+func (a *Assigner) movable(w *row) bool {
+	return !w.releasing && w.acked && !w.calling && (w.since == 0 || a.now.Sub(w.since) > stayFor)
+}
+
 // half cuts off the upper half of a server's widest range. A server that has
 // just joined gets it if there is too little load to choose by.
 func (a *Assigner) half(s keys.Service, id keys.Server) (part *row, load float64) {
 	var best *row
 	for _, w := range a.tables[s] {
-		if w.Server == id && !w.releasing && w.acked && !w.calling && (best == nil || w.width() > best.width()) {
+		if w.Server == id && a.movable(w) && (best == nil || w.width() > best.width()) {
 			best = w
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -117,6 +117,7 @@
 	released  bool       // the server acknowledged the release
 	handover  string     // for the next owner
 	dest      keys.Server
+	since     clock.Time // when the server got it; 0: at the first assignment
 }
 
 // Assigner is the state of the host that assigns keys.
@@ -134,6 +135,7 @@
 	listed  clock.Time
 	balance clock.Time
 	outage  bool
+	spare   float64 // exponent of the pace in a server's share; see capacity
 	now     clock.Time
 	failed  map[keys.Server]clock.Time // when a grant was last not answered
 	moved   float64                    // share of all keys that changed owner
@@ -429,13 +431,15 @@
 // assign gives a free row to a server.
 func (a *Assigner) assign(w *row, dest keys.Server) {
 	sv := a.servers[dest]
+	since := clock.Time(0)
 	if w.Server != "" {
+		since = a.now
 		a.moved += float64(int(w.To)-int(w.From)+1) / float64(int(MaxKey)+1)
 	}
 	a.version++
 	*w = row{
 		Row:  Row{From: w.From, To: w.To, Server: dest, Born: sv.Born, Fence: a.nextFence()},
-		addr: sv.Addr, recorded: a.version, handover: w.handover,
+		addr: sv.Addr, recorded: a.version, handover: w.handover, since: since,
 	}
 }
 
