--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -58,6 +58,8 @@
 	// told to come back.
 	retryMin = 100 * clock.Millisecond
 	retryMax = 2 * clock.Second
+	// sizeStep is the ratio of times from which on requests differ in size.
+	sizeStep = 1.8
 	// waitShare is the part of the objective that a request may wait in the
 	// queue: more, and it would be late after an ordinary run.
 	waitShare = 0.6
@@ -73,6 +75,7 @@
 	Objective clock.Time // answer due for full worth
 	Deadline  clock.Time // final answer due
 	Arrived   clock.Time
+	Mean      clock.Span    // time that a request of its route takes
 	Avoid     []keys.Server // servers that it has been sent to
 }
 
@@ -255,18 +258,20 @@
 		return []Action{Refuse{ID: r.ID, Why: Stopping, After: retryMin}}
 	}
 	x := s.service(r.Service)
-	if wait := s.expected(x, r); now.Add(wait) > s.limit(now, &r) {
+	if wait := s.expected(x, &r, x.position(&r)); now.Add(wait) > s.limit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, After: after(wait)}}
 	}
-	x.push(&r)
+	x.queue = slices.Insert(x.queue, x.position(&r), &r)
 	return s.dispatch(now, r.Service)
 }
 
-// push inserts a request behind those of the same priority with an earlier
-// objective.
-func (x *service) push(r *Request) {
+// position returns where a request belongs in the queue: behind more urgent
+// ones, then behind those that take less time, then behind those whose
+// objective comes earlier. Short requests first means that the most callers are
+// served in time when not all can be.
+func (x *service) position(r *Request) int {
 	i, _ := slices.BinarySearchFunc(x.queue, r, func(q, r *Request) int {
-		if c := cmp.Compare(q.Priority, r.Priority); c != 0 {
+		if c := cmp.Or(cmp.Compare(q.Priority, r.Priority), cmp.Compare(q.size(), r.size())); c != 0 {
 			return c
 		}
 		if q.Objective <= r.Objective {
@@ -274,7 +279,13 @@
 		}
 		return 1
 	})
-	x.queue = slices.Insert(x.queue, i, r)
+	return i
+}
+
+// size classes requests by the time that they take, in powers of sizeStep, so
+// that small differences don't matter.
+func (r *Request) size() int {
+	return int(math.Log(float64(max(r.Mean, 1))) / math.Log(sizeStep))
 }
 
 // limit returns until when a request may wait in the queue.
@@ -287,29 +298,22 @@
 	return min(until, r.Deadline)
 }
 
-// expected estimates how long a request has to wait: the requests of all hosts
-// ahead of it, divided by the pace at which the service's servers free slots.
-func (s *State) expected(x *service, r Request) clock.Span {
+// expected estimates how long a request at a position of the queue has to wait:
+// the requests ahead of it here and their like on other hosts, divided by the
+// pace at which the service's servers free slots.
+func (s *State) expected(x *service, r *Request, ahead int) clock.Span {
 	slots := 0.0
 	for _, sv := range s.groups[r.Service] {
 		slots += float64(sv.Slots) / max(sv.pace, 0.1)
 	}
-	if slots == 0 {
-		return 0
-	}
-	ahead := 0
-	for _, q := range x.queue {
-		if q.Priority <= r.Priority {
-			ahead++
-		}
-	}
-	if ahead == 0 {
+	if slots == 0 || ahead == 0 {
 		return 0
 	}
+	all := ahead
 	for _, p := range s.peers {
-		ahead += p.waiting[r.Service]
+		all += p.waiting[r.Service] * ahead / max(len(x.queue), 1)
 	}
-	return clock.Span(float64(ahead) * x.mean / slots)
+	return clock.Span(float64(all) * x.mean / slots)
 }
 
 func after(wait clock.Span) clock.Span { return min(max(wait, retryMin), retryMax) }
@@ -467,12 +471,12 @@
 	acts = s.dispatchAll(now)
 	for _, x := range s.services {
 		left := x.queue[:0]
-		for _, r := range x.queue {
+		for i, r := range x.queue {
 			if now < s.limit(now, r) {
 				left = append(left, r)
 				continue
 			}
-			acts = append(acts, Refuse{ID: r.ID, Why: s.why(r), After: after(s.expected(x, *r))})
+			acts = append(acts, Refuse{ID: r.ID, Why: s.why(r), After: after(s.expected(x, r, i))})
 		}
 		clear(x.queue[len(left):])
 		x.queue = left
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -117,6 +117,7 @@
 	r.deliver(r.place.Offer(now, place.Request{
 		ID: id, Service: f.service, Keyed: svc.Keyed && f.meta.HasKey, Key: f.meta.Key, Priority: f.route.Priority,
 		Objective: f.began.Add(f.route.Objective), Deadline: f.deadline, Arrived: f.began, Avoid: f.tried,
+		Mean: r.mean(f.route.Name),
 	}))
 	r.mu.Unlock()
 	defer func() { f.queued += r.cfg.Clock.Now().Sub(now) }()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -317,9 +317,13 @@
 		m = make(map[owner.Key]clock.Span)
 		r.busy[f.service] = m
 	}
-	mean, ok := r.means[f.route.Name]
-	if !ok {
-		mean = float64(defaultMean)
+	m[f.meta.Key] += r.mean(f.route.Name)
+}
+
+// mean returns the time that a request of a route takes.
+func (r *Relay) mean(route string) clock.Span {
+	if m, ok := r.means[route]; ok {
+		return clock.Span(m)
 	}
-	m[f.meta.Key] += clock.Span(mean)
+	return defaultMean
 }
