--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -13,7 +13,7 @@
 	// balanceEvery is the period of decisions about load.
 	balanceEvery = 250 * clock.Millisecond
 	// halfLife of the observed load. Hot keys change within seconds.
-	halfLife = 2 * clock.Second
+	halfLife = clock.Second
 	// enter is the ratio of a server's load to its share above which ranges
 	// are moved away; leave is the ratio that a move aims at.
 	enter = 1.3
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -110,6 +110,7 @@
 	NoServer             // no-server
 	NoOwner              // no-owner
 	Stopping             // stopping
+	Unreachable          // unreachable
 )
 
 // Result is the end of a request at a server.
@@ -257,6 +258,9 @@
 	if s.stopped {
 		return []Action{Refuse{ID: r.ID, Why: Stopping, After: retryMin}}
 	}
+	if s.unreachable(now, &r) {
+		return []Action{Refuse{ID: r.ID, Why: Unreachable, After: retryMax / 2}}
+	}
 	x := s.service(r.Service)
 	if wait := s.expected(x, &r, x.position(&r)); now.Add(wait) > s.limit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, After: after(wait)}}
@@ -265,6 +269,18 @@
 	return s.dispatch(now, r.Service)
 }
 
+// unreachable reports whether a request can't be served before its limit
+// because its only server, or every server, can't be connected to.
+func (s *State) unreachable(now clock.Time, r *Request) bool {
+	until := s.limit(now, r)
+	if r.Keyed {
+		sv := s.servers[s.tables[r.Service].Owner(r.Key)]
+		return sv != nil && sv.broken > 1 && sv.avoid >= until
+	}
+	group := s.groups[r.Service]
+	return len(group) > 0 && !slices.ContainsFunc(group, func(sv *server) bool { return sv.broken <= 1 || sv.avoid < until })
+}
+
 // position returns where a request belongs in the queue: behind more urgent
 // ones, then behind those that take less time, then behind those whose
 // objective comes earlier. Short requests first means that the most callers are
@@ -397,7 +413,9 @@
 func (s *State) pick(now clock.Time, r *Request) (best *server) {
 	if r.Keyed {
 		sv := s.servers[s.tables[r.Service].Owner(r.Key)]
-		if sv == nil || sv.Draining || now < sv.avoid || slices.Contains(r.Avoid, sv.ID) {
+		// A server that has rejected the request is asked again: no other may
+		// run it.
+		if sv == nil || sv.Draining || now < sv.avoid {
 			return nil
 		}
 		if sv.load(now) >= sv.Slots+extra {
--- a/internal/place/why_string.go
+++ b/internal/place/why_string.go
@@ -13,11 +13,12 @@
 	_ = x[NoServer-2]
 	_ = x[NoOwner-3]
 	_ = x[Stopping-4]
+	_ = x[Unreachable-5]
 }
 
-const _Why_name = "queue-fullwaited-outno-serverno-ownerstopping"
+const _Why_name = "queue-fullwaited-outno-serverno-ownerstoppingunreachable"
 
-var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45}
+var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45, 56}
 
 func (i Why) String() string {
 	idx := int(i) - 0
