--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -12,8 +12,11 @@
 const (
 	// balanceEvery is the period of decisions about load.
 	balanceEvery = 250 * clock.Millisecond
-	// halfLife of the observed load. Hot keys change within seconds.
-	halfLife = clock.Second
+	// fastLife and slowLife are the half-lives of the two estimates of the load.
+	// Hot keys change within seconds; a lasting small difference shows only in
+	// a longer mean.
+	fastLife = clock.Second
+	slowLife = 10 * clock.Second
 	// enter is the ratio of a server's load to its share above which ranges
 	// are moved away; leave is the ratio that a move aims at.
 	enter = 1.3
@@ -50,6 +53,7 @@
 
 // load has the decayed number of busy slots for each key.
 type load struct {
+	life clock.Span // half-life
 	at   clock.Time
 	keys map[Key]float64
 	unit float64 // what one request adds
@@ -74,14 +78,19 @@
 
 // Loads adds what a host has observed.
 func (a *Assigner) Loads(now clock.Time, s keys.Service, busy []Busy) {
-	l := a.load[s]
-	if l == nil {
-		l = &load{at: now, keys: make(map[Key]float64)}
-		a.load[s] = l
+	if a.fast[s] == nil {
+		a.fast[s] = &load{life: fastLife, at: now, keys: make(map[Key]float64)}
+		a.slow[s] = &load{life: slowLife, at: now, keys: make(map[Key]float64)}
+	}
+	for _, l := range []*load{a.fast[s], a.slow[s]} {
+		l.add(now, busy)
 	}
+}
+
+func (l *load) add(now clock.Time, busy []Busy) {
 	l.decay(now)
 	// A steady load of one busy slot converges to 1.
-	gain := math.Ln2 / float64(halfLife)
+	gain := math.Ln2 / float64(l.life)
 	for _, b := range busy {
 		x := float64(b.Time) * gain
 		l.keys[b.Key] += x
@@ -109,7 +118,7 @@
 	if now <= l.at {
 		return
 	}
-	f := math.Exp2(-float64(now.Sub(l.at)) / float64(halfLife))
+	f := math.Exp2(-float64(now.Sub(l.at)) / float64(l.life))
 	l.at = now
 	for k, v := range l.keys {
 		if v *= f; v < 1e-4 {
@@ -245,16 +254,30 @@
 	return best
 }
 
-// rebalance starts to move ranges from the most loaded servers to the least.
+// rebalance starts to move ranges from the most loaded servers to the least, by
+// what happens now and by what has lasted.
 func (a *Assigner) rebalance(now clock.Time, s keys.Service) {
 	ids := a.group(s)
 	if len(ids) < 2 || a.outage || now < a.listed.Add(settle) {
 		return
 	}
-	if l := a.load[s]; l != nil {
-		l.decay(now)
+	for _, estimates := range []map[keys.Service]*load{a.slow, a.fast} {
+		if l := estimates[s]; l != nil {
+			l.decay(now)
+		}
+	}
+	// The lasting load decides only while the present one is even: it still
+	// shows hot keys that have cooled.
+	defer func() { a.load = a.fast }()
+	if a.even(s, ids) == 0 {
+		a.load = a.slow
+		a.even(s, ids)
 	}
-	moving := 0
+}
+
+// even starts moves by the current estimate. It returns the number of ranges
+// under way.
+func (a *Assigner) even(s keys.Service, ids []keys.Server) (moving int) {
 	for _, w := range a.tables[s] {
 		if w.Server == "" || w.releasing || !w.acked {
 			moving++
@@ -273,7 +296,7 @@
 		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.holds(s, idle)
 		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, of[hot], mean) {
-			return
+			return moving
 		}
 		want := min(max(ratio(hot)-leave, 0.25)*a.capacity(hot), (leave-ratio(idle))*a.capacity(idle)) * mean
 		w, part := a.piece(s, hot, want)
@@ -284,13 +307,14 @@
 			w, part = a.half(s, hot)
 		}
 		if w == nil {
-			return
+			return moving
 		}
 		w.dest = idle
 		w.leave()
 		of[hot] -= part
 		of[idle] += part
 	}
+	return moving
 }
 
 // holds reports whether any range is with a server, or on its way there.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -126,7 +126,9 @@
 	record  Record
 	tables  map[keys.Service][]*row
 	servers map[keys.Server]fleet.Server
-	load    map[keys.Service]*load
+	fast    map[keys.Service]*load
+	slow    map[keys.Service]*load
+	load    map[keys.Service]*load // the one of the two that is decided by
 	speed   map[keys.Server]*speed
 	version uint64 // of the record; increases with each change
 	written uint64
@@ -147,10 +149,11 @@
 func New(cfg Config, now clock.Time, rec Record) *Assigner {
 	a := &Assigner{
 		cfg: cfg, record: rec, tables: make(map[keys.Service][]*row), servers: make(map[keys.Server]fleet.Server),
-		load: make(map[keys.Service]*load), speed: make(map[keys.Server]*speed), started: now,
+		fast: make(map[keys.Service]*load), slow: make(map[keys.Service]*load), speed: make(map[keys.Server]*speed), started: now,
 		now: now, failed: make(map[keys.Server]clock.Time),
 		version: 1, written: 1, balance: now.Add(balanceEvery),
 	}
+	a.load = a.fast
 	// Until a server has acknowledged a fence of this term, the former
 	// assigner can renew its grants there.
 	former := now.Add(cfg.Tenure + cfg.held(cfg.Hold))
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -105,12 +105,12 @@
 
 // Reasons.
 const (
-	QueueFull Why = iota // queue-full
-	WaitedOut            // waited-out
-	NoServer             // no-server
-	NoOwner              // no-owner
-	Stopping             // stopping
-	Unreachable          // unreachable
+	QueueFull   Why = iota // queue-full
+	WaitedOut              // waited-out
+	NoServer               // no-server
+	NoOwner                // no-owner
+	Stopping               // stopping
+	Unreachable            // unreachable
 )
 
 // Result is the end of a request at a server.
