fleet: grace of a lapsed entry below the bound for leaving servers

Cause: a host whose own calls to the store had failed took a server's end for an outage and kept it for 2.5 s, also in views from hosts that saw none. The grace is 1.6 s, and a view counts as seen in an outage only if its reader says so.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,8 +20,10 @@
 )
 
 // lapseGrace is how long a server outlives the loss of its entry in an outage
-// of the store. Such entries are back about 2 s after the store is.
-const lapseGrace = 2500 * clock.Millisecond
+// of the store. Most entries are back within a heartbeat of the store's return.
+// It stays below the bound for leaving servers (2 s): what looks like an outage
+// of the store to this host may be a cut of its own.
+const lapseGrace = 1600 * clock.Millisecond
 
 // Server is a backend server.
 type Server struct {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -197,7 +197,10 @@
 		if err != nil {
 			return 0, err
 		}
-		h.replace(list, next, false)
+		h.mu.Lock()
+		outage := h.outage(began, 0)
+		h.mu.Unlock()
+		h.replace(list, next, outage)
 		h.confirmServers(began)
 		return next, nil
 	}
@@ -222,8 +225,9 @@
 	h.seen.serversAt, h.seen.serversOnce = at, true
 }
 
-// replace takes a complete list as of a revision. outage means that another
-// host has seen the store fail.
+// replace takes a complete list as of a revision. outage means that who read it
+// has just seen the store fail; this host's own trouble with the store says
+// nothing about another's list.
 func (h *Host) replace(list []fleet.Server, rev uint64, outage bool) {
 	h.mu.Lock()
 	if rev < h.seen.serversRev {
@@ -235,14 +239,17 @@
 	for _, sv := range list {
 		has[sv.ID] = true
 	}
-	lost := 0
-	for _, sv := range h.view.List() {
+	var lost []keys.Server
+	for _, sv := range h.view.Entries() {
 		if !has[sv.ID] && !sv.Draining {
-			lost++
-			h.log.Info("server entry is gone", zap.String("server", string(sv.ID)), zap.Bool("outage", outage))
+			lost = append(lost, sv.ID)
 		}
 	}
-	h.view.Replace(now, list, outage || h.outage(now, lost))
+	outage = outage || h.massLapse(len(lost))
+	for _, id := range lost {
+		h.log.Info("server entry is gone", zap.String("server", string(id)), zap.Bool("outage", outage))
+	}
+	h.view.Replace(now, list, outage)
 	h.listed = true
 	h.seen.serversRev = rev
 	h.mu.Unlock()
@@ -288,6 +295,12 @@
 	if h.storeBad != 0 && now.Sub(h.storeBad) < outageMemory {
 		return true
 	}
+	return h.massLapse(lost)
+}
+
+// massLapse reports whether so many entries that vanish at once must have
+// lapsed in an outage. h.mu is held.
+func (h *Host) massLapse(lost int) bool {
 	return lost >= massLapse && float64(lost) >= massShare*float64(h.view.Len())
 }
 
