--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -19,7 +19,7 @@
 	dutyTick = 20 * time.Millisecond
 	// hold is the time for which keys are granted. It bounds how long the keys
 	// of a lost server stay without an owner.
-	hold = 4 * clock.Second
+	hold = 2500 * clock.Millisecond
 	// grantTimeout is after what time a grant counts as unanswered.
 	grantTimeout = 700 * clock.Millisecond
 	// releaseTimeout is the same for a release, whose answer waits for the
@@ -67,6 +67,7 @@
 	resigned  bool
 	busy      bool // a store call about the role is in flight
 	begun     clock.Time
+	alone     clock.Time // when this host last heard only a minority
 }
 
 // Events of the loop.
@@ -272,7 +273,7 @@
 		return
 	}
 	mono := d.h.clock.Now()
-	name, _, _, heard := d.h.members.leader()
+	name, _, known, heard := d.h.members.leader()
 	if name != "" && mono.Sub(heard) < silentAfter {
 		return
 	}
@@ -288,6 +289,10 @@
 		wait = clock.Span(st.rank) * rankDelay // given up, or never taken
 	}
 	if !st.majority {
+		d.alone = mono
+	}
+	if now.Sub(d.begun) > silentAfter && mono.Sub(d.alone) < silentAfter {
+		// The assigner's beats may be the last to arrive after a partition.
 		wait += minorityDelay
 	}
 	since := max(heard, clock.Time(0))
@@ -295,7 +300,7 @@
 		return
 	}
 	d.claimed, d.busy = now, true
-	c := &claim{d: d, began: now}
+	c := &claim{d: d, began: now, known: known}
 	go c.run(ctx)
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -107,7 +107,7 @@
 	switch {
 	case b.Term > 0 && b.Term >= ms.term:
 		ms.assigner, ms.term, ms.heard = b.From, b.Term, now
-	case ms.assigner == b.From:
+	case ms.assigner == b.From && b.Leaving:
 		ms.assigner, ms.heard = "", 0 // it has given the role up
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -60,6 +60,13 @@
 	retryMax = 2 * clock.Second
 	// sizeStep is the ratio of times from which on requests differ in size.
 	sizeStep = 1.8
+	// connShare is the part of the connections that a server accepts which all
+	// hosts together may use. Connections of a host that has lost power stay
+	// open at the server for a while, beside those of its next process.
+	connShare = 0.6
+	// minConns is the number of requests that a host may have at a server in
+	// any case.
+	minConns = 2
 	// waitShare is the part of the objective that a request may wait in the
 	// queue: more, and it would be late after an ordinary run.
 	waitShare = 0.6
@@ -159,6 +166,8 @@
 	tables   map[keys.Service]owner.Table
 	turn     int
 	stopped  bool
+	hosts    int                  // that send to the same servers
+	conns    map[keys.Service]int // that a server accepts from all hosts together
 }
 
 // New returns the state of a host in a data centre.
@@ -169,6 +178,24 @@
 	}
 }
 
+// Hosts sets the number of hosts that send to the same servers, and how many
+// connections the servers of each service accept.
+func (s *State) Hosts(n int, conns map[keys.Service]int) { s.hosts, s.conns = max(n, 1), conns }
+
+// share returns how many requests this host may have at a server at a time.
+func (s *State) share(name keys.Service) int {
+	c, ok := s.conns[name]
+	if !ok || c <= 0 {
+		return math.MaxInt
+	}
+	return max(int(float64(c)*connShare)/max(s.hosts, 1), minConns)
+}
+
+// full reports whether a server has no room for a further request.
+func (s *State) full(sv *server) bool {
+	return sv.own >= s.share(sv.Service) || sv.load() >= sv.Slots+extra
+}
+
 // Servers takes the list of servers.
 func (s *State) Servers(now clock.Time, list []fleet.Server) []Action {
 	old := s.servers
@@ -380,7 +407,7 @@
 }
 
 // load returns the number of requests at a server.
-func (sv *server) load(now clock.Time) int {
+func (sv *server) load() int {
 	n := sv.own
 	for _, c := range sv.peers {
 		n += c
@@ -391,10 +418,10 @@
 // score estimates the time that a request would take, in units of a mean
 // request of the service. ok is false if it has no room.
 func (s *State) score(now clock.Time, sv *server) (x float64, ok bool) {
-	n := sv.load(now)
-	if n >= sv.Slots+extra {
+	if s.full(sv) {
 		return 0, false
 	}
+	n := sv.load()
 	x = max(sv.pace, 0.1)
 	if now < sv.coldTo {
 		x *= coldFactor
@@ -418,7 +445,7 @@
 		if sv == nil || sv.Draining || now < sv.avoid {
 			return nil
 		}
-		if sv.load(now) >= sv.Slots+extra {
+		if s.full(sv) {
 			return nil
 		}
 		return sv
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,11 +161,19 @@
 	r.suspect.Import(r.cfg.Clock.Now(), list)
 }
 
-// Hosts sets the number of hosts that share the retry budget.
+// Hosts sets the number of hosts that share the retry budget and the servers'
+// connections.
 func (r *Relay) Hosts(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hosts = n
+	conns := make(map[keys.Service]int)
+	if c := r.config.Load(); c != nil {
+		for _, s := range c.Document().Services {
+			conns[s.Name] = s.Conns
+		}
+	}
+	r.place.Hosts(n, conns)
 }
 
 // Busy returns this host's requests at each server and in each queue.
