--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -47,8 +47,10 @@
 	fasterBy = 1.25
 	// unitWeight is the weight of one observation of what a request adds.
 	unitWeight = 0.02
-	// speedWeight is the weight of one observation of a server's speed.
-	speedWeight = 0.05
+	// speedPrior is how many observations the assumption that all servers are
+	// alike is worth; speedMemory is how many a server's speed rests on at most.
+	speedPrior  = 4
+	speedMemory = 40
 )
 
 // load has the decayed number of busy slots for each key.
@@ -60,7 +62,10 @@
 }
 
 // speed is the time that a server takes, relative to the mean of its service.
-type speed struct{ ratio float64 }
+type speed struct {
+	ratio float64
+	n     float64 // observations that it rests on, with the prior ones
+}
 
 // Busy is the time that servers have spent on a key.
 type Busy struct {
@@ -106,11 +111,11 @@
 		}
 		sp := a.speed[p.Server]
 		if sp == nil {
-			sp = &speed{ratio: 1}
+			sp = &speed{ratio: 1, n: speedPrior}
 			a.speed[p.Server] = sp
 		}
-		w := 1 - math.Pow(1-speedWeight, float64(p.N))
-		sp.ratio += w * (p.Ratio/float64(p.N) - sp.ratio)
+		sp.n = min(sp.n+float64(p.N), speedMemory)
+		sp.ratio += float64(p.N) / sp.n * (p.Ratio/float64(p.N) - sp.ratio)
 	}
 }
 
