--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -73,7 +73,9 @@
 	b.Known, b.Version = h.members.tableVersion()
 	h.relay.Hosts(len(h.members.all) + 1)
 	h.members.mu.Unlock()
-	h.send(h.members.targets(now), mesh.Message{Beat: &b})
+	// The assigner's silence, and that of those who watch the store, is noticed.
+	prompt := b.Term > 0 || b.Fresh >= 0 && h.watches()
+	h.send(h.members.targets(now, prompt), mesh.Message{Beat: &b})
 }
 
 // sendSuspects tells the other hosts which requests may crash servers.
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -60,6 +60,7 @@
 	claimed   clock.Time
 	read      clock.Time
 	resent    clock.Time
+	took      clock.Time // when the role was taken, by the clock of members
 	former    owner.Record
 	formerOK  bool // the former assigner's process is known to have ended
 	tables    []owner.Table
@@ -263,7 +264,8 @@
 	if f.Holder == "" || f.Holder == d.h.cfg.Settings.Host {
 		return true
 	}
-	return d.h.members.runOf(f.Holder) > f.Run
+	run := d.h.members.runOf(f.Holder, d.took)
+	return run != 0 && run != f.Run
 }
 
 // follow takes the role if its holder is silent.
@@ -315,6 +317,7 @@
 	}
 	d.rev, d.confirmed, d.asked = ev.rev, ev.began, now
 	d.former, d.formerOK, d.version = ev.prior, false, 0
+	d.took = d.h.clock.Now()
 	d.a = owner.New(owner.Config{
 		Hold: min(hold, d.h.cfg.Settings.HoldMax), Timeout: grantTimeout, Tenure: tenure,
 	}, now, ev.rec)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -14,7 +14,7 @@
 
 const (
 	// aliveFor is how long a host counts as alive without a beat.
-	aliveFor = 700 * clock.Millisecond
+	aliveFor = 1000 * clock.Millisecond
 	// quietAfter is when a silent host gets beats at a lower rate only.
 	quietAfter = 3 * clock.Second
 	// forgetAfter is when a silent host is no longer known. It bounds how long
@@ -23,6 +23,13 @@
 	// awayGap is the shortest time between two beats to a host in another data
 	// centre.
 	awayGap = 190 * clock.Millisecond
+	// nearGapPer and awayGapPer are the times between two beats to a host for
+	// each host of the own or of the other data centres, up to nearGapMax and
+	// awayGapMax, which must stay below aliveFor.
+	nearGapPer = clock.Millisecond
+	awayGapPer = 25 * clock.Millisecond
+	nearGapMax = 150 * clock.Millisecond
+	awayGapMax = 450 * clock.Millisecond
 	// watchersMax is the number of data centres with a host that watches the
 	// store. A second one goes on while the first is cut off.
 	watchersMax = 2
@@ -95,8 +102,8 @@
 		m = &member{name: b.From}
 		ms.all[b.From] = m
 	}
-	if b.Run < m.run {
-		return // of a former process
+	if b.Run < m.run && now.Sub(m.heard) < aliveFor {
+		return // a late beat of a former process; after a silence the time of day may have been set back
 	}
 	m.ip, m.run, m.heard, m.told, m.leaving = b.IP, b.Run, now, now, b.Leaving
 	m.term, m.known, m.version = b.Term, b.Known, b.Version
@@ -137,10 +144,23 @@
 
 // targets returns the addresses that are due for a beat. Hosts in other data
 // centres get fewer: bytes between data centres are expensive, and most
-// requests stay in their own.
-func (ms *members) targets(now clock.Time) (ips []string) {
+// requests stay in their own. Both rates fall with the number of hosts, so that
+// the datagrams of a host don't grow with it; prompt hosts, whose beats others
+// wait for, keep theirs.
+func (ms *members) targets(now clock.Time, prompt bool) (ips []string) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
+	near, away := clock.Span(0), awayGap
+	if !prompt {
+		n := 0
+		for _, m := range ms.all {
+			if m.dc == ms.dc {
+				n++
+			}
+		}
+		near = min(nearGapPer*clock.Span(n), nearGapMax)
+		away = min(max(awayGap, awayGapPer*clock.Span(len(ms.all)-n)), awayGapMax)
+	}
 	known := make(map[string]bool, len(ms.all))
 	for name, m := range ms.all {
 		if now.Sub(m.told) > forgetAfter {
@@ -148,9 +168,9 @@
 			continue
 		}
 		known[m.ip] = true
-		gap := clock.Span(0)
+		gap := near
 		if m.dc != ms.dc {
-			gap = awayGap
+			gap = away
 		}
 		if now.Sub(m.heard) > quietAfter {
 			gap = clock.Second
@@ -244,11 +264,12 @@
 	}
 }
 
-// runOf returns the start of a host's present process, or 0.
-func (ms *members) runOf(name keys.Host) int64 {
+// runOf returns the start of a host's process that was heard after the given
+// time, or 0 if none was.
+func (ms *members) runOf(name keys.Host, after clock.Time) int64 {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	if m := ms.all[name]; m != nil {
+	if m := ms.all[name]; m != nil && m.heard > after {
 		return m.run
 	}
 	return 0
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -19,6 +19,7 @@
 	Store    string   // address of the store
 
 	Drain        clock.Span // until a leaving server gets no new requests
+	Apply        clock.Span // until an accepted configuration is in force
 	Grace        clock.Span // between SIGTERM and SIGKILL
 	HoldMax      clock.Span // longest hold of a grant
 	BudgetRatio  float64    // repeats per request
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -14,17 +14,18 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. It bounds how long a
-	// host is wrong about being in touch with the store, and how long a watch
-	// that hears nothing goes unnoticed.
-	watchWait = clock.Second
+	// watchPart is the part of the shorter of the bounds for configurations and
+	// leaving servers for which a watch waits. It bounds how long a host is
+	// wrong about being in touch with the store, and how long a watch that
+	// hears nothing goes unnoticed.
+	watchPart = 0.5
+	// stalePart is the part of that bound after which a view is stale: a host
+	// that knows no fresher one watches the store itself. The rest is left for
+	// its call.
+	stalePart = 0.675
 	// serversGap is the pause after changes of servers. Entries often change
 	// in groups, and every answer of a watch is a priced call.
 	serversGap = 100 * time.Millisecond
-	// staleAfter is the age of the freshest known view from which on a host
-	// watches the store itself. It leaves time for the call within the bound
-	// of 2 s for configurations and leaving servers.
-	staleAfter = 1350 * clock.Millisecond
 	// peersFirst is how long a new process waits for other hosts' views before
 	// it asks the store.
 	peersFirst = 400 * clock.Millisecond
@@ -81,7 +82,12 @@
 	if now < clock.Time(peersFirst) {
 		return false
 	}
-	return first || fresh < 0 || fresh > staleAfter
+	return first || fresh < 0 || fresh > h.bound(stalePart)
+}
+
+// bound returns a part of the time within which changes must be in force.
+func (h *Host) bound(part float64) clock.Span {
+	return clock.Span(part * float64(min(h.cfg.Settings.Drain, h.cfg.Settings.Apply)))
 }
 
 // pause waits after a failed call, longer each time, and not all hosts at the
@@ -168,7 +174,7 @@
 		h.confirmConfig(began)
 		return next, nil
 	}
-	cfg, next, err := h.cfg.Store.WatchConfig(ctx, rev, watchWait)
+	cfg, next, err := h.cfg.Store.WatchConfig(ctx, rev, h.bound(watchPart))
 	if err != nil {
 		return 0, err
 	}
@@ -204,7 +210,7 @@
 		h.confirmServers(began)
 		return next, nil
 	}
-	evs, next, err := h.cfg.Store.WatchServers(ctx, rev, watchWait)
+	evs, next, err := h.cfg.Store.WatchServers(ctx, rev, h.bound(watchPart))
 	if err != nil {
 		return 0, err
 	}
