--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -19,3 +19,11 @@
 	h.duty.changed()
 	h.changed()
 }
+
+// Version returns the version of the configuration in force, or 0.
+func (h *Host) Version() uint64 {
+	if c := h.relay.Config(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
