--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -104,8 +104,6 @@
 // row is a range with its state.
 type row struct {
 	Row
-	addr string
-
 	recorded  uint64     // version of the record that has this row's server
 	acked     bool       // the server has acknowledged this fence
 	heldUntil clock.Time // latest time at which the server can hold the range
@@ -122,25 +120,26 @@
 
 // Assigner is the state of the host that assigns keys.
 type Assigner struct {
-	cfg     Config
-	record  Record
-	tables  map[keys.Service][]*row
-	servers map[keys.Server]fleet.Server
-	fast    map[keys.Service]*load
-	slow    map[keys.Service]*load
-	load    map[keys.Service]*load // the one of the two that is decided by
-	speed   map[keys.Server]*speed
-	version uint64 // of the record; increases with each change
-	written uint64
-	writing bool
-	started clock.Time
-	listed  clock.Time
-	balance clock.Time
-	outage  bool
-	spare   float64 // exponent of the pace in a server's share; see capacity
-	now     clock.Time
-	failed  map[keys.Server]clock.Time // when a grant was last not answered
-	moved   float64                    // share of all keys that changed owner
+	cfg         Config
+	record      Record
+	tables      map[keys.Service][]*row
+	servers     map[keys.Server]fleet.Server
+	fast        map[keys.Service]*load
+	slow        map[keys.Service]*load
+	load        map[keys.Service]*load // the one of the two that is decided by
+	speed       map[keys.Server]*speed
+	version     uint64 // of the record; increases with each change
+	written     uint64
+	writing     bool
+	started     clock.Time
+	listed      clock.Time
+	balance     clock.Time
+	outage      bool
+	formerEnded bool
+	spare       float64 // exponent of the pace in a server's share; see capacity
+	now         clock.Time
+	failed      map[keys.Server]clock.Time // when a grant was last not answered
+	moved       float64                    // share of all keys that changed owner
 }
 
 // New returns the state of a host that has just taken the role. rec is the
@@ -185,6 +184,7 @@
 // FormerEnded says that the process of the former assigner is known to have
 // ended: it renews nothing any more, so only its last holds remain.
 func (a *Assigner) FormerEnded(now clock.Time) {
+	a.formerEnded = true
 	last := now.Add(a.cfg.held(a.cfg.Hold))
 	for _, rows := range a.tables {
 		for _, w := range rows {
@@ -222,16 +222,17 @@
 			}
 			sv, ok := a.servers[w.Server]
 			if ok {
-				w.addr = sv.Addr
+				w.Addr = sv.Addr
 			}
-			// A new run at the server's address, or of the server itself, holds
-			// nothing and shows that the former one has ended.
-			other, taken := byAddr[w.addr]
-			if ok && w.Born != 0 && sv.Born != w.Born || !ok && taken && other != w.Server {
-				w.heldUntil, w.lateUntil, w.released = 0, 0, true
-				w.leave()
+			if ok && sv.Born != w.Born {
+				a.restarted(w, sv)
 				continue
 			}
+			// Another server at the address shows that this one has ended, unless
+			// a former assigner may still call there.
+			if other, taken := byAddr[w.Addr]; !ok && taken && other != w.Server && a.alone(now) {
+				w.heldUntil, w.lateUntil, w.released = 0, 0, true
+			}
 			if !ok || sv.Draining {
 				w.leave()
 			}
@@ -240,6 +241,22 @@
 	return a.Tick(now)
 }
 
+// restarted gives a row to the new run of its server. The new run holds
+// nothing and knows no fence, so it gets a higher one before anything else
+// happens with the row: a former assigner could renew its grant there.
+func (a *Assigner) restarted(w *row, sv fleet.Server) {
+	a.version++
+	w.Born, w.Fence, w.Addr = sv.Born, a.nextFence(), sv.Addr
+	w.recorded, w.acked, w.released, w.calling, w.callAt, w.silent = a.version, false, false, false, 0, 0
+	w.heldUntil = max(w.heldUntil, a.started.Add(a.cfg.Tenure+a.cfg.held(a.cfg.Hold)))
+	w.releasing, w.handover = sv.Draining, ""
+}
+
+// alone reports whether no former assigner can act any more.
+func (a *Assigner) alone(now clock.Time) bool {
+	return a.formerEnded || now > a.started.Add(a.cfg.Tenure)
+}
+
 // leave starts to take the range from its server.
 func (w *row) leave() {
 	if !w.releasing {
@@ -291,27 +308,32 @@
 	if w.Server == "" || w.calling || now < w.callAt {
 		return nil
 	}
-	if w.releasing {
-		if w.released || !w.acked && w.heldUntil <= now {
+	// A server that doesn't know a fence of this term is granted the range even
+	// if it has to leave it: a release alone doesn't shut a former assigner out.
+	if w.releasing && w.acked {
+		if w.released {
 			return nil
 		}
 		w.calling, w.callAt = true, now.Add(retryRelease)
-		return Release{Service: s, Server: w.Server, Addr: w.addr, From: w.From, To: w.To, Fence: w.Fence}
+		return Release{Service: s, Server: w.Server, Addr: w.Addr, From: w.From, To: w.To, Fence: w.Fence}
 	}
 	if w.recorded > a.written {
 		return nil
 	}
-	if _, ok := a.servers[w.Server]; !ok {
+	// The address of a server that is gone may be another's by now.
+	if _, ok := a.servers[w.Server]; !ok || w.releasing && w.heldUntil <= now {
 		return nil
 	}
 	if w.silent != 0 && now.Sub(w.silent) > suspectAfter {
 		w.leave()
-		return nil
+		if w.acked {
+			return nil
+		}
 	}
 	hold := a.cfg.Hold
 	w.calling = true
 	w.callAt = now.Add(a.cfg.Hold / renewals)
-	return Grant{Service: s, Server: w.Server, Addr: w.addr, From: w.From, To: w.To, Fence: w.Fence, Hold: hold, Handover: w.handover}
+	return Grant{Service: s, Server: w.Server, Addr: w.Addr, From: w.From, To: w.To, Fence: w.Fence, Hold: hold, Handover: w.handover}
 }
 
 // find returns the rows inside a call's range that still have its fence; a row
@@ -401,7 +423,7 @@
 	if !w.releasing || w.calling {
 		return false
 	}
-	if w.released {
+	if w.released && (w.acked || w.heldUntil <= now) {
 		// A grant that was never answered may be carried out after the release.
 		return w.lateUntil <= now
 	}
@@ -417,7 +439,7 @@
 		a.divide(s)
 	}
 	for _, w := range a.tables[s] {
-		if !w.free(now) || w.Server != "" && w.releasing && w.recorded > a.written {
+		if !w.free(now) {
 			continue
 		}
 		dest := w.dest
@@ -441,8 +463,8 @@
 	}
 	a.version++
 	*w = row{
-		Row:  Row{From: w.From, To: w.To, Server: dest, Born: sv.Born, Fence: a.nextFence()},
-		addr: sv.Addr, recorded: a.version, handover: w.handover, since: since,
+		Row:      Row{From: w.From, To: w.To, Server: dest, Addr: sv.Addr, Born: sv.Born, Fence: a.nextFence()},
+		recorded: a.version, handover: w.handover, since: since,
 	}
 }
 
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -40,6 +40,7 @@
 	From   Key         `json:"from"`
 	To     Key         `json:"to"` // inclusive
 	Server keys.Server `json:"server,omitempty"`
+	Addr   string      `json:"addr,omitempty"` // a server may be called after its entry is gone
 	Born   int64       `json:"born,omitempty"` // tells the server's runs apart
 	Fence  Fence       `json:"fence,omitempty"`
 }
