--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -289,3 +289,40 @@
 	}
 	b.True(b.a.Moved() < 0.05)
 }
+
+// After a takeover a server that leaves is granted its range under a fence of
+// the term before it is released: a release alone would let the former assigner
+// renew the range there while another server has it.
+func TestFenceBeforeRelease(t *testing.T) {
+	rec := Record{Term: 2, Tables: map[keys.Service][]Row{svc: {{From: 0, To: MaxKey, Server: "a", Addr: "a:1", Born: 1, Fence: 5}}}}
+	leaving := server("a")
+	leaving.Draining = true
+	b := newBench(t, rec, leaving, server("b"))
+	b.Equal(len(b.out), 1)
+	g, ok := b.out[0].(Grant)
+	b.True(ok)
+	b.True(g.Fence > 5)
+	// While the grant isn't acknowledged, even a release proves nothing.
+	r := Release{Service: svc, Server: "a", Addr: "a:1", From: 0, To: MaxKey, Fence: g.Fence}
+	b.out = b.a.Granted(b.now, b.now, g, Failed)
+	b.add(b.a.Released(b.now, r, Done, "h"))
+	for end := b.now.Add(testConfig.Tenure); b.now < end; {
+		b.step(20, "a", Failed)
+		b.Equal(b.owners()["b"], 0)
+	}
+	b.step(testConfig.Hold+clock.Second, "a", Failed)
+	b.Equal(b.owners()["b"], 65536)
+}
+
+// The range of a new run stays with it until it knows a fence of the term: the
+// former assigner could renew the range there.
+func TestNewRunKeepsRange(t *testing.T) {
+	rec := Record{Term: 2, Tables: map[keys.Service][]Row{svc: {{From: 0, To: MaxKey, Server: "a", Addr: "a:1", Born: 1, Fence: 5}}}}
+	again := server("a")
+	again.Born = 2
+	b := newBench(t, rec, again, server("b"))
+	for end := b.now.Add(testConfig.Tenure); b.now < end; {
+		b.step(20, "a", Failed)
+		b.Equal(b.owners()["b"], 0)
+	}
+}
