--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -36,6 +36,9 @@
 	rankDelay   = 150 * clock.Millisecond
 	// minorityDelay is added if this host hears only a minority of the others.
 	minorityDelay = 8 * clock.Second
+	// writePause is the pause after a write that the store has refused or not
+	// answered. Refused calls are priced too.
+	writePause = 400 * clock.Millisecond
 	// claimPause is the pause after a failed attempt to take the role.
 	claimPause = 500 * clock.Millisecond
 	// readEvery is the period in which a host that hears no assigner reads the
@@ -58,6 +61,7 @@
 	confirmed clock.Time
 	asked     clock.Time
 	claimed   clock.Time
+	writeAt   clock.Time // when the record may be written again
 	read      clock.Time
 	resent    clock.Time
 	took      clock.Time // when the role was taken, by the clock of members
@@ -365,9 +369,10 @@
 	switch {
 	case ev.err == nil:
 		d.rev, d.confirmed = ev.rev, max(d.confirmed, ev.began)
-		d.act(ctx, d.a.Written(now, ev.version, true))
+		d.act(ctx, d.a.Written(now, ev.version))
 	case errors.Is(ev.err, ErrBusy):
-		d.act(ctx, d.a.Written(now, ev.version, false))
+		d.writeAt = now.Add(writePause)
+		d.a.Unwritten()
 	default:
 		// Conflict or no answer: only the stored record tells what has
 		// happened.
@@ -382,7 +387,8 @@
 	d.h.storeResult(ev.err)
 	if ev.err != nil {
 		if d.a != nil {
-			d.a.Written(now, 0, false)
+			d.writeAt = now.Add(writePause)
+			d.a.Unwritten()
 		}
 		return
 	}
@@ -417,8 +423,8 @@
 			c := &releaseCall{d: d, r: act}
 			go c.run(ctx)
 		case owner.Write:
-			if d.busy {
-				d.a.Written(d.now(), 0, false) // asks again at its next tick
+			if d.busy || d.now() < d.writeAt {
+				d.a.Unwritten()
 				continue
 			}
 			d.busy = true
--- a/internal/owner/fuzz_test.go
+++ b/internal/owner/fuzz_test.go
@@ -151,7 +151,7 @@
 		}
 		if ok {
 			d.rev, d.confirmed = w.rev, max(d.confirmed, began)
-			w.act(d, d.a.Written(w.now, act.Version, true))
+			w.act(d, d.a.Written(w.now, act.Version))
 			return
 		}
 		w.confirm(d)
@@ -174,7 +174,7 @@
 		return
 	}
 	if w.down {
-		d.a.Written(w.now, 0, false)
+		d.a.Unwritten()
 		return
 	}
 	if w.stored.Term != d.a.Term() {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -388,17 +388,18 @@
 	return a.advance(now)
 }
 
-// Written reports the end of a write. After a conflict or an unknown result
+// Written reports a write that was done. After a conflict or an unknown result
 // the caller reads the record; if it no longer names this host, it drops the
-// state, else it reports the version that it found.
-func (a *Assigner) Written(now clock.Time, version uint64, ok bool) []Action {
+// state, else it reports what it found.
+func (a *Assigner) Written(now clock.Time, version uint64) []Action {
 	a.writing = false
-	if ok {
-		a.written = max(a.written, version)
-	}
+	a.written = max(a.written, version)
 	return a.advance(now)
 }
 
+// Unwritten reports a write that was not done. A later Tick asks again.
+func (a *Assigner) Unwritten() { a.writing = false }
+
 // Found reports a record that was read from the store and names this host. It
 // shows which of the writes without an answer were carried out.
 func (a *Assigner) Found(rec Record) {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -56,7 +56,7 @@
 			}
 			b.add(b.a.Released(b.now, act, o, "h"))
 		case Write:
-			b.add(b.a.Written(b.now, act.Version, true))
+			b.add(b.a.Written(b.now, act.Version))
 		}
 	}
 }
@@ -181,7 +181,7 @@
 	case Release:
 		b.add(b.a.Released(b.now, act, Done, "h"))
 	case Write:
-		b.add(b.a.Written(b.now, act.Version, true))
+		b.add(b.a.Written(b.now, act.Version))
 	}
 }
 
@@ -201,7 +201,7 @@
 			}
 		}
 	}
-	acts := b.a.Written(b.now, write.Version, true)
+	acts := b.a.Written(b.now, write.Version)
 	b.Equal(len(acts), 1)
 	_, ok := acts[0].(Grant)
 	b.True(ok)
@@ -326,3 +326,22 @@
 		b.Equal(b.owners()["b"], 0)
 	}
 }
+
+// A write that was not done is asked for again, and no other action is lost
+// with it: a call that is thought to be in flight would block its range.
+func TestUnwritten(t *testing.T) {
+	b := newBench(t, Record{Term: 1}, server("a"))
+	writes := 0
+	for range 200 {
+		b.now = b.now.Add(20)
+		for _, act := range b.a.Tick(b.now) {
+			if _, ok := act.(Write); ok {
+				writes++
+				b.a.Unwritten()
+			}
+		}
+	}
+	b.True(writes > 50)
+	b.step(clock.Second, "", Done)
+	b.Equal(b.owners()["a"], 65536)
+}
