--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -75,9 +75,10 @@
 	defer cancel()
 	out, err := c.d.h.cfg.Granter.Grant(call, c.g)
 	c.d.h.metrics.calls.WithLabelValues("grant", outcomeName(out)).Inc()
-	if out != owner.Done {
-		c.d.h.log.Info("grant isn't acknowledged", zap.String("server", string(c.g.Server)), zap.Uint16("from", uint16(c.g.From)),
-			zap.Uint16("to", uint16(c.g.To)), zap.Uint64("fence", uint64(c.g.Fence)), zap.String("outcome", outcomeName(out)), zap.Error(err))
+	if out != owner.Done || c.g.First {
+		c.d.h.log.Info("grant", zap.String("server", string(c.g.Server)), zap.Uint16("from", uint16(c.g.From)),
+			zap.Uint16("to", uint16(c.g.To)), zap.Uint64("fence", uint64(c.g.Fence)), zap.String("outcome", outcomeName(out)),
+			zap.Bool("handover", c.g.Handover != ""), zap.Error(err))
 	}
 	c.d.result(ctx, granted{g: c.g, sent: c.sent, out: out})
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -221,6 +221,8 @@
 func (h *Host) tables(ts []owner.Table) {
 	for _, t := range ts {
 		if h.members.tableNewer(t) {
+			h.log.Info("owners", zap.String("service", string(t.Service)), zap.Uint64("term", t.Term),
+				zap.Uint64("version", t.Version), zap.Int("spans", len(t.Spans)))
 			h.relay.Table(t)
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -80,6 +80,7 @@
 	Fence    Fence
 	Hold     clock.Span
 	Handover string
+	First    bool // not a renewal
 }
 
 // Release asks to send a release.
@@ -333,7 +334,7 @@
 	hold := a.cfg.Hold
 	w.calling = true
 	w.callAt = now.Add(a.cfg.Hold / renewals)
-	return Grant{Service: s, Server: w.Server, Addr: w.Addr, From: w.From, To: w.To, Fence: w.Fence, Hold: hold, Handover: w.handover}
+	return Grant{Service: s, Server: w.Server, Addr: w.Addr, From: w.From, To: w.To, Fence: w.Fence, Hold: hold, Handover: w.handover, First: !w.acked}
 }
 
 // find returns the rows inside a call's range that still have its fence; a row
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -369,7 +369,7 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	now := c.r.cfg.Clock.Now()
-	if alive {
+	if alive || c.r.cutOff(now, c.server) {
 		c.r.suspect.End(now, c.ticket, false)
 		return
 	}
@@ -377,3 +377,15 @@
 		c.r.cfg.Log.Warn("request is quarantined: servers crashed under it", zap.String("op", sig.Op), zap.String("server", string(c.server)))
 	}
 }
+
+// cutWindow is the time within which the loss of two servers is taken for a cut
+// of the network. A request that crashes servers loses them one by one.
+const cutWindow = clock.Second
+
+// cutOff notes that a server can't be connected to, and reports whether another
+// one was lost just before: then no request is to blame. r.mu is held.
+func (r *Relay) cutOff(now clock.Time, id keys.Server) bool {
+	cut := r.lost.id != "" && r.lost.id != id && now.Sub(r.lost.at) < cutWindow
+	r.lost = loss{id: id, at: now}
+	return cut
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,14 @@
 	hosts   int                // that share the budget
 	busy    map[keys.Service]map[owner.Key]clock.Span
 	paces   map[keys.Server]*owner.Pace
+	lost    loss
+}
+
+// loss is the last server that couldn't be connected to after it had broken a
+// connection.
+type loss struct {
+	id keys.Server
+	at clock.Time
 }
 
 type pool struct {
