--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -227,9 +227,3 @@
 		}
 	}
 }
-
-func (h *Host) set() Settings {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.settings
-}
