--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -121,27 +121,23 @@
 
 // Result is the end of a request at a server.
 type Result struct {
-	Took    clock.Span
-	Mean    clock.Span // mean of its route
-	Failed  bool       // the server answered with an error of its own, or wrongly
-	Broken  bool       // no connection, or it broke
-	Shed    bool       // rejected because the server is full
-	Cancel  bool       // ended by the caller; says nothing about the server
-	Running int        // as the server reports; -1: it didn't
-	Waiting int
+	Took   clock.Span
+	Mean   clock.Span // mean of its route
+	Failed bool       // the server answered with an error of its own, or wrongly
+	Broken bool       // no connection, or it broke
+	Shed   bool       // rejected because the server is full
+	Cancel bool       // ended by the caller; says nothing about the server
 }
 
 type server struct {
 	fleet.Server
-	own      int
-	peers    map[keys.Host]int
-	pace     float64 // time taken relative to the mean of the route
-	fails    float64 // recent share of failures
-	broken   int     // failures of connections in a row
-	avoid    clock.Time
-	coldTo   clock.Time
-	reported int
-	reportAt clock.Time
+	own    int
+	peers  map[keys.Host]int
+	pace   float64 // time taken relative to the mean of the route
+	fails  float64 // recent share of failures
+	broken int     // failures of connections in a row
+	avoid  clock.Time
+	coldTo clock.Time
 }
 
 type peer struct {
@@ -288,9 +284,6 @@
 		return nil
 	}
 	sv.own = max(sv.own-1, 0)
-	if res.Running >= 0 {
-		sv.reported, sv.reportAt = res.Running+res.Waiting, now
-	}
 	switch {
 	case res.Cancel:
 	case res.Broken:
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -65,7 +65,7 @@
 		}
 	}
 	is.Equal(len(s.Offer(0, request(7, 0))), 0)
-	acts := s.Done(100, "s0", Result{Took: 100, Mean: 100, Running: -1})
+	acts := s.Done(100, "s0", Result{Took: 100, Mean: 100})
 	is.Equal(starts(acts), []uint64{7})
 }
 
@@ -101,7 +101,7 @@
 	}
 	var order []uint64
 	for range 4 {
-		order = append(order, starts(s.Done(50, "s0", Result{Took: 50, Mean: 100, Running: -1}))...)
+		order = append(order, starts(s.Done(50, "s0", Result{Took: 50, Mean: 100}))...)
 	}
 	is.Equal(order, []uint64{12, 13, 11, 10})
 }
@@ -135,11 +135,11 @@
 func TestBrokenServer(t *testing.T) {
 	is := is.New(t)
 	s := newState(2)
-	s.Done(0, "s0", Result{Broken: true, Running: -1})
+	s.Done(0, "s0", Result{Broken: true})
 	is.Equal(s.Offer(1, request(1, 1))[0].(Start).Server.ID, keys.Server("s1"))
 	for range 4 {
-		s.Done(10, "s0", Result{Broken: true, Running: -1})
-		s.Done(10, "s1", Result{Broken: true, Running: -1})
+		s.Done(10, "s0", Result{Broken: true})
+		s.Done(10, "s1", Result{Broken: true})
 	}
 	out := refusals(s.Offer(11, request(2, 11)))
 	is.Equal(len(out), 1)
@@ -178,7 +178,7 @@
 	list := servers(1)
 	list[0].Draining = true
 	s.Servers(10, list)
-	is.Equal(len(starts(s.Done(20, "s0", Result{Took: 20, Mean: 100, Running: -1}))), 0)
+	is.Equal(len(starts(s.Done(20, "s0", Result{Took: 20, Mean: 100}))), 0)
 	is.Equal(refusals(s.Tick(300))[0].Why, NoServer)
 }
 
@@ -293,7 +293,7 @@
 					out.late++
 				}
 				if p == ours {
-					apply(now, states[j.host].Done(now, list[sv].ID, Result{Took: now.Sub(j.sent), Mean: 120, Running: -1}))
+					apply(now, states[j.host].Done(now, list[sv].ID, Result{Took: now.Sub(j.sent), Mean: 120}))
 				}
 			}
 		}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -19,11 +19,9 @@
 
 // Reply is what a server's response says of itself.
 type Reply struct {
-	ID      string // of the request that it belongs to
-	Signed  bool
-	NotRun  bool // the server has not run the request and never will
-	Running int  // requests at the server; -1: not stated
-	Waiting int
+	ID     string // of the request that it belongs to
+	Signed bool
+	NotRun bool // the server has not run the request and never will
 }
 
 // Codec reads and writes the headers of a dialect.
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -78,7 +78,7 @@
 		adm := f.r.suspect.Start(f.r.cfg.Clock.Now(), sv.ID, sig)
 		f.r.mu.Unlock()
 		if !adm.Run {
-			f.done(sv, place.Result{Cancel: true, Running: -1})
+			f.done(sv, place.Result{Cancel: true})
 			if !adm.Wait {
 				return f.refuse(reasonQuarantine, quarantineAfter)
 			}
@@ -134,7 +134,7 @@
 		return nil
 	}
 	if st, ok := (<-ch).(place.Start); ok {
-		r.deliver(r.place.Done(r.cfg.Clock.Now(), st.Server.ID, place.Result{Cancel: true, Running: -1}))
+		r.deliver(r.place.Done(r.cfg.Clock.Now(), st.Server.ID, place.Result{Cancel: true}))
 	}
 	return nil
 }
@@ -164,7 +164,7 @@
 	r.mu.Unlock()
 	if p == nil || left < minLeft {
 		f.settle(now, ticket, false)
-		f.done(sv, place.Result{Cancel: true, Running: -1})
+		f.done(sv, place.Result{Cancel: true})
 		if left < minLeft {
 			return f.expired(ctx), true
 		}
@@ -226,7 +226,6 @@
 
 // judge classifies the result of a send.
 func (f *flight) judge(ctx context.Context, res link.Result) (v verdict) {
-	v.place.Running = -1
 	switch {
 	case ctx.Err() != nil && res.Err != nil:
 		v.kind, v.place.Cancel = ended, true
@@ -241,7 +240,6 @@
 		return v
 	}
 	v.reply = f.r.cfg.Codec.Reply(res.Status, res.Header)
-	v.place.Running, v.place.Waiting = v.reply.Running, v.reply.Waiting
 	switch {
 	case v.reply.NotRun:
 		v.kind, v.place.Shed = notRun, true
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,7 +18,7 @@
 
 func (noCodec) Meta(http.Header) Meta                        { return Meta{} }
 func (noCodec) Forward(http.Header, clock.Span, keys.Server) {}
-func (noCodec) Reply(int, http.Header) Reply                 { return Reply{Running: -1} }
+func (noCodec) Reply(int, http.Header) Reply                 { return Reply{} }
 
 func newRelay() *Relay {
 	return New(Config{Clock: clock.Manual(0), Codec: noCodec{}, DC: "north", Log: zap.NewNop()})
