owner: all former assigners must have ended, not only the last

The record now lists the earlier holders that may still act. Ruled out: late grants (the hold began on its way in time), the fence order.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -30,9 +30,7 @@
 		ev.err = ErrConflict
 		return
 	}
-	ev.rec = ev.prior
-	ev.rec.Term, ev.rec.Seq = ev.prior.Term+1, 0
-	ev.rec.Holder, ev.rec.Run = h.cfg.Settings.Host, h.run
+	ev.rec = ev.prior.Succeed(owner.Holder{Host: h.cfg.Settings.Host, Run: h.run})
 	ev.rev, ev.err = h.cfg.Store.PutRole(ctx, ev.rec, rev)
 }
 
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -12,6 +12,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 const (
@@ -64,9 +65,9 @@
 	writeAt   clock.Time // when the record may be written again
 	read      clock.Time
 	resent    clock.Time
-	took      clock.Time // when the role was taken, by the clock of members
-	former    owner.Record
-	formerOK  bool // the former assigner's process is known to have ended
+	took      clock.Time   // when the role was taken, by the clock of members
+	former    owner.Record // as the role was taken; names the former assigners
+	formerOK  bool         // they are known to have ended
 	tables    []owner.Table
 	version   uint64
 	resigned  bool
@@ -261,15 +262,10 @@
 	}
 }
 
-// formerEnded reports whether the former assigner's process has ended: it gave
-// the role up, or its host runs another process now.
+// formerEnded reports whether all former assigners' processes have ended: they
+// gave the role up, or their hosts run other processes now.
 func (d *duty) formerEnded() bool {
-	f := d.former
-	if f.Holder == "" || f.Holder == d.h.cfg.Settings.Host {
-		return true
-	}
-	run := d.h.members.runOf(f.Holder, d.took)
-	return run != 0 && run != f.Run
+	return d.former.FormerEnded(func(h keys.Host) int64 { return d.h.members.runOf(h, d.took) })
 }
 
 // follow takes the role if its holder is silent.
@@ -320,7 +316,7 @@
 		return
 	}
 	d.rev, d.confirmed, d.asked = ev.rev, ev.began, now
-	d.former, d.formerOK, d.version = ev.prior, false, 0
+	d.former, d.formerOK, d.version = ev.rec, false, 0
 	d.took = d.h.clock.Now()
 	d.a = owner.New(owner.Config{
 		Hold: min(hold, d.h.cfg.Settings.HoldMax), Timeout: grantTimeout, Tenure: tenure,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -186,6 +186,7 @@
 // ended: it renews nothing any more, so only its last holds remain.
 func (a *Assigner) FormerEnded(now clock.Time) {
 	a.formerEnded = true
+	a.record.Former = nil
 	last := now.Add(a.cfg.held(a.cfg.Hold))
 	for _, rows := range a.tables {
 		for _, w := range rows {
@@ -267,6 +268,9 @@
 
 // Tick does what is due.
 func (a *Assigner) Tick(now clock.Time) (acts []Action) {
+	if len(a.record.Former) > 0 && now > a.started.Add(a.cfg.Tenure) {
+		a.record.Former = nil // their tenures are over
+	}
 	if now < a.balance {
 		return a.advance(now)
 	}
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -33,6 +33,39 @@
 	Run    int64                  `json:"run"` // start of the holder's process, Unix ms
 	Seq    uint64                 `json:"seq"` // last sequence used in a fence of this term
 	Tables map[keys.Service][]Row `json:"tables"`
+	// Former are earlier holders that may still act: they neither gave the role
+	// up nor are known to have ended.
+	Former []Holder `json:"former,omitempty"`
+}
+
+// Holder is a process that has had the assigner's role.
+type Holder struct {
+	Host keys.Host `json:"host"`
+	Run  int64     `json:"run"`
+}
+
+// Succeed returns the record with which a process takes the role.
+func (r Record) Succeed(h Holder) Record {
+	next := r
+	next.Former = slices.Clone(r.Former)
+	if r.Holder != "" {
+		next.Former = append(next.Former, Holder{Host: r.Holder, Run: r.Run})
+	}
+	next.Term, next.Seq, next.Holder, next.Run = r.Term+1, 0, h.Host, h.Run
+	return next
+}
+
+// FormerEnded reports whether all earlier holders are known to have ended. A
+// host runs one process, so one of another run has replaced the holder. runOf
+// returns the run of a host that is heard now, or 0.
+func (r Record) FormerEnded(runOf func(keys.Host) int64) bool {
+	return !slices.ContainsFunc(r.Former, func(h Holder) bool {
+		if h.Host == r.Holder {
+			return h.Run == r.Run
+		}
+		run := runOf(h.Host)
+		return run == 0 || run == h.Run
+	})
 }
 
 // Row assigns a range of keys. Server is empty if nobody may hold it.
