front: a table isn't a sign of life of its assigner

Reproduced once in 48 runs beside eight busy processes, with logs: host-2 received the table of term 1 before a beat of host-1, noted the term, and claimed the role 4 ms after host-1, since claim checks only for a term above the known one. Ruled out: a late takeover after the stop (none was due), port clashes, the pause after a minority.

Change: a claim compares the stored term with that of the last assigner that was heard. Before: TestTableBeforeBeat fails in two of four cases.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,7 +13,7 @@
 type claim struct {
 	d     *duty
 	began clock.Time
-	known uint64 // the highest term that was known when the claim began
+	led   uint64 // the term of the last assigner that was heard
 }
 
 func (c *claim) run(ctx context.Context) {
@@ -24,7 +24,7 @@
 	if ev.prior, rev, ev.err = h.cfg.Store.Role(ctx); ev.err != nil {
 		return
 	}
-	if ev.prior.Term > c.known && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host {
+	if ev.prior.Term > c.led && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host {
 		// Another host has taken the role since; its beats are on their way.
 		h.members.learn(h.clock.Now(), ev.prior.Holder, ev.prior.Term)
 		ev.err = ErrConflict
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -20,6 +20,9 @@
 	h.changed()
 }
 
+// Term returns the term of the assigner's role, or 0 if another host has it.
+func (h *Host) Term() uint64 { return h.duty.term() }
+
 // Version returns the version of the configuration in force, or 0.
 func (h *Host) Version() uint64 {
 	if c := h.relay.Config(); c != nil {
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -275,7 +275,7 @@
 		return
 	}
 	mono := d.h.clock.Now()
-	name, _, known, heard := d.h.members.leader()
+	name, _, _, heard := d.h.members.leader()
 	if name != "" && mono.Sub(heard) < silentAfter {
 		return
 	}
@@ -302,7 +302,7 @@
 		return
 	}
 	d.claimed, d.busy = now, true
-	c := &claim{d: d, began: now, known: known}
+	c := &claim{d: d, began: now, led: d.h.members.ledTerm()}
 	go c.run(ctx)
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -68,6 +68,7 @@
 	tables   map[keys.Service]owner.Table
 	assigner keys.Host  // whose beat had the highest term
 	term     uint64     // the highest term of a beat or table
+	led      uint64     // the term of the last assigner that was heard
 	heard    clock.Time // when the assigner was last heard
 }
 
@@ -113,7 +114,7 @@
 	}
 	switch {
 	case b.Term > 0 && b.Term >= ms.term:
-		ms.assigner, ms.term, ms.heard = b.From, b.Term, now
+		ms.assigner, ms.term, ms.led, ms.heard = b.From, b.Term, b.Term, now
 	case ms.assigner == b.From && b.Leaving:
 		ms.assigner, ms.heard = "", 0 // it has given the role up
 	}
@@ -255,12 +256,20 @@
 	return ms.assigner, ip, ms.term, ms.heard
 }
 
+// ledTerm returns the term of the last assigner that was heard. A table alone
+// doesn't raise it: it can overtake the first beat of the assigner that sent it.
+func (ms *members) ledTerm() uint64 {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.led
+}
+
 // learn notes an assigner that the store names.
 func (ms *members) learn(now clock.Time, name keys.Host, term uint64) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	if term > ms.term {
-		ms.assigner, ms.term, ms.heard = name, term, now
+	if term > ms.led {
+		ms.assigner, ms.term, ms.led, ms.heard = name, max(term, ms.term), term, now
 	}
 }
 
--- /dev/null
+++ b/internal/front/members_test.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/internal/owner"
+)
+
+// A new assigner's table can arrive before its first beat. A host that took the
+// table for a sign that it had heard the assigner took the role from it 4 ms
+// later, as the beats that it waits for were missing.
+func TestTableBeforeBeat(t *testing.T) {
+	table := owner.Table{Service: "ledger", Term: 3, Version: 1}
+	beat := &mesh.Beat{From: "a", Run: 1, IP: "127.0.0.2", Term: 3}
+	tests := []struct {
+		name     string
+		do       func(ms *members)
+		led      uint64
+		assigner string
+	}{
+		{"table alone", func(ms *members) { ms.tableNewer(table) }, 0, ""},
+		{"beat alone", func(ms *members) { ms.beat(5, beat) }, 3, "a"},
+		{"table, then the stored record", func(ms *members) { ms.tableNewer(table); ms.learn(5, "a", 3) }, 3, "a"},
+		{"beat, then an older record", func(ms *members) { ms.beat(5, beat); ms.learn(6, "b", 2) }, 3, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "b", IP: "127.0.0.1"})
+			tt.do(ms)
+			name, _, _, heard := ms.leader()
+			is.Equal(ms.ledTerm(), tt.led)
+			is.Equal(string(name), tt.assigner)
+			is.Equal(heard > clock.Time(0), tt.assigner != "")
+		})
+	}
+}
