place: estimate the wait of keyed requests by the server of their key

Cause: the wait ahead of a keyed request was estimated over the whole service. Ruled out: lack of slots; the other servers of the service had free ones. TestHotKeyQueue fails without (39 queued for two slots, an idle server's request refused) and passes with.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -340,7 +340,7 @@
 // pick returns a server for a request, or nil if it has to wait.
 func (s *State) pick(now clock.Time, r *Request) (best *server) {
 	if r.Keyed {
-		sv := s.servers[s.tables[r.Service].Owner(r.Key)]
+		sv := s.ownerOf(r)
 		// A server that has rejected the request is asked again: no other may
 		// run it.
 		if sv == nil || sv.Draining || now < sv.avoid {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -166,6 +166,30 @@
 	is.Equal(refusals(s.Tick(400))[0].Why, NoOwner)
 }
 
+// Requests that wait for a hot key's server must neither get those for an idle
+// server refused, nor be held until they are refused when their own server
+// can't serve them in time. (The wait was estimated over the whole service.)
+func TestHotKeyQueue(t *testing.T) {
+	is := is.New(t)
+	s := newState(8)
+	s.Table(0, owner.Table{Service: svc, Term: 1, Spans: []owner.Span{{From: 0, To: 0, Server: "s0"}, {From: 1, To: owner.MaxKey, Server: "s1"}}})
+	keyed := func(id uint64, k owner.Key) Request {
+		r := request(id, 0)
+		r.Keyed, r.Key = true, k
+		return r
+	}
+	var queued, refused int
+	for id := uint64(1); id <= 60; id++ {
+		acts := s.Offer(0, keyed(id, 0))
+		refused += len(refusals(acts))
+		queued += 1 - len(acts)
+	}
+	is.Equal(queued, 5) // two slots at 100 ms serve 4.8 requests in 240 ms
+	is.Equal(refused, 52)
+	s.Peer(0, "other", map[keys.Server]int{"s0": 3}, map[keys.Service]int{svc: 300})
+	is.Equal(starts(s.Offer(0, keyed(100, 9))), []uint64{100})
+}
+
 // A leaving server gets nothing new, and all hosts together keep below the
 // connections that a server accepts.
 func TestLimitsOfServers(t *testing.T) {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -29,7 +29,7 @@
 func (s *State) unreachable(now clock.Time, r *Request) bool {
 	until := s.limit(now, r)
 	if r.Keyed {
-		sv := s.servers[s.tables[r.Service].Owner(r.Key)]
+		sv := s.ownerOf(r)
 		return sv != nil && sv.broken > 1 && sv.avoid >= until
 	}
 	group := s.groups[r.Service]
@@ -71,10 +71,18 @@
 
 // expected estimates how long a request at a position of the queue has to wait:
 // the requests ahead of it here and their like on other hosts, divided by the
-// pace at which the service's servers free slots.
-func (s *State) expected(x *service, r *Request, ahead int) clock.Span {
+// pace at which the servers that may run it free slots.
+func (s *State) expected(x *service, r *Request, at int) clock.Span {
+	ahead, group := at, s.groups[r.Service]
+	if r.Keyed {
+		sv := s.ownerOf(r)
+		if sv == nil {
+			return 0 // nothing tells how long there will be no owner
+		}
+		ahead, group = s.aheadAt(x, sv, at), []*server{sv}
+	}
 	slots := 0.0
-	for _, sv := range s.groups[r.Service] {
+	for _, sv := range group {
 		slots += float64(sv.Slots) / max(sv.pace, 0.1)
 	}
 	if slots == 0 || ahead == 0 {
@@ -87,6 +95,19 @@
 	return clock.Span(float64(all) * x.mean / slots)
 }
 
+// aheadAt returns how many of the first requests of the queue wait for a server.
+func (s *State) aheadAt(x *service, sv *server, at int) (n int) {
+	for _, q := range x.queue[:at] {
+		if q.Keyed && s.ownerOf(q) == sv {
+			n++
+		}
+	}
+	return n
+}
+
+// ownerOf returns the server that owns a request's key, or nil.
+func (s *State) ownerOf(r *Request) *server { return s.servers[s.tables[r.Service].Owner(r.Key)] }
+
 func after(wait clock.Span) clock.Span { return min(max(wait, retryMin), retryMax) }
 
 // Cancel removes a request that waits. It reports whether there was one.
