front: ask the store early after a start, take the role of an ended process at once

Change: a host asks the store after a time drawn below 400 ms, sends its first beat at once, reads the record when it is ready and hears no assigner, and claims at once if the holder's host runs another process. Before that, stored owners route keyed requests while the servers' holds last.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,7 +13,8 @@
 type claim struct {
 	d     *duty
 	began clock.Time
-	led   uint64 // the term of the last assigner that was heard
+	led   uint64       // the term of the last assigner that was heard
+	ended owner.Holder // a process that is known to have ended
 }
 
 func (c *claim) run(ctx context.Context) {
@@ -24,7 +25,7 @@
 	if ev.prior, rev, ev.err = h.cfg.Store.Role(ctx); ev.err != nil {
 		return
 	}
-	if ev.prior.Term > c.led && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host {
+	if ev.prior.Term > c.led && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host && ev.prior.Process() != c.ended {
 		// Another host has taken the role since; its beats are on their way.
 		h.members.learn(h.clock.Now(), ev.prior.Holder, ev.prior.Term)
 		ev.err = ErrConflict
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -64,6 +64,8 @@
 	claimed   clock.Time
 	writeAt   clock.Time // when the record may be written again
 	read      clock.Time
+	stored    owner.Holder // who had the role when the record was last read
+	storedAt  clock.Time   // when that was, by the clock of members
 	resent    clock.Time
 	took      clock.Time   // when the role was taken, by the clock of members
 	former    owner.Record // as the role was taken; names the former assigners
@@ -279,13 +281,17 @@
 	if name != "" && mono.Sub(heard) < silentAfter {
 		return
 	}
-	if now.Sub(d.read) > readEvery && now.Sub(d.begun) > readEvery {
+	if d.read == 0 || now.Sub(d.read) > readEvery {
 		d.read, d.busy = now, true
 		c := &confirmation{d: d, began: now}
 		go c.run(ctx)
 		return
 	}
 	st := d.h.members.standing(mono)
+	if ended := d.holderEnded(); ended != (owner.Holder{}) {
+		d.succeed(ctx, now, st.rank, ended)
+		return
+	}
 	wait := silentAfter + clock.Span(st.rank)*rankDelay
 	if name == "" && heard == 0 && now.Sub(d.begun) > silentAfter {
 		wait = clock.Span(st.rank) * rankDelay // given up, or never taken
@@ -301,11 +307,43 @@
 	if mono.Sub(since) < wait || now.Sub(d.claimed) < claimPause+clock.Span(st.rank)*rankDelay || now.Sub(d.begun) < silentAfter {
 		return
 	}
+	d.claim(ctx, now, owner.Holder{})
+}
+
+// claim takes the role in the store. ended is a process that is known to have
+// ended.
+func (d *duty) claim(ctx context.Context, now clock.Time, ended owner.Holder) {
 	d.claimed, d.busy = now, true
-	c := &claim{d: d, began: now, led: d.h.members.ledTerm()}
+	c := &claim{d: d, began: now, led: d.h.members.ledTerm(), ended: ended}
 	go c.run(ctx)
 }
 
+// holderEnded returns the process that has the role by the stored record if its
+// host runs another one now.
+func (d *duty) holderEnded() (ended owner.Holder) {
+	run := d.h.members.runOf(d.stored.Host, d.storedAt)
+	if d.stored.Host == d.h.cfg.Settings.Host {
+		run = d.h.run
+	}
+	if d.stored.Replaced(run) {
+		return d.stored
+	}
+	return owner.Holder{}
+}
+
+// succeed takes the role of a process that has ended: there is no silence to
+// wait for. The host whose process it was comes first, then the others by rank.
+func (d *duty) succeed(ctx context.Context, now clock.Time, rank int, ended owner.Holder) {
+	wait := clock.Span(0)
+	if ended.Host != d.h.cfg.Settings.Host {
+		wait = clock.Span(rank+1) * rankDelay
+	}
+	if now.Sub(d.read) < wait || d.claimed != 0 && now.Sub(d.claimed) < claimPause {
+		return
+	}
+	d.claim(ctx, now, ended)
+}
+
 func (d *duty) claimDone(ctx context.Context, now clock.Time, ev claimEnded) {
 	d.h.storeResult(ev.err)
 	if ev.err != nil {
@@ -389,6 +427,7 @@
 		return
 	}
 	if d.a == nil {
+		d.stored, d.storedAt = ev.rec.Process(), d.h.clock.Now()
 		// Without an assigner in reach the stored owners are the best known.
 		var ts []owner.Table
 		for s := range ev.rec.Tables {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,7 @@
 	storeUp  bool
 	seen     seen
 
+	askFrom clock.Time // when it may ask the store for what other hosts haven't told it
 	leaving atomic.Bool
 	change  chan struct{} // the number of requests at servers has changed
 	newer   chan struct{} // another host may have a newer view
@@ -90,7 +92,7 @@
 	}
 	h := &Host{
 		cfg: cfg, clock: clock.System(), run: time.Now().UnixMilli(), log: cfg.Log, settings: cfg.Settings,
-		view: fleet.NewView(), change: make(chan struct{}, 1), newer: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
+		view: fleet.NewView(), askFrom: clock.Time(rand.N(peersFirst)), change: make(chan struct{}, 1), newer: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
 	}
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
@@ -153,6 +155,7 @@
 	go h.loop(ctx, root)
 	acc := &acceptor{h: h}
 	go acc.run(ctx)
+	h.changed() // the first beat asks the others for theirs
 	h.log.Info("start", zap.String("host", string(s.Host)), zap.String("dc", string(s.DC)), zap.Int64("run", h.run), zap.String("store", s.Store))
 	return nil
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -26,8 +26,10 @@
 	// serversGap is the pause after changes of servers. Entries often change
 	// in groups, and every answer of a watch is a priced call.
 	serversGap = 100 * time.Millisecond
-	// peersFirst is how long a new process waits for other hosts' views before
-	// it asks the store.
+	// peersFirst is the longest time for which a new process waits for other
+	// hosts' views before it asks the store. Each host draws a time below it, so
+	// that after a loss of all hosts the first few ask at once, and the others
+	// learn from them.
 	peersFirst = 400 * clock.Millisecond
 	// followPoll is how often a host that doesn't watch checks whether it
 	// should.
@@ -79,7 +81,7 @@
 func (h *Host) watches() bool {
 	now := h.clock.Now()
 	first, fresh := h.members.watchers(now)
-	if now < clock.Time(peersFirst) {
+	if now < h.askFrom {
 		return false
 	}
 	return first || fresh < 0 || fresh > h.bound(stalePart)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -44,27 +44,32 @@
 	Run  int64     `json:"run"`
 }
 
+// Process returns the process that has the role.
+func (r Record) Process() Holder { return Holder{Host: r.Holder, Run: r.Run} }
+
+// Replaced reports whether the process is known to have ended, because its host
+// runs another one now. run is the run that was heard, or 0.
+func (h Holder) Replaced(run int64) bool { return h.Host != "" && run != 0 && run != h.Run }
+
 // Succeed returns the record with which a process takes the role.
 func (r Record) Succeed(h Holder) Record {
 	next := r
 	next.Former = slices.Clone(r.Former)
 	if r.Holder != "" {
-		next.Former = append(next.Former, Holder{Host: r.Holder, Run: r.Run})
+		next.Former = append(next.Former, r.Process())
 	}
 	next.Term, next.Seq, next.Holder, next.Run = r.Term+1, 0, h.Host, h.Run
 	return next
 }
 
-// FormerEnded reports whether all earlier holders are known to have ended. A
-// host runs one process, so one of another run has replaced the holder. runOf
+// FormerEnded reports whether all earlier holders are known to have ended. runOf
 // returns the run of a host that is heard now, or 0.
 func (r Record) FormerEnded(runOf func(keys.Host) int64) bool {
 	return !slices.ContainsFunc(r.Former, func(h Holder) bool {
 		if h.Host == r.Holder {
 			return h.Run == r.Run
 		}
-		run := runOf(h.Host)
-		return run == 0 || run == h.Run
+		return !h.Replaced(runOf(h.Host))
 	})
 }
 
--- a/internal/owner/record_test.go
+++ b/internal/owner/record_test.go
@@ -40,3 +40,24 @@
 	rec := Record{}.Succeed(Holder{Host: "a", Run: 1}).Succeed(Holder{Host: "a", Run: 2})
 	is.True(rec.FormerEnded(func(keys.Host) int64 { return 0 }))
 }
+
+// The role of a process that has ended is taken at once; that of one that may
+// still act isn't.
+func TestReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		h    Holder
+		run  int64
+		want bool
+	}{
+		{"nobody has the role", Holder{}, 3, false},
+		{"its host isn't heard", Holder{Host: "a", Run: 1}, 0, false},
+		{"it still runs", Holder{Host: "a", Run: 1}, 1, false},
+		{"its host runs another process", Holder{Host: "a", Run: 1}, 2, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(tt.h.Replaced(tt.run), tt.want)
+		})
+	}
+}
