front: strong hosts take duties first; fewer wake-ups, beats of the assigner and rebuilt tables

Cause: hosts of the grown sites have 0.16 to 0.8 cores, and the first by name had the assigner's role and the watches; the assigner sent a beat to each near host after each change (no gap) and built all tables after each renewal; each host built and encoded beats that were due nowhere and woke 100 times a second with an empty queue. Change: duties go by processor, then by name; a prompt host's gap is 75 ms at most; a beat is built if one is due; an ordinary renewal rebuilds nothing; 50 ms between ticks while nothing waits. TestStrongHostsFirst (2 of 4 cases fail without).

--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -63,9 +63,15 @@
 func (h *Host) sendBeat(seq uint64, gossip bool) {
 	now := h.clock.Now()
 	s := h.cfg.Settings
-	b := mesh.Beat{From: s.Host, Run: h.run, Seq: seq, IP: s.IP, DC: s.DC, Leaving: h.leaving.Load(), Term: h.duty.term()}
-	b.Busy, b.Waiting = h.relay.Busy()
+	b := mesh.Beat{From: s.Host, Run: h.run, Seq: seq, IP: s.IP, DC: s.DC, Power: s.Power, Leaving: h.leaving.Load(), Term: h.duty.term()}
 	b.Config, b.Servers, b.Fresh = h.versions(now)
+	// The assigner's silence, and that of those who watch the store, is noticed.
+	prompt := b.Term > 0 || b.Fresh >= 0 && h.watches()
+	to := h.members.targets(now, prompt)
+	if len(to) == 0 {
+		return
+	}
+	b.Busy, b.Waiting = h.relay.Busy()
 	h.members.mu.Lock()
 	if gossip {
 		b.Members = h.members.some(now)
@@ -73,9 +79,7 @@
 	b.Known, b.Version = h.members.tableVersion()
 	h.relay.Hosts(len(h.members.all) + 1)
 	h.members.mu.Unlock()
-	// The assigner's silence, and that of those who watch the store, is noticed.
-	prompt := b.Term > 0 || b.Fresh >= 0 && h.watches()
-	h.send(h.members.targets(now, prompt), mesh.Message{Beat: &b})
+	h.send(to, mesh.Message{Beat: &b})
 }
 
 // sendSuspects tells the other hosts which requests may crash servers.
--- a/internal/front/duty.go
+++ b/internal/front/duty.go
@@ -208,7 +208,11 @@
 			if ev.out == owner.Refused {
 				d.asked = 0 // another assigner may have the role: ask at once
 			}
-			d.act(ctx, d.a.Granted(now, ev.sent, ev.g, ev.out))
+			acts := d.a.Granted(now, ev.sent, ev.g, ev.out)
+			d.carryOut(ctx, acts)
+			if ev.out != owner.Done || ev.g.First {
+				d.publish() // an ordinary renewal changes no owner
+			}
 		}
 	case released:
 		if d.a != nil {
@@ -357,6 +361,11 @@
 
 // act carries out the assigner's actions and publishes changed tables.
 func (d *duty) act(ctx context.Context, acts []owner.Action) {
+	d.carryOut(ctx, acts)
+	d.publish()
+}
+
+func (d *duty) carryOut(ctx context.Context, acts []owner.Action) {
 	for _, act := range acts {
 		switch act := act.(type) {
 		case owner.Grant:
@@ -375,5 +384,4 @@
 			go c.run(ctx)
 		}
 	}
-	d.publish()
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -30,6 +30,9 @@
 	awayGapPer = 25 * clock.Millisecond
 	nearGapMax = 150 * clock.Millisecond
 	awayGapMax = 450 * clock.Millisecond
+	// promptGap is the longest time between two beats of a prompt host to one in
+	// its data centre.
+	promptGap = 75 * clock.Millisecond
 	// watchersMax is the number of data centres with a host that watches the
 	// store. A second one goes on while the first is cut off.
 	watchersMax = 2
@@ -54,6 +57,7 @@
 	config  uint64     // version of its configuration
 	servers uint64     // revision of its list of servers
 	avoid   clock.Time // its view could not be fetched; not asked until then
+	power   float64
 	fresh   clock.Span // since the store had confirmed both when it was heard
 }
 
@@ -62,6 +66,7 @@
 	self  keys.Host
 	dc    keys.DataCentre
 	ip    string
+	power float64
 	mu    sync.Mutex
 	seeds []string
 	all   map[keys.Host]*member
@@ -74,7 +79,7 @@
 }
 
 func newMembers(s Settings) *members {
-	return &members{self: s.Host, dc: s.DC, ip: s.IP, seeds: s.Seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
+	return &members{self: s.Host, dc: s.DC, ip: s.IP, power: s.Power, seeds: s.Seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
 }
 
 // named adds a host that another one has named.
@@ -109,7 +114,7 @@
 	}
 	m.ip, m.run, m.heard, m.told, m.leaving = b.IP, b.Run, now, now, b.Leaving
 	m.term, m.known, m.version = b.Term, b.Known, b.Version
-	m.dc, m.config, m.servers, m.fresh = b.DC, b.Config, b.Servers, b.Fresh
+	m.dc, m.config, m.servers, m.fresh, m.power = b.DC, b.Config, b.Servers, b.Fresh, b.Power
 	for _, o := range b.Members {
 		ms.named(now, o.Host, o.IP, o.DC)
 	}
@@ -151,21 +156,21 @@
 // targets returns the addresses that are due for a beat. Hosts in other data
 // centres get fewer: bytes between data centres are expensive, and most
 // requests stay in their own. Both rates fall with the number of hosts, so that
-// the datagrams of a host don't grow with it; prompt hosts, whose beats others
-// wait for, keep theirs.
+// the datagrams of a host don't grow with it; hosts whose silence others notice
+// are prompt and keep a higher one.
 func (ms *members) targets(now clock.Time, prompt bool) (ips []string) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	near, away := clock.Span(0), awayGap
-	if !prompt {
-		n := 0
-		for _, m := range ms.all {
-			if m.dc == ms.dc {
-				n++
-			}
+	n := 0
+	for _, m := range ms.all {
+		if m.dc == ms.dc {
+			n++
 		}
-		near = min(nearGapPer*clock.Span(n), nearGapMax)
-		away = min(max(awayGap, awayGapPer*clock.Span(len(ms.all)-n)), awayGapMax)
+	}
+	near := min(nearGapPer*clock.Span(n), nearGapMax)
+	away := min(max(awayGap, awayGapPer*clock.Span(len(ms.all)-n)), awayGapMax)
+	if prompt {
+		near, away = min(near, promptGap), awayGap
 	}
 	known := make(map[string]bool, len(ms.all))
 	for name, m := range ms.all {
@@ -210,9 +215,15 @@
 	return out
 }
 
+// precedes reports whether another host takes duties before this one: hosts
+// with more processor come first, as some have little.
+func (ms *members) precedes(m *member) bool {
+	return cmp.Or(cmp.Compare(m.power, ms.power), cmp.Compare(ms.self, m.name)) > 0
+}
+
 // standing says how this host stands among the others.
 type standing struct {
-	rank     int  // number of live hosts with a lower name
+	rank     int  // number of live hosts that come first
 	majority bool // it hears most of the hosts that it knows
 	alive    int
 	known    int
@@ -231,7 +242,7 @@
 			continue
 		}
 		st.alive++
-		if m.name < ms.self {
+		if ms.precedes(m) {
 			st.rank++
 		}
 	}
@@ -327,7 +338,7 @@
 			continue
 		}
 		if !m.leaving {
-			if m.dc == ms.dc && m.name < ms.self {
+			if m.dc == ms.dc && ms.precedes(m) {
 				first = false
 			}
 			if m.dc < ms.dc {
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -39,3 +39,29 @@
 		})
 	}
 }
+
+// A weak host that came first by its name had the assigner's role and the
+// watches: hundreds of calls a second beside its callers' requests.
+func TestStrongHostsFirst(t *testing.T) {
+	tests := []struct {
+		name  string
+		other mesh.Beat
+		rank  int
+	}{
+		{"a stronger host", mesh.Beat{From: "z", Power: 0.8}, 1},
+		{"a weaker host with a lower name", mesh.Beat{From: "a", Power: 0.16}, 0},
+		{"an equal host with a lower name", mesh.Beat{From: "a", Power: 0.32}, 1},
+		{"an equal host with a higher name", mesh.Beat{From: "z", Power: 0.32}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "m", IP: "127.0.0.1", DC: "north", Power: 0.32})
+			tt.other.Run, tt.other.IP, tt.other.DC = 1, "127.0.0.2", "north"
+			ms.beat(5, &tt.other)
+			is.Equal(ms.standing(6).rank, tt.rank)
+			first, _ := ms.watchers(6)
+			is.Equal(first, tt.rank == 0)
+		})
+	}
+}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -17,6 +17,7 @@
 	MeshPort uint16   // the same on all hosts
 	Seeds    []string // addresses of some hosts; may be stale
 	Store    string   // address of the store
+	Power    float64  // processor, in cores of the usual speed
 
 	Drain        clock.Span // until a leaving server gets no new requests
 	Apply        clock.Span // until an accepted configuration is in force
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -54,6 +54,7 @@
 	Servers uint64               `cbor:"14,keyasint,omitempty"` // revision of its list of servers
 	Fresh   clock.Span           `cbor:"15,keyasint"`           // since the store has confirmed both to it; negative: it doesn't watch
 	DC      keys.DataCentre      `cbor:"16,keyasint,omitempty"`
+	Power   float64              `cbor:"17,keyasint,omitempty"` // its processor, in cores
 }
 
 // Member is a host as others name it.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -216,23 +216,34 @@
 	return busy, paces
 }
 
+const (
+	// tickBusy and tickIdle are the periods of Run's work while requests wait
+	// for servers, and while none does.
+	tickBusy = 10 * time.Millisecond
+	tickIdle = 50 * time.Millisecond
+	// sweepEvery is the period in which unused connections are looked through.
+	sweepEvery = time.Second
+)
+
 // Run refuses requests that have waited too long and closes unused connections.
 func (r *Relay) Run(ctx context.Context) error {
-	const every = 10 * time.Millisecond
-	const sweepEvery = 100 // ticks
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for n := 1; ; n++ {
+	swept := time.Now()
+	for every := tickIdle; ; {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-time.After(every):
 		}
+		every = tickIdle
 		r.mu.Lock()
 		r.deliver(r.place.Tick(r.cfg.Clock.Now()))
-		if n%sweepEvery == 0 {
+		if len(r.waiting) > 0 {
+			every = tickBusy
+		}
+		if time.Since(swept) >= sweepEvery {
+			swept = time.Now()
 			for _, p := range r.pools {
-				p.Sweep(ctx, time.Now(), r.health(p.service))
+				p.Sweep(ctx, swept, r.health(p.service))
 			}
 		}
 		r.mu.Unlock()
