front: one host brings a newer view into its data centre; fewer beats that name hosts

Cause: bytes between data centres are the largest price on the grown sites. At each change of servers every host of a data centre without a watch could fetch the whole list from another one after 60 ms, and each beat that names eight hosts, twice the size of others, went to all hosts once a second. Change: the first host of a data centre fetches after 30 ms, the others after 300 ms unless it has reached them; hosts are named every 0.1 s for each known host, at least every second.

--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -17,8 +17,12 @@
 	beatGap = 8 * time.Millisecond
 	// reportEvery is the period of reports to the assigner.
 	reportEvery = 250 * time.Millisecond
-	// gossipEvery is the period in which a host names others and suspicions.
+	// gossipEvery is the shortest period in which a host names others, and
+	// gossipPer that period for each host that it knows.
 	gossipEvery = time.Second
+	gossipPer   = 100 * time.Millisecond
+	// suspectEvery is the period in which a host tells its suspicions.
+	suspectEvery = time.Second
 	// joinEvery is the period in which a host that hears few others asks the
 	// store for their addresses.
 	joinEvery = 3 * time.Second
@@ -27,7 +31,7 @@
 // beat tells the other hosts how this one is, at once after changes.
 func (h *Host) beat(ctx context.Context) error {
 	var seq uint64
-	var reported, gossiped time.Time
+	var reported, gossiped, suspected time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,13 +40,16 @@
 		case <-time.After(beatEvery):
 		}
 		seq++
-		h.sendBeat(seq, time.Since(gossiped) >= gossipEvery)
+		gossip := time.Since(gossiped) >= h.members.gossipGap()
+		if h.sendBeat(seq, gossip) && gossip {
+			gossiped = time.Now()
+		}
 		if time.Since(reported) >= reportEvery {
 			reported = time.Now()
 			h.report()
 		}
-		if time.Since(gossiped) >= gossipEvery {
-			gossiped = time.Now()
+		if time.Since(suspected) >= suspectEvery {
+			suspected = time.Now()
 			h.sendSuspects()
 		}
 		h.expire()
@@ -60,7 +67,8 @@
 	}
 }
 
-func (h *Host) sendBeat(seq uint64, gossip bool) {
+// sendBeat reports whether a beat was due anywhere.
+func (h *Host) sendBeat(seq uint64, gossip bool) bool {
 	now := h.clock.Now()
 	s := h.cfg.Settings
 	b := mesh.Beat{From: s.Host, Run: h.run, Seq: seq, IP: s.IP, DC: s.DC, Power: s.Power, Leaving: h.leaving.Load(), Term: h.duty.term()}
@@ -69,7 +77,7 @@
 	prompt := b.Term > 0 || b.Fresh >= 0 && h.watches()
 	to := h.members.targets(now, prompt)
 	if len(to) == 0 {
-		return
+		return false
 	}
 	b.Busy, b.Waiting = h.relay.Busy()
 	h.members.mu.Lock()
@@ -80,6 +88,7 @@
 	h.relay.Hosts(len(h.members.all) + 1)
 	h.members.mu.Unlock()
 	h.send(to, mesh.Message{Beat: &b})
+	return true
 }
 
 // sendSuspects tells the other hosts which requests may crash servers.
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/mesh"
@@ -325,6 +326,26 @@
 	return ips
 }
 
+// first reports whether this host comes first in its data centre.
+func (ms *members) first(now clock.Time) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if m.heard != 0 && now.Sub(m.heard) <= aliveFor && !m.leaving && m.dc == ms.dc && ms.precedes(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// gossipGap returns the time between two beats that name other hosts. It grows
+// with their number, as those beats are twice as long as the others.
+func (ms *members) gossipGap() time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return max(gossipEvery, time.Duration(len(ms.all))*gossipPer)
+}
+
 // watchers reports whether this host is one of those that watch the store: the
 // first live host of each of the first data centres. fresh is the age of the
 // freshest view of another live host, or -1 if none watches.
--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -24,8 +24,10 @@
 	// viewMax bounds the size of a view.
 	viewMax = 32 << 20
 	// nearFirst is how long a host waits for a newer view to reach its own
-	// data centre before it fetches it from another one.
-	nearFirst = 60 * time.Millisecond
+	// data centre before it fetches it from another one. All but the first host
+	// of a data centre wait longer: one of them is enough to bring it there.
+	nearFirst  = 30 * time.Millisecond
+	nearOthers = 300 * time.Millisecond
 )
 
 // view is what one host learns from another instead of the store. Parts that
@@ -104,7 +106,11 @@
 		config, servers, _ := h.versions(now)
 		ip := h.members.newer(now, config, servers, true)
 		if ip == "" {
-			sleep(ctx, nearFirst)
+			wait := nearOthers
+			if h.members.first(now) {
+				wait = nearFirst
+			}
+			sleep(ctx, wait)
 			config, servers, _ = h.versions(now)
 			ip = h.members.newer(now, config, servers, false)
 		}
