--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 const (
@@ -79,7 +80,12 @@
 	if len(to) == 0 {
 		return false
 	}
-	b.Busy, b.Waiting = h.relay.Busy()
+	var busy map[keys.Server]int
+	busy, b.Waiting = h.relay.Busy()
+	b.Busy = make(map[mesh.Tag]int, len(busy))
+	for id, n := range busy {
+		b.Busy[mesh.TagOf(id)] = n
+	}
 	h.members.mu.Lock()
 	if gossip {
 		b.Members = h.members.some(now)
@@ -138,7 +144,7 @@
 func (h *Host) got(msg mesh.Message) {
 	if b := msg.Beat; b != nil {
 		h.members.beat(h.clock.Now(), b)
-		h.relay.Peer(b.From, b.Busy, b.Waiting)
+		h.relay.Peer(b.From, h.untag(b.Busy), b.Waiting)
 		h.offered()
 	}
 	if len(msg.Suspects) > 0 {
@@ -152,6 +158,21 @@
 	}
 }
 
+// untag returns the servers that are known by their tags.
+func (h *Host) untag(busy map[mesh.Tag]int) map[keys.Server]int {
+	tags := h.tags.Load()
+	if tags == nil {
+		return nil
+	}
+	out := make(map[keys.Server]int, len(busy))
+	for tag, n := range busy {
+		if id, ok := (*tags)[tag]; ok {
+			out[id] = n
+		}
+	}
+	return out
+}
+
 // join makes this host known in the store, and looks others up there while it
 // hears few of them: seeds may be stale.
 func (h *Host) join(ctx context.Context) error {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -35,6 +35,7 @@
 	"github.com/laburnummux/laburnummux/internal/quota"
 	"github.com/laburnummux/laburnummux/internal/relay"
 	"github.com/laburnummux/laburnummux/internal/super"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // fallbackLimits apply until the configuration is known.
@@ -74,7 +75,8 @@
 	storeUp  bool
 	seen     seen
 
-	askFrom clock.Time // when it may ask the store for what other hosts haven't told it
+	tags    atomic.Pointer[map[mesh.Tag]keys.Server] // of the known servers
+	askFrom clock.Time                               // when it may ask the store for what other hosts haven't told it
 	leaving atomic.Bool
 	change  chan struct{} // the number of requests at servers has changed
 	newer   chan struct{} // another host may have a newer view
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -317,6 +318,11 @@
 	h.mu.Lock()
 	list := h.view.List()
 	h.mu.Unlock()
+	tags := make(map[mesh.Tag]keys.Server, len(list))
+	for _, sv := range list {
+		tags[mesh.TagOf(sv.ID)] = sv.ID
+	}
+	h.tags.Store(&tags)
 	h.relay.Servers(list)
 	h.duty.changed()
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
@@ -47,7 +48,7 @@
 	Term    uint64               `cbor:"6,keyasint,omitempty"` // of the role, if it is the assigner
 	Known   uint64               `cbor:"7,keyasint,omitempty"` // term of its tables
 	Version uint64               `cbor:"8,keyasint,omitempty"` // version of its tables
-	Busy    map[keys.Server]int  `cbor:"9,keyasint,omitempty"`
+	Busy    map[Tag]int          `cbor:"9,keyasint,omitempty"` // its requests at each server
 	Waiting map[keys.Service]int `cbor:"10,keyasint,omitempty"`
 	Members []Member             `cbor:"11,keyasint,omitempty"` // some of those that it knows
 	Config  uint64               `cbor:"13,keyasint,omitempty"` // version of its configuration
@@ -57,6 +58,13 @@
 	Power   float64              `cbor:"17,keyasint,omitempty"` // its processor, in cores
 }
 
+// Tag stands for a server in beats, where names are most of the bytes. If two
+// servers share one, the load of one is counted at the other.
+type Tag uint32
+
+// TagOf returns the tag of a server.
+func TagOf(id keys.Server) Tag { return Tag(xxhash.Sum64String(string(id))) }
+
 // Member is a host as others name it.
 type Member struct {
 	Host keys.Host       `cbor:"1,keyasint"`
