front: new hosts meet the others through a seed; no host takes a role from one that it can't hear

Beats name eight hosts at a time, so 91 hosts that start together took seconds to know each other; a host that the assigner didn't know heard no beat of it and claimed the role after 700 ms. The first beat to a host just learned of also waited for a full gap. Change: a seed, and the first host of a data centre, answers the first beat of a process with all hosts that it knows; a first beat is due at once; a claimer that doesn't know the holder looks hosts up in the store. Tests: TestHostsMeetThroughSeed.

--- a/internal/front/beat.go
+++ b/internal/front/beat.go
@@ -143,10 +143,16 @@
 
 func (h *Host) got(msg mesh.Message) {
 	if b := msg.Beat; b != nil {
-		h.members.beat(h.clock.Now(), b)
+		if now := h.clock.Now(); h.members.beat(now, b) && h.members.welcomes(now) {
+			h.send([]string{b.IP}, mesh.Message{Members: h.members.names(now)})
+		}
 		h.relay.Peer(b.From, h.untag(b.Busy), b.Waiting)
 		h.offered()
 	}
+	if len(msg.Members) > 0 {
+		h.members.learnNames(h.clock.Now(), msg.Members)
+		h.changed() // the hosts that it names learn of this one
+	}
 	if len(msg.Suspects) > 0 {
 		h.relay.Suspect(msg.Suspects)
 	}
--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -123,8 +123,12 @@
 		return
 	}
 	if ev.prior.Term > c.led && ev.prior.Holder != "" && ev.prior.Holder != h.cfg.Settings.Host && ev.prior.Process() != c.ended {
-		// Another host has taken the role since; its beats are on their way.
+		// Another host has taken the role since; its beats are on their way,
+		// unless neither knows the other.
 		h.members.learn(h.clock.Now(), ev.prior.Holder, ev.prior.Term)
+		if !h.members.knows(ev.prior.Holder) {
+			h.lookUp(ctx)
+		}
 		ev.err = ErrConflict
 		return
 	}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -98,12 +98,12 @@
 	}
 }
 
-// beat takes a beat. It reports whether the host's process is a new one.
-func (ms *members) beat(now clock.Time, b *mesh.Beat) {
+// beat takes a beat. It reports whether it is the first of its process.
+func (ms *members) beat(now clock.Time, b *mesh.Beat) (first bool) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	if b.From == ms.self {
-		return
+		return false
 	}
 	m := ms.all[b.From]
 	if m == nil {
@@ -111,8 +111,9 @@
 		ms.all[b.From] = m
 	}
 	if b.Run < m.run && now.Sub(m.heard) < aliveFor {
-		return // a late beat of a former process; after a silence the time of day may have been set back
+		return false // a late beat of a former process; after a silence the time of day may have been set back
 	}
+	first = m.run != b.Run
 	m.ip, m.run, m.heard, m.told, m.leaving = b.IP, b.Run, now, now, b.Leaving
 	m.term, m.known, m.version = b.Term, b.Known, b.Version
 	m.dc, m.config, m.servers, m.fresh, m.power = b.DC, b.Config, b.Servers, b.Fresh, b.Power
@@ -125,6 +126,29 @@
 	case ms.assigner == b.From && b.Leaving:
 		ms.assigner, ms.heard = "", 0 // it has given the role up
 	}
+	return first
+}
+
+// welcomes reports whether this host tells new ones of the others: it is a
+// seed, which they ask first, or comes first in its data centre.
+func (ms *members) welcomes(now clock.Time) bool {
+	return slices.Contains(ms.seeds, ms.ip) || ms.first(now)
+}
+
+// names returns all hosts that were heard lately.
+func (ms *members) names(now clock.Time) (out []mesh.Member) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.live(now)
+}
+
+// learnNames adds the hosts that another one has named.
+func (ms *members) learnNames(now clock.Time, list []mesh.Member) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, o := range list {
+		ms.named(now, o.Host, o.IP, o.DC)
+	}
 }
 
 // table takes a table, or a change of one, if it is news. It returns the whole
@@ -187,7 +211,7 @@
 		if now.Sub(m.heard) > quietAfter {
 			gap = clock.Second
 		}
-		if now.Sub(m.sent) < gap {
+		if m.sent != 0 && now.Sub(m.sent) < gap {
 			continue
 		}
 		m.sent = now
@@ -201,13 +225,19 @@
 	return ips
 }
 
-// some returns a few hosts to name in a beat.
-func (ms *members) some(now clock.Time) (out []mesh.Member) {
+// live returns the hosts that were heard lately. ms.mu is held.
+func (ms *members) live(now clock.Time) (out []mesh.Member) {
 	for _, m := range ms.all {
 		if now.Sub(m.heard) < quietAfter && m.heard != 0 {
 			out = append(out, mesh.Member{Host: m.name, IP: m.ip, DC: m.dc})
 		}
 	}
+	return out
+}
+
+// some returns a few hosts to name in a beat. ms.mu is held.
+func (ms *members) some(now clock.Time) (out []mesh.Member) {
+	out = ms.live(now)
 	if len(out) > namedMax {
 		slices.SortFunc(out, func(a, b mesh.Member) int { return cmp.Compare(a.Host, b.Host) })
 		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
@@ -290,6 +320,13 @@
 	return ms.led
 }
 
+// knows reports whether a host's address is known.
+func (ms *members) knows(name keys.Host) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.all[name] != nil
+}
+
 // learn notes an assigner that the store names.
 func (ms *members) learn(now clock.Time, name keys.Host, term uint64) {
 	ms.mu.Lock()
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -8,6 +9,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // A new assigner's table can arrive before its first beat. A host that took the
@@ -65,3 +67,29 @@
 		})
 	}
 }
+
+// Hosts that start together must know each other after one exchange with a
+// seed. Named eight at a time, 91 hosts took seconds, and those that the
+// assigner didn't know took its role in turn.
+func TestHostsMeetThroughSeed(t *testing.T) {
+	is := is.New(t)
+	const n = 90
+	ip := func(i int) string { return fmt.Sprintf("127.0.1.%d", i) }
+	beat := func(i int) *mesh.Beat {
+		return &mesh.Beat{From: keys.Host(fmt.Sprintf("host-%02d", i)), Run: 1, IP: ip(i), DC: "north"}
+	}
+	seed := newMembers(Settings{Host: "host-00", IP: ip(0), DC: "north", Seeds: []string{ip(0)}})
+	is.True(seed.welcomes(1))
+	var last *members
+	for i := 1; i <= n; i++ {
+		is.True(seed.beat(10, beat(i)))
+		last = newMembers(Settings{Host: beat(i).From, IP: ip(i), DC: "north", Seeds: []string{ip(0)}})
+		last.learnNames(10, seed.names(10))
+	}
+	is.Equal(len(last.all), n-1) // all but itself
+	is.Equal(len(last.targets(10, false)), n)
+	is.True(!seed.beat(20, beat(1))) // told once only
+	again := beat(1)
+	again.Run = 2
+	is.True(seed.beat(30, again)) // a new process
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -36,6 +36,8 @@
 	Tables []owner.Table `cbor:"3,keyasint,omitempty"`
 	// Suspects are requests that may crash servers.
 	Suspects []retry.Suspicion `cbor:"4,keyasint,omitempty"`
+	// Members are all hosts that the sender knows, for one that has just started.
+	Members []Member `cbor:"5,keyasint,omitempty"`
 }
 
 // Beat says how a host is.
@@ -45,10 +47,10 @@
 	Seq     uint64               `cbor:"3,keyasint"`
 	IP      string               `cbor:"4,keyasint"`
 	Leaving bool                 `cbor:"5,keyasint,omitempty"`
-	Term    uint64               `cbor:"6,keyasint,omitempty"` // of the role, if it is the assigner
-	Known   uint64               `cbor:"7,keyasint,omitempty"` // term of its tables
-	Version uint64               `cbor:"8,keyasint,omitempty"` // version of its tables
-	Busy    map[Tag]int          `cbor:"9,keyasint,omitempty"` // its requests at each server
+	Term    uint64               `cbor:"6,keyasint,omitempty"`  // of the role, if it is the assigner
+	Known   uint64               `cbor:"7,keyasint,omitempty"`  // term of its tables
+	Version uint64               `cbor:"8,keyasint,omitempty"`  // version of its tables
+	Busy    map[Tag]int          `cbor:"18,keyasint,omitempty"` // its requests at each server
 	Waiting map[keys.Service]int `cbor:"10,keyasint,omitempty"`
 	Members []Member             `cbor:"11,keyasint,omitempty"` // some of those that it knows
 	Config  uint64               `cbor:"13,keyasint,omitempty"` // version of its configuration
