place: prefer servers to which a connection is open

Change: a server without an unused connection of this host scores 0.25 of a mean request more. TestOpenConnections (fails without).

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -125,6 +125,13 @@
 	p.idle = nil
 }
 
+// Unused returns the number of open connections that no request uses.
+func (p *Pool) Unused() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
 // Sweep closes connections that have been unused for too long. The one that
 // was used last is kept open by asking the server for its health at the given
 // path, a few times: that costs less than a new connection.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -36,6 +36,10 @@
 	// awayCost is added to the score of a server in another data centre, in
 	// units of a mean request. Bytes between data centres are expensive.
 	awayCost = 0.6
+	// openCost is added to the score of a server to which this host has no unused
+	// connection. Opening one costs the server time, and with many hosts and
+	// servers each pair is used so seldom that most connections would be new.
+	openCost = 0.25
 	// coldFactor is how much slower a server is that has just started.
 	coldFactor = 2.0
 	// failWeight is the weight of the last result in a server's failure rate.
@@ -154,16 +158,18 @@
 	services map[keys.Service]*service
 	peers    map[keys.Host]*peer
 	tables   map[keys.Service]owner.Table
+	unused   func(keys.Server) int // number of unused connections to a server
 	turn     int
 	stopped  bool
 	hosts    int                  // that send to the same servers
 	conns    map[keys.Service]int // that a server accepts from all hosts together
 }
 
-// New returns the state of a host in a data centre.
-func New(dc keys.DataCentre) *State {
+// New returns the state of a host in a data centre. unused tells how many
+// unused connections the host has to a server.
+func New(dc keys.DataCentre, unused func(keys.Server) int) *State {
 	return &State{
-		dc: dc, servers: make(map[keys.Server]*server), groups: make(map[keys.Service][]*server),
+		dc: dc, unused: unused, servers: make(map[keys.Server]*server), groups: make(map[keys.Service][]*server),
 		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
 }
@@ -334,6 +340,9 @@
 	if sv.DC != s.dc {
 		x += awayCost
 	}
+	if s.unused(sv.ID) == 0 {
+		x += openCost
+	}
 	return x, true
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -22,8 +22,12 @@
 	return list
 }
 
+// open is the number of unused connections of hosts in tests that aren't about
+// them.
+func open(keys.Server) int { return 1 }
+
 func newState(n int) *State {
-	s := New("north")
+	s := New("north", open)
 	s.Servers(0, servers(n))
 	return s
 }
@@ -83,6 +87,37 @@
 	is.Equal(s.servers["s0"].load(), 0)
 }
 
+// A server to which a connection is open is preferred to an equal one, but not
+// to one that is much faster. (91 hosts opened 27,000 connections for 95,000
+// requests.)
+func TestOpenConnections(t *testing.T) {
+	tests := []struct {
+		name string
+		pace float64 // of the server without a connection
+		want keys.Server
+	}{
+		{"equal servers", 1, "s1"},
+		{"slightly faster without one", 0.9, "s1"},
+		{"much faster without one", 0.6, "s0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New("north", func(id keys.Server) int {
+				if id == "s1" {
+					return 1
+				}
+				return 0
+			})
+			s.Servers(0, servers(2))
+			s.servers["s0"].pace = tt.pace
+			for id := uint64(1); id <= 2; id++ {
+				is.Equal(s.Offer(0, request(id, 0))[0].(Start).Server.ID, tt.want)
+			}
+		})
+	}
+}
+
 // A more urgent request goes first; among equals a short one, then the one
 // whose objective comes first.
 func TestOrder(t *testing.T) {
@@ -239,7 +274,7 @@
 	turn := 0
 	list := servers(n)
 	for h := range states {
-		states[h] = New("north")
+		states[h] = New("north", open)
 		states[h].Servers(0, list)
 	}
 	own := make([][]int, hosts)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,12 +97,22 @@
 
 // New returns a Relay that knows no configuration yet.
 func New(cfg Config) *Relay {
-	return &Relay{
-		cfg: cfg, place: place.New(cfg.DC), budget: quota.New(cfg.Clock.Now(), cfg.Budget),
+	r := &Relay{
+		cfg: cfg, budget: quota.New(cfg.Clock.Now(), cfg.Budget),
 		suspect: retry.NewQuarantine(retry.QuarantineConfig{}), waiting: make(map[uint64]chan place.Action),
 		pools: make(map[keys.Server]*pool), counts: make(map[string]*uint64), means: make(map[string]float64), hosts: 1,
 		busy: make(map[keys.Service]map[owner.Key]clock.Span), paces: make(map[keys.Server]*owner.Pace),
 	}
+	r.place = place.New(cfg.DC, r.unused)
+	return r
+}
+
+// unused returns the number of unused connections to a server. r.mu is held.
+func (r *Relay) unused(id keys.Server) int {
+	if p := r.pools[id]; p != nil {
+		return p.Unused()
+	}
+	return 0
 }
 
 // Configure puts a configuration in force.
