front: act on the end of a process only if the record was read after the assigner was last heard

A record that was read before another host took the role names an older holder; its end says nothing about the present one, whose silence has to be waited for. Found by reading the diff.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -27,7 +27,7 @@
 		return
 	}
 	st := d.h.members.standing(mono)
-	if ended := d.holderEnded(); ended != (owner.Holder{}) {
+	if ended := d.holderEnded(); ended != (owner.Holder{}) && d.storedAt > heard {
 		d.succeed(ctx, now, st.rank, ended)
 		return
 	}
