--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -126,14 +126,25 @@
 	s := start(t, 2)
 	waitOnce(t, s)
 	const path = "/ledger/tin-3/entries"
-	for _, n := range s.Servers() {
-		s.Server(n).Backend().CrashOn(path, "poison")
-	}
-	is.True(call(t, http.MethodPost, url(s, 0)+path, newID(t), "poison").outcome != answer.Answered)
-	waitSuspected(t, s, "ledger/post-entry", 1)
+	crashOnce(t, s, path)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
 	i := slices.IndexFunc(s.Hosts(), func(h *entry.Host) bool { return knows(t, h, "ledger", "ledger/post-entry", 1) })
 	is.NoErr(s.RestartHost(ctx, i))
 	waitSuspected(t, s, "ledger/post-entry", 1)
 }
+
+// crashOnce sends a ledger entry that crashes its server, and waits until the
+// hosts suspect it. It returns the id of the request.
+func crashOnce(t testing.TB, s *devel.System, path string) (id string) {
+	t.Helper()
+	for _, n := range s.Servers() {
+		s.Server(n).Backend().CrashOn(path, "poison")
+	}
+	id = newID(t)
+	if r := call(t, http.MethodPost, url(s, 0)+path, id, "poison"); r.outcome == answer.Answered {
+		t.Fatal("a request that crashes its server was answered")
+	}
+	waitSuspected(t, s, "ledger/post-entry", 1)
+	return id
+}
--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -59,12 +59,7 @@
 	s := start(t, 2)
 	waitOnce(t, s)
 	const path = "/ledger/tin-3/entries"
-	for _, n := range s.Servers() {
-		s.Server(n).Backend().CrashOn(path, "poison")
-	}
-	crash := newID(t)
-	is.True(call(t, http.MethodPost, url(s, 0)+path, crash, "poison").outcome != answer.Answered)
-	waitSuspected(t, s, "ledger/post-entry", 1)
+	crash := crashOnce(t, s, path)
 	for _, n := range s.Servers() {
 		b := s.Server(n).Backend()
 		b.NoCrash()
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -5,9 +5,8 @@
 	return t.Term > o.Term || t.Term == o.Term && t.Version > o.Version
 }
 
-// Change returns what turns old into t. Only the ranges with another owner are
-// in it: a whole table of hundreds of ranges, sent to all hosts at each move,
-// was most of the traffic between data centres.
+// Change returns what turns old into t: only the ranges with another owner. A
+// whole table can have hundreds of ranges, and each move is sent to all hosts.
 func (t Table) Change(old Table) Table {
 	c := t
 	c.Base, c.Spans = old.Version, nil
