--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -95,7 +95,9 @@
 	is.NoErr(s.Hosts()[leaves].Stop(ctx))
 	wg.Wait()
 	is.NoErr(r.err)
-	is.True(r.outcome != answer.Unknown)
+	if r.outcome == answer.Unknown {
+		t.Errorf("the suspect is unknown: %s", r.reason)
+	}
 	want := 0
 	if r.outcome == answer.Answered {
 		want = 1
