--- a/internal/front/beat_test.go
+++ b/internal/front/beat_test.go
@@ -22,8 +22,8 @@
 	is.Equal(got, map[keys.Server]int{"s1": 2})
 }
 
-// Beats go to every host many times a second: with 40 busy servers one must fit
-// a datagram that no link splits.
+// Beats go to every host many times a second and must not carry servers' names:
+// 40 of them alone, at 12 bytes and a header, would exceed the bound.
 func TestBeatSize(t *testing.T) {
 	is := is.New(t)
 	b := &mesh.Beat{From: "front-north-12", Run: 1 << 40, IP: "10.128.0.9", DC: "north", Busy: make(map[mesh.Tag]int)}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -37,8 +37,7 @@
 	// units of a mean request. Bytes between data centres are expensive.
 	awayCost = 0.6
 	// openCost is added to the score of a server to which this host has no unused
-	// connection. Opening one costs the server time, and with many hosts and
-	// servers each pair is used so seldom that most connections would be new.
+	// connection. Opening one takes time at the server and may hold a slot.
 	openCost = 0.25
 	// coldFactor is how much slower a server is that has just started.
 	coldFactor = 2.0
