front, platform: the store's epoch in revisions, a log line and a gauge

Change: revisions are epoch.Revision, an epoch and a number; a host logs a new epoch once and has a gauge of it; the line of a claim names the former term and the epoch. Decisions still compare the numbers only.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/owner"
 )
 
@@ -27,7 +28,7 @@
 type writeCall struct {
 	role      *assignerRole
 	write     owner.Write
-	rev       uint64
+	rev       epoch.Revision
 	startedAt clock.Time
 }
 
--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/owner"
 )
 
@@ -93,6 +94,7 @@
 	if r.resigned {
 		return
 	}
+	r.host.noteEpoch(ev.rev.Epoch())
 	r.recordRev, r.confirmedAt, r.confirmStartedAt = ev.rev, ev.startedAt, now
 	r.claimedRecord, r.formerEnded = ev.rec, false
 	r.tablesVersion, r.requiredVersion, r.tables, r.recentPublications = 0, 0, nil, nil
@@ -102,7 +104,8 @@
 	}, now, ev.rec)
 	r.heldTerm.Store(ev.rec.Term)
 	r.host.metrics.assignerTerm.Set(float64(ev.rec.Term))
-	r.host.log.Info("claimed the assigner role", zap.Uint64("term", ev.rec.Term), zap.String("former", string(ev.prior.Holder)))
+	r.host.log.Info("claimed the assigner role", zap.Uint64("term", ev.rec.Term),
+		zap.String("former", string(ev.prior.Holder)), zap.Uint64("formerTerm", ev.prior.Term), zap.Uint64("epoch", ev.rev.Epoch()))
 	r.executeAndPublish(ctx, r.updateServers(now))
 	r.host.triggerHeartbeat()
 }
@@ -119,7 +122,7 @@
 	h := c.role.host
 	ev := claimDone{startedAt: c.startedAt}
 	defer func() { c.role.postResult(ctx, ev) }()
-	var rev uint64
+	var rev epoch.Revision
 	if ev.prior, rev, ev.err = h.cfg.Store.Record(ctx); ev.err != nil {
 		return
 	}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -82,6 +82,7 @@
 	serversLoaded bool // the list of servers has been loaded
 	storeFailedAt clock.Time
 	storeUp       bool
+	storeEpoch    uint64 // latest known epoch of the store
 	sync          syncState
 
 	serverByHash      atomic.Pointer[map[mesh.ServerHash]keys.Server] // of the servers in the list
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -14,6 +14,7 @@
 type hostMetrics struct {
 	storeCalls   *prometheus.CounterVec
 	assignerTerm prometheus.Gauge
+	storeEpoch   prometheus.Gauge
 	movedShare   prometheus.Gauge
 	keyCalls     *prometheus.CounterVec
 }
@@ -23,13 +24,14 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnummux_store_calls_total", Help: "Calls to the store by call and result.",
 		}, []string{"call", "result"}),
+		storeEpoch:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_store_epoch", Help: "Epoch of the store; it rises when the store is restored from an older copy."}),
 		assignerTerm: prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_assigner_term", Help: "Term of the assigner's role; 0 if another host has it."}),
 		movedShare:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_moved_share", Help: "Share of all keys that changed owner in this term."}),
 		keyCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnummux_key_calls_total", Help: "Grants and releases by outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	reg.MustRegister(m.storeCalls, m.assignerTerm, m.movedShare, m.keyCalls)
+	reg.MustRegister(m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
 
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -67,7 +68,7 @@
 	resignRequests chan chan struct{}
 
 	assigner           *owner.Assigner // nil if another host has the role
-	recordRev          uint64          // store revision of the assignment record
+	recordRev          epoch.Revision  // store revision of the assignment record
 	confirmedAt        clock.Time      // start of the last store call that confirmed the role
 	confirmStartedAt   clock.Time      // start of the last record read that was to confirm it
 	lastClaimAt        clock.Time      // last claim, or when the role was given up
@@ -106,20 +107,20 @@
 	}
 	claimDone struct {
 		rec       owner.Record
-		rev       uint64
+		rev       epoch.Revision
 		prior     owner.Record
 		startedAt clock.Time
 		err       error
 	}
 	writeDone struct {
 		version   uint64
-		rev       uint64
+		rev       epoch.Revision
 		startedAt clock.Time
 		err       error
 	}
 	readDone struct {
 		rec       owner.Record
-		rev       uint64
+		rev       epoch.Revision
 		startedAt clock.Time
 		err       error
 	}
@@ -325,6 +326,7 @@
 	}
 	switch {
 	case ev.err == nil:
+		r.host.noteEpoch(ev.rev.Epoch())
 		r.recordRev, r.confirmedAt = ev.rev, max(r.confirmedAt, ev.startedAt)
 		r.executeAndPublish(ctx, r.assigner.WriteDone(now, ev.version))
 	case errors.Is(ev.err, ErrRefused):
@@ -349,6 +351,7 @@
 		}
 		return
 	}
+	r.host.noteEpoch(ev.rev.Epoch())
 	if r.assigner == nil {
 		r.storedHolder, r.storedHolderAt = ev.rec.Process(), r.host.clock.Now()
 		// No assigner sends tables; the stored ones are the latest available.
@@ -364,7 +367,7 @@
 		return
 	}
 	r.confirmedAt = max(r.confirmedAt, ev.startedAt)
-	if ev.rev >= r.recordRev {
+	if ev.rev.Number() >= r.recordRev.Number() {
 		r.recordRev = ev.rev
 		r.assigner.RecordRead(ev.rec)
 	}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/owner"
@@ -31,17 +32,18 @@
 // record, and the registrations of servers and hosts.
 type Store interface {
 	// Config returns the configuration and the store's revision of it.
-	Config(ctx context.Context) (*intent.Config, uint64, error)
+	Config(ctx context.Context) (*intent.Config, epoch.Revision, error)
 	// WatchConfig waits for a change after a revision. It returns nil and the
 	// next revision if there was none.
-	WatchConfig(ctx context.Context, rev uint64, wait clock.Span) (*intent.Config, uint64, error)
+	WatchConfig(ctx context.Context, rev epoch.Revision, wait clock.Span) (*intent.Config, epoch.Revision, error)
 	// Servers returns the servers that are in use or draining.
-	Servers(ctx context.Context) ([]fleet.Server, uint64, error)
-	WatchServers(ctx context.Context, rev uint64, wait clock.Span) ([]ServerEvent, uint64, error)
-	// Record returns the assignment record; revision 0 means that there is none.
-	Record(ctx context.Context) (owner.Record, uint64, error)
+	Servers(ctx context.Context) ([]fleet.Server, epoch.Revision, error)
+	WatchServers(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]ServerEvent, epoch.Revision, error)
+	// Record returns the assignment record. Its revision has no number if there is
+	// none.
+	Record(ctx context.Context) (owner.Record, epoch.Revision, error)
 	// PutRecord replaces the record if its revision is still rev.
-	PutRecord(ctx context.Context, rec owner.Record, rev uint64) (uint64, error)
+	PutRecord(ctx context.Context, rec owner.Record, rev epoch.Revision) (epoch.Revision, error)
 	// Hosts returns the addresses of the entry hosts, possibly seconds old.
 	Hosts(ctx context.Context) (map[keys.Host]string, error)
 	PutHost(ctx context.Context, h keys.Host, ip string) error
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -130,14 +131,29 @@
 	}
 }
 
+// noteEpoch logs that the store was restored from an older copy.
+func (h *Host) noteEpoch(e uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e <= h.storeEpoch {
+		return
+	}
+	if h.storeEpoch != 0 {
+		h.log.Warn("store was restored from an older copy", zap.Uint64("epoch", e), zap.Uint64("former", h.storeEpoch))
+	}
+	h.storeEpoch = e
+	h.metrics.storeEpoch.Set(float64(e))
+}
+
 // watchStore calls next repeatedly while this host has to watch the store. next
-// returns the revision to continue from; 0 means to read everything again.
-func (h *Host) watchStore(ctx context.Context, what string, next func(ctx context.Context, rev uint64) (uint64, error)) error {
-	var rev uint64
+// returns the revision to continue from; the zero value means to read everything
+// again.
+func (h *Host) watchStore(ctx context.Context, what string, next func(ctx context.Context, rev epoch.Revision) (epoch.Revision, error)) error {
+	var rev epoch.Revision
 	fails := 0
 	for ctx.Err() == nil {
 		if !h.shouldWatch() {
-			rev = 0
+			rev = epoch.Revision{}
 			sleep(ctx, shouldWatchInterval)
 			continue
 		}
@@ -147,12 +163,13 @@
 		}
 		h.recordStoreResult(err)
 		if err == nil {
+			h.noteEpoch(n.Epoch())
 			rev, fails = n, 0
 			continue
 		}
-		h.log.Info("watch of the store failed; retrying", zap.String("what", what), zap.Uint64("rev", rev), zap.Error(err))
+		h.log.Info("watch of the store failed; retrying", zap.String("what", what), zap.Stringer("rev", rev), zap.Error(err))
 		if errors.Is(err, ErrCompacted) {
-			rev = 0
+			rev = epoch.Revision{}
 			if fails == 0 {
 				fails++
 				continue
@@ -171,24 +188,25 @@
 	return h.watchStore(ctx, "configuration", h.nextConfig)
 }
 
-// nextConfig reads the configuration if rev is 0, else waits for a change.
-func (h *Host) nextConfig(ctx context.Context, rev uint64) (next uint64, err error) {
+// nextConfig reads the configuration if rev is the zero value, else waits for a
+// change.
+func (h *Host) nextConfig(ctx context.Context, rev epoch.Revision) (next epoch.Revision, err error) {
 	began := h.clock.Now()
-	if rev == 0 {
+	if rev == (epoch.Revision{}) {
 		cfg, next, err := h.cfg.Store.Config(ctx)
 		if err != nil {
-			return 0, err
+			return next, err
 		}
-		h.applyConfig(cfg, next)
+		h.applyConfig(cfg, next.Number())
 		h.markConfigConfirmed(began)
 		return next, nil
 	}
 	cfg, next, err := h.cfg.Store.WatchConfig(ctx, rev, h.changeDeadline(watchWaitFraction))
 	if err != nil {
-		return 0, err
+		return next, err
 	}
 	if cfg != nil {
-		h.applyConfig(cfg, next)
+		h.applyConfig(cfg, next.Number())
 	}
 	h.markConfigConfirmed(h.clock.Now())
 	return next, nil
@@ -205,27 +223,27 @@
 	return h.watchStore(ctx, "servers", h.nextServers)
 }
 
-// nextServers reads the servers if rev is 0, else waits for changes.
-func (h *Host) nextServers(ctx context.Context, rev uint64) (next uint64, err error) {
+// nextServers reads the servers if rev is the zero value, else waits for changes.
+func (h *Host) nextServers(ctx context.Context, rev epoch.Revision) (next epoch.Revision, err error) {
 	began := h.clock.Now()
-	if rev == 0 {
+	if rev == (epoch.Revision{}) {
 		list, next, err := h.cfg.Store.Servers(ctx)
 		if err != nil {
-			return 0, err
+			return next, err
 		}
 		h.mu.Lock()
 		outage := h.suspectOutage(began, 0)
 		h.mu.Unlock()
-		h.replaceServers(list, next, outage)
+		h.replaceServers(list, next.Number(), outage)
 		h.markServersConfirmed(began)
 		return next, nil
 	}
 	evs, next, err := h.cfg.Store.WatchServers(ctx, rev, h.changeDeadline(watchWaitFraction))
 	if err != nil {
-		return 0, err
+		return next, err
 	}
 	if len(evs) > 0 {
-		h.applyServerEvents(evs, next)
+		h.applyServerEvents(evs, next.Number())
 	}
 	h.markServersConfirmed(h.clock.Now())
 	if len(evs) > 0 {
