platform: a watch that missed the changes below a revision that was reached again

A restored store gives out its revisions again. A watch from a revision of the former epoch got an error only while the store hadn't reached that number; after that it continued there, and the changes between the copy and the number never arrived. A list could have pages of two epochs. Change: a response of another epoch than the revision is front.ErrRestored, on which a host reads everything again. It works because every response names its epoch, and revisions are compared only within one.

--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -17,6 +17,7 @@
 	ErrNotFound   = errors.New("not found")
 	ErrConflict   = errors.New("conflict: changed by another writer")
 	ErrCompacted  = errors.New("revision compacted: changes since then are no longer available")
+	ErrRestored   = errors.New("store was restored from an older copy; revisions of the former epoch can't be continued from")
 	ErrRefused    = errors.New("store refused the call; nothing was done")
 	ErrNoResponse = errors.New("store did not respond; the call may have taken effect")
 )
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		h.log.Info("watch of the store failed; retrying", zap.String("what", what), zap.Stringer("rev", rev), zap.Error(err))
-		if errors.Is(err, ErrCompacted) {
+		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 			rev = epoch.Revision{}
 			if fails == 0 {
 				fails++
