front: servers of a restored store were ignored until its revisions had caught up

A list or an event with a lower revision number counted as older, so after a restore hosts kept the former list, sent requests to servers that had begun to drain, and sent none to new ones. The same for what hosts fetch from each other. TestNewerSnapshotAfterRestore is new with the fields. It works because a revision of a later epoch is newer whatever its number is.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -76,7 +77,9 @@
 	now := h.clock.Now()
 	s := h.cfg.Settings
 	b := mesh.Heartbeat{From: s.Host, Incarnation: h.incarnation, Seq: seq, IP: s.IP, DC: s.DC, Cores: s.Cores, Leaving: h.leaving.Load(), Term: h.role.term()}
-	b.ConfigVersion, b.ServersRev, b.ConfirmationAge = h.snapshotVersions(now)
+	var servers epoch.Revision
+	b.ConfigVersion, servers, b.ConfirmationAge = h.snapshotVersions(now)
+	b.ServersRev, b.ServersEpoch = servers.Number(), servers.Epoch()
 	// Other hosts take over if the assigner, or a host that watches the store,
 	// sends no heartbeats.
 	priority := b.Term > 0 || b.ConfirmationAge >= 0 && h.shouldWatch()
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -59,8 +60,8 @@
 	tablesSentAt    clock.Time // when complete tables were last sent to it
 	dc              keys.DataCentre
 	configVersion   uint64
-	serversRev      uint64     // store revision of its list of servers
-	fetchAfter      clock.Time // earliest next fetch of its snapshot, after a failed one
+	serversRev      epoch.Revision // store revision of its list of servers
+	fetchAfter      clock.Time     // earliest next fetch of its snapshot, after a failed one
 	cores           float64
 	confirmationAge clock.Span // at its last heartbeat; negative: the store has never confirmed its state
 }
@@ -121,7 +122,7 @@
 	first = m.incarnation != b.Incarnation
 	m.ip, m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving = b.IP, b.Incarnation, now, now, b.Leaving
 	m.roleTerm, m.tablesTerm, m.tablesVersion = b.Term, b.TablesTerm, b.TablesVersion
-	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, b.ServersRev, b.ConfirmationAge, b.Cores
+	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
 	for _, o := range b.Members {
 		ms.add(now, o.Host, o.IP, o.DC)
 	}
@@ -432,14 +433,14 @@
 
 // newerSnapshotAddr returns the address of a live host with a newer snapshot,
 // preferably in the same data centre, or "". local excludes the others.
-func (ms *members) newerSnapshotAddr(now clock.Time, config, servers uint64, local bool) (ip string) {
+func (ms *members) newerSnapshotAddr(now clock.Time, config uint64, servers epoch.Revision, local bool) (ip string) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, m := range ms.all {
 		if m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) > aliveTimeout || local && m.dc != ms.dc || now < m.fetchAfter {
 			continue
 		}
-		if m.configVersion > config || m.serversRev > servers {
+		if m.configVersion > config || servers.Before(peerRevision(m.serversRev.Epoch(), m.serversRev.Number(), servers)) {
 			ip = m.ip
 			if m.dc == ms.dc {
 				return ip
--- /dev/null
+++ b/internal/front/restored_test.go
@@ -0,0 +1,95 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+func newTestHost() *Host {
+	return New(Config{Settings: Settings{Host: "a", IP: "127.0.0.1"}, Log: zap.NewNop()})
+}
+
+func serverIDs(h *Host) (ids []keys.Server) {
+	for _, sv := range h.serverList() {
+		ids = append(ids, sv.ID)
+	}
+	return ids
+}
+
+// Guards against a host that ignores the servers of a restored store until its
+// revisions have caught up with those of the former epoch.
+func TestServersOfRestoredStore(t *testing.T) {
+	list := func(rev epoch.Revision, ids ...keys.Server) func(h *Host) {
+		return func(h *Host) {
+			var servers []fleet.Server
+			for _, id := range ids {
+				servers = append(servers, fleet.Server{ID: id})
+			}
+			h.replaceServers(servers, rev, false)
+		}
+	}
+	event := func(rev epoch.Revision, id keys.Server) func(h *Host) {
+		return func(h *Host) {
+			h.applyServerEvents([]ServerEvent{{ID: id, Server: fleet.Server{ID: id}}}, rev)
+		}
+	}
+	tests := []struct {
+		name  string
+		steps []func(h *Host)
+		want  []keys.Server
+	}{
+		{"list of the restored store", []func(h *Host){list(epoch.At(1, 900), "s1"), list(epoch.At(2, 40), "s1", "s2")}, []keys.Server{"s1", "s2"}},
+		{"event of the restored store", []func(h *Host){list(epoch.At(1, 900), "s1"), list(epoch.At(2, 40), "s1"), event(epoch.At(2, 41), "s2")}, []keys.Server{"s1", "s2"}},
+		{"late list of the former epoch", []func(h *Host){list(epoch.At(2, 40), "s1"), list(epoch.At(1, 900), "s1", "s2")}, []keys.Server{"s1"}},
+		{"late event of the former epoch", []func(h *Host){list(epoch.At(2, 40), "s1"), event(epoch.At(1, 900), "s2")}, []keys.Server{"s1"}},
+		{"older list of the same epoch", []func(h *Host){list(epoch.At(1, 900), "s1"), list(epoch.At(1, 40), "s2")}, []keys.Server{"s1"}},
+		{"store without epochs", []func(h *Host){list(epoch.At(0, 9), "s1"), list(epoch.At(0, 10), "s1", "s2")}, []keys.Server{"s1", "s2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newTestHost()
+			for _, step := range tt.steps {
+				step(h)
+			}
+			is.New(t).Equal(serverIDs(h), tt.want)
+		})
+	}
+}
+
+// Guards against a host that doesn't fetch another host's newer list of servers
+// after a restore, or fetches an older one. Hosts of earlier versions report no
+// epoch.
+func TestNewerSnapshotAfterRestore(t *testing.T) {
+	tests := []struct {
+		name  string
+		other mesh.Heartbeat
+		newer bool
+	}{
+		{"later epoch, lower number", mesh.Heartbeat{ServersEpoch: 2, ServersRev: 40}, true},
+		{"same epoch, higher number", mesh.Heartbeat{ServersEpoch: 1, ServersRev: 901}, true},
+		{"same", mesh.Heartbeat{ServersEpoch: 1, ServersRev: 900}, false},
+		{"no epoch, higher number", mesh.Heartbeat{ServersRev: 901}, true},
+		{"no epoch, lower number", mesh.Heartbeat{ServersRev: 40}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ms := newMembers(Settings{Host: "a", IP: "127.0.0.1"})
+			tt.other.From, tt.other.IP = "b", "127.0.0.2"
+			ms.handleHeartbeat(5, &tt.other)
+			got := ms.newerSnapshotAddr(6, 0, epoch.At(1, 900), false) != ""
+			is.New(t).Equal(got, tt.newer)
+		})
+	}
+	t.Run("earlier epoch", func(t *testing.T) {
+		ms := newMembers(Settings{Host: "a", IP: "127.0.0.1"})
+		ms.handleHeartbeat(5, &mesh.Heartbeat{From: "b", IP: "127.0.0.2", ServersEpoch: 1, ServersRev: 900})
+		is.New(t).Equal(ms.newerSnapshotAddr(6, 0, epoch.At(2, 40), false), "")
+	})
+}
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/link"
@@ -38,8 +39,18 @@
 	Config     *intent.Document `cbor:"1,keyasint,omitempty"`
 	ConfigRev  uint64           `cbor:"2,keyasint,omitempty"`
 	Servers    []fleet.Server   `cbor:"3,keyasint,omitempty"`
-	ServersRev uint64           `cbor:"4,keyasint,omitempty"` // store revision of Servers
+	ServersRev uint64           `cbor:"4,keyasint,omitempty"` // number of the store revision of Servers
 	Outage     bool             `cbor:"5,keyasint,omitempty"` // a call to the store has failed recently
+	Epoch      uint64           `cbor:"6,keyasint,omitempty"` // epoch of ServersRev; 0 from hosts of earlier versions
+}
+
+// peerRevision returns a revision that another host reports. Hosts of earlier
+// versions report no epoch; only the numbers of their revisions are compared.
+func peerRevision(storeEpoch, number uint64, own epoch.Revision) epoch.Revision {
+	if storeEpoch == 0 {
+		storeEpoch = own.Epoch()
+	}
+	return epoch.At(storeEpoch, number)
 }
 
 // serveSnapshot responds with the parts that are newer than the versions in the
@@ -50,19 +61,26 @@
 		http.Error(w, "config: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	rev, err := strconv.ParseUint(r.URL.Query().Get("servers"), 10, 64)
+	number, err := strconv.ParseUint(r.URL.Query().Get("servers"), 10, 64)
 	if err != nil {
 		http.Error(w, "servers: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	var storeEpoch uint64
+	if v := r.URL.Query().Get("epoch"); v != "" {
+		if storeEpoch, err = strconv.ParseUint(v, 10, 64); err != nil {
+			http.Error(w, "epoch: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	var s snapshot
 	h.mu.Lock()
 	if c := h.relay.Config(); c != nil && c.Version() > config {
 		doc := c.Document()
 		s.Config, s.ConfigRev = &doc, h.sync.configRev
 	}
-	if h.serversLoaded && h.sync.serversRev > rev {
-		s.Servers, s.ServersRev = h.fleet.Registered(), h.sync.serversRev
+	if rev := h.sync.serversRev; h.serversLoaded && peerRevision(storeEpoch, number, rev).Before(rev) {
+		s.Servers, s.ServersRev, s.Epoch = h.fleet.Registered(), rev.Number(), rev.Epoch()
 	}
 	s.Outage = h.suspectOutage(h.clock.Now(), 0)
 	h.mu.Unlock()
@@ -128,13 +146,13 @@
 }
 
 // fetchSnapshot fetches what is newer than the given versions and applies it.
-func (h *Host) fetchSnapshot(ctx context.Context, client *http.Client, addr string, config, servers uint64) (err error) {
+func (h *Host) fetchSnapshot(ctx context.Context, client *http.Client, addr string, config uint64, servers epoch.Revision) (err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("front: fetch snapshot from %s: %w", addr, err)
 		}
 	}()
-	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d", addr, snapshotPath, config, servers)
+	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d&epoch=%d", addr, snapshotPath, config, servers.Number(), servers.Epoch())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -159,7 +177,7 @@
 		h.applyConfig(intent.New(*s.Config), s.ConfigRev)
 	}
 	if s.ServersRev > 0 {
-		h.replaceServers(s.Servers, s.ServersRev, s.Outage)
+		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), s.Outage)
 	}
 	return nil
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -54,12 +54,12 @@
 // syncState records how up to date this host is with the store. Host.mu guards
 // it.
 type syncState struct {
-	configRev          uint64     // store revision of the configuration
-	serversRev         uint64     // store revision of the last change of the servers
-	configConfirmedAt  clock.Time // when the store last confirmed the configuration
-	serversConfirmedAt clock.Time // when it last confirmed the servers
-	configConfirmed    bool       // the store has confirmed the configuration at least once
-	serversConfirmed   bool       // and the servers
+	configRev          uint64         // store revision of the configuration
+	serversRev         epoch.Revision // store revision of the last change of the servers
+	configConfirmedAt  clock.Time     // when the store last confirmed the configuration
+	serversConfirmedAt clock.Time     // when it last confirmed the servers
+	configConfirmed    bool           // the store has confirmed the configuration at least once
+	serversConfirmed   bool           // and the servers
 }
 
 // confirmationAge returns the time since the store last confirmed both the
@@ -73,7 +73,7 @@
 
 // snapshotVersions returns the version of the configuration, the revision of the
 // servers, and the time since the store confirmed both.
-func (h *Host) snapshotVersions(now clock.Time) (config, servers uint64, age clock.Span) {
+func (h *Host) snapshotVersions(now clock.Time) (config uint64, servers epoch.Revision, age clock.Span) {
 	if c := h.relay.Config(); c != nil {
 		config = c.Version()
 	}
@@ -234,7 +234,7 @@
 		h.mu.Lock()
 		outage := h.suspectOutage(began, 0)
 		h.mu.Unlock()
-		h.replaceServers(list, next.Number(), outage)
+		h.replaceServers(list, next, outage)
 		h.markServersConfirmed(began)
 		return next, nil
 	}
@@ -243,7 +243,7 @@
 		return next, err
 	}
 	if len(evs) > 0 {
-		h.applyServerEvents(evs, next.Number())
+		h.applyServerEvents(evs, next)
 	}
 	h.markServersConfirmed(h.clock.Now())
 	if len(evs) > 0 {
@@ -262,9 +262,9 @@
 // replaceServers applies a complete list as of a revision. outage means that a
 // call to the store has recently failed for the host that read the list. Failed
 // calls of this host don't matter, as the list may come from another host.
-func (h *Host) replaceServers(list []fleet.Server, rev uint64, outage bool) {
+func (h *Host) replaceServers(list []fleet.Server, rev epoch.Revision, outage bool) {
 	h.mu.Lock()
-	if rev < h.sync.serversRev {
+	if rev.Before(h.sync.serversRev) {
 		h.mu.Unlock()
 		return
 	}
@@ -292,10 +292,10 @@
 }
 
 // applyServerEvents applies the events of a watch.
-func (h *Host) applyServerEvents(evs []ServerEvent, rev uint64) {
+func (h *Host) applyServerEvents(evs []ServerEvent, rev epoch.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if rev <= h.sync.serversRev {
+	if !h.sync.serversRev.Before(rev) {
 		return // a newer list was fetched from another host
 	}
 	h.sync.serversRev = rev
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -55,10 +55,11 @@
 	Queued          map[keys.Service]int `cbor:"10,keyasint,omitempty"` // its requests that wait for a server
 	Members         []Member             `cbor:"11,keyasint,omitempty"` // some of the active hosts in its list
 	ConfigVersion   uint64               `cbor:"13,keyasint,omitempty"` // version of its configuration
-	ServersRev      uint64               `cbor:"14,keyasint,omitempty"` // store revision of its list of servers
+	ServersRev      uint64               `cbor:"14,keyasint,omitempty"` // number of the store revision of its list of servers
 	ConfirmationAge clock.Span           `cbor:"15,keyasint"`           // time since the store last confirmed both to this host; negative: never
 	DC              keys.DataCentre      `cbor:"16,keyasint,omitempty"`
 	Cores           float64              `cbor:"17,keyasint,omitempty"` // its processor, in cores of standard speed
+	ServersEpoch    uint64               `cbor:"19,keyasint,omitempty"` // epoch of ServersRev; 0 from hosts of earlier versions
 }
 
 // ServerHash stands for a server in heartbeats, which would otherwise consist
