fleet: servers that had left were used again when a restored store listed them

The copy lists servers as they were: ready where they had begun to drain, registered where they had ended, in an earlier incarnation, and without those that joined since. Hosts took the list for current and sent requests to servers whose leaving they had acknowledged (DRAIN). Change: a Registry remembers departures for 5 minutes and knows the epoch of each entry. An incarnation that was draining stays so. A listed registration that is older than what is known from an earlier epoch is held back until the server registers again, or for four registration intervals, after which the store would have removed it. Servers missing from a restored list get the grace of an outage. One log line when a registration is held back. Replace has the epoch and NewRegistry the time as new parameters; the calls in existing tests have them. It works because what a host has seen in an earlier epoch is later than the copy, and only an event of the new epoch is later than that.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,10 +5,15 @@
 // Registry keeps the server for a short grace period, because a running server
 // registers again.
 //
+// A store that was restored from an older copy lists servers as they were then.
+// The Registry doesn't use such a registration if it knows that the incarnation has
+// left, or knows a later one. It holds it back until the server has registered
+// again, or until the store would have removed it if nobody renewed it.
+//
 // # Usage
 //
-//	r := fleet.NewRegistry()
-//	r.Replace(now, servers, false)
+//	r := fleet.NewRegistry(holdTime)
+//	held := r.Replace(now, epoch, servers, false)
 //	changed := r.Expire(now) // periodically
 //	for _, sv := range r.List() { ... }
 package fleet
@@ -28,6 +33,10 @@
 // can't be distinguished from an outage of the store.
 const registrationGrace = 1600 * clock.Millisecond
 
+// departureRetention is how long a server that has left is remembered. It is longer
+// than the age of a copy that the store may be restored from.
+const departureRetention = 5 * 60 * clock.Second
+
 // Server is a backend server.
 type Server struct {
 	ID       keys.Server
@@ -40,63 +49,119 @@
 	Born     int64      // incarnation: Unix time in ms of its start
 }
 
+// entry is what is known of a server.
+type entry struct {
+	server Server
+	phase  phase
+	until  clock.Time // end of the phase, if it isn't registered
+	epoch  uint64     // epoch of the store in which it was last registered or removed
+
+	// held is a registration from a restored store that is older than server. It is
+	// not used until heldUntil, which is 0 if there is none.
+	held      Server
+	heldUntil clock.Time
+}
+
+//go:generate go tool stringer -type=phase -output=phase_string.go
+
+// phase is the state of a server's registration.
+type phase int
+
+const (
+	registered phase = iota
+	missing          // its registration disappeared in an outage; the grace period runs
+	gone
+)
+
 // Registry is the current set of backend servers.
 type Registry struct {
-	servers    map[keys.Server]Server
-	graceUntil map[keys.Server]clock.Time // of servers whose registration disappeared in an outage
+	holdTime clock.Span
+	epoch    uint64 // of the store
+	entries  map[keys.Server]*entry
 }
 
-// NewRegistry returns an empty Registry.
-func NewRegistry() *Registry {
-	return &Registry{servers: make(map[keys.Server]Server), graceUntil: make(map[keys.Server]clock.Time)}
+// NewRegistry returns an empty Registry. holdTime is the time after which a store
+// removes a registration that nobody renews.
+func NewRegistry(holdTime clock.Span) *Registry {
+	return &Registry{holdTime: holdTime, entries: make(map[keys.Server]*entry)}
 }
 
-// Put adds or replaces a server.
+// Put adds or replaces a server. An incarnation that was draining stays so.
 func (r *Registry) Put(sv Server) {
-	r.servers[sv.ID] = sv
-	delete(r.graceUntil, sv.ID)
+	if e := r.entries[sv.ID]; e != nil && e.server.Born == sv.Born && e.server.Draining {
+		sv.Draining = true
+	}
+	r.entries[sv.ID] = &entry{server: sv, epoch: r.epoch}
 }
 
 // Remove handles a registration that is gone. During an outage of the store a
 // server that wasn't draining is kept for the grace period.
 func (r *Registry) Remove(now clock.Time, id keys.Server, outage bool) {
-	sv, ok := r.servers[id]
-	if !ok {
-		return
-	}
-	if !outage || sv.Draining {
-		delete(r.servers, id)
-		delete(r.graceUntil, id)
+	e := r.entries[id]
+	if e == nil {
 		return
 	}
-	if _, ok := r.graceUntil[id]; !ok {
-		r.graceUntil[id] = now.Add(registrationGrace)
+	e.epoch, e.heldUntil = r.epoch, 0
+	switch {
+	case e.phase == gone:
+	case !outage || e.server.Draining:
+		e.phase, e.until = gone, now.Add(departureRetention)
+	case e.phase == registered:
+		e.phase, e.until = missing, now.Add(registrationGrace)
 	}
 }
 
-// Replace sets the complete list of registered servers. Servers that are not in
-// it are removed as by Remove.
-func (r *Registry) Replace(now clock.Time, servers []Server, outage bool) {
-	registered := make(map[keys.Server]bool, len(servers))
+// Replace sets the complete list of servers that are registered in an epoch of the
+// store. Servers that are not in it are removed as by Remove; those that a restored
+// store doesn't list as in an outage, because they may have joined since the copy.
+// It returns the servers whose registrations are held back from now on.
+func (r *Registry) Replace(now clock.Time, epoch uint64, servers []Server, outage bool) (held []keys.Server) {
+	restored := epoch > r.epoch
+	r.epoch = epoch
+	listed := make(map[keys.Server]bool, len(servers))
 	for _, sv := range servers {
-		registered[sv.ID] = true
-		r.Put(sv)
+		listed[sv.ID] = true
+		e := r.entries[sv.ID]
+		if e == nil || !r.isOutdated(e, sv) {
+			r.Put(sv)
+			continue
+		}
+		e.held = sv
+		if restored || e.heldUntil == 0 {
+			e.heldUntil = now.Add(r.holdTime)
+			held = append(held, sv.ID)
+		}
 	}
-	for id := range r.servers {
-		if !registered[id] {
-			r.Remove(now, id, outage)
+	for id := range r.entries {
+		if !listed[id] {
+			r.Remove(now, id, outage || restored)
 		}
 	}
+	return held
+}
+
+// isOutdated reports whether a listed registration is older than what is known from
+// an earlier epoch: the incarnation has left, or a later one has registered.
+func (r *Registry) isOutdated(e *entry, sv Server) bool {
+	if e.epoch == r.epoch {
+		return false
+	}
+	return sv.Born < e.server.Born || e.phase == gone && sv.Born == e.server.Born
 }
 
-// Expire removes the servers whose grace period is over, and reports whether
-// there were any.
+// Expire ends grace periods and the holding back of registrations, and reports
+// whether the servers have changed.
 func (r *Registry) Expire(now clock.Time) (changed bool) {
-	for id, until := range r.graceUntil {
-		if !now.Before(until) {
-			delete(r.graceUntil, id)
-			delete(r.servers, id)
+	for id, e := range r.entries {
+		switch {
+		case e.heldUntil != 0 && !now.Before(e.heldUntil):
+			r.Put(e.held)
+			changed = true
+		case e.phase == missing && !now.Before(e.until):
+			e.phase, e.until = gone, now.Add(departureRetention)
 			changed = true
+		case e.phase == gone && e.heldUntil == 0 && !now.Before(e.until):
+			delete(r.entries, id)
 		}
 	}
 	return changed
@@ -104,27 +169,45 @@
 
 // List returns all servers in the order of their IDs.
 func (r *Registry) List() []Server {
-	servers := make([]Server, 0, len(r.servers))
-	for _, sv := range r.servers {
-		servers = append(servers, sv)
-	}
-	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return servers
+	return r.collect(func(e *entry) (Server, bool) { return e.server, e.phase != gone })
 }
 
 // Registered returns the servers that have a registration, in the order of their
-// IDs.
+// IDs. It includes those that are held back.
 func (r *Registry) Registered() []Server {
-	return slices.DeleteFunc(r.List(), func(sv Server) bool {
-		_, unregistered := r.graceUntil[sv.ID]
-		return unregistered
+	return r.collect(func(e *entry) (Server, bool) {
+		if e.phase != registered && e.heldUntil != 0 {
+			return e.held, true
+		}
+		return e.server, e.phase == registered
 	})
 }
 
+func (r *Registry) collect(pick func(*entry) (Server, bool)) []Server {
+	servers := make([]Server, 0, len(r.entries))
+	for _, e := range r.entries {
+		if sv, ok := pick(e); ok {
+			servers = append(servers, sv)
+		}
+	}
+	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return servers
+}
+
 // Get returns a server by its ID.
 func (r *Registry) Get(id keys.Server) (Server, bool) {
-	sv, ok := r.servers[id]
-	return sv, ok
+	if e := r.entries[id]; e != nil && e.phase != gone {
+		return e.server, true
+	}
+	return Server{}, false
 }
 
-func (r *Registry) Len() int { return len(r.servers) }
+// Len returns the number of servers.
+func (r *Registry) Len() (n int) {
+	for _, e := range r.entries {
+		if e.phase != gone {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,8 +6,12 @@
 	"github.com/matryer/is"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
+// testHoldTime is when the store removes a registration that nobody renews.
+const testHoldTime = 3 * clock.Second
+
 // maxUseAfterRemoval is how long a server may get requests after its registration
 // is gone.
 const maxUseAfterRemoval = 2 * clock.Second
@@ -30,7 +34,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			r := NewRegistry()
+			r := NewRegistry(testHoldTime)
 			r.Put(Server{ID: "a", Service: "s", Draining: tt.draining})
 			r.Remove(1000, "a", tt.outage)
 			now := clock.Time(1000)
@@ -50,7 +54,7 @@
 // A registration that returns ends the grace period: the server doesn't expire.
 func TestRegistrationReturns(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry()
+	r := NewRegistry(testHoldTime)
 	r.Put(Server{ID: "a"})
 	r.Remove(1000, "a", true)
 	is.Equal(len(r.Registered()), 0)
@@ -64,8 +68,82 @@
 // Servers that aren't in a complete list are removed.
 func TestReplace(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry()
-	r.Replace(0, []Server{{ID: "a"}, {ID: "b"}}, false)
-	r.Replace(0, []Server{{ID: "b"}, {ID: "c"}}, false)
+	r := NewRegistry(testHoldTime)
+	r.Replace(0, 1, []Server{{ID: "a"}, {ID: "b"}}, false)
+	r.Replace(0, 1, []Server{{ID: "b"}, {ID: "c"}}, false)
 	is.Equal(r.List(), []Server{{ID: "b"}, {ID: "c"}})
 }
+
+// Guards against requests to a server that has left and is listed again by a
+// restored store, and against a server that is back and isn't used.
+func TestRestoredStore(t *testing.T) {
+	const (
+		before = clock.Time(1000) // the list of epoch 1
+		at     = clock.Time(5000) // the list of epoch 2
+		soon   = at + 2000
+		later  = at + clock.Time(testHoldTime)
+	)
+	ready, draining := Server{ID: "a", Born: 7}, Server{ID: "a", Born: 7, Draining: true}
+	earlier, next := Server{ID: "a", Born: 5}, Server{ID: "a", Born: 9}
+	list := func(now clock.Time, epoch uint64, servers ...Server) func(r *Registry) {
+		return func(r *Registry) { r.Replace(now, epoch, servers, false) }
+	}
+	put := func(sv Server) func(r *Registry) { return func(r *Registry) { r.Put(sv) } }
+	remove := func(now clock.Time) func(r *Registry) {
+		return func(r *Registry) { r.Remove(now, "a", false) }
+	}
+	expire := func(now clock.Time) func(r *Registry) { return func(r *Registry) { r.Expire(now) } }
+	tests := []struct {
+		name  string
+		steps []func(r *Registry)
+		want  []Server
+	}{
+		{"draining, then listed as ready", []func(r *Registry){list(before, 1, draining), list(at, 2, ready)}, []Server{draining}},
+		{"draining, then registered as ready", []func(r *Registry){list(before, 1, draining), list(at, 2, ready), put(ready)}, []Server{draining}},
+		{"draining, listed as ready long after", []func(r *Registry){list(before, 1, draining), list(at, 2, ready), expire(later)}, []Server{draining}},
+		{"draining, then its next incarnation", []func(r *Registry){list(before, 1, draining), list(at, 2, next)}, []Server{next}},
+		{"gone, then listed", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), expire(soon)}, []Server{}},
+		{"gone and listed, removed again", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), remove(soon), expire(later)}, []Server{}},
+		{"gone and listed, missing from a later list", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), list(soon, 2), expire(later)}, []Server{}},
+		{"gone, listed, still listed when the store would have removed it", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), expire(later)}, []Server{ready}},
+		{"gone, listed twice", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), list(soon, 2, ready), expire(later)}, []Server{ready}},
+		{"gone, listed, restored once more", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), list(soon, 3, ready), expire(later)}, []Server{}},
+		{"gone, listed, registered again", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), put(ready)}, []Server{ready}},
+		{"gone, listed, removed, registered again", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, ready), remove(soon), list(soon, 2, ready)}, []Server{ready}},
+		{"gone while draining, registered again", []func(r *Registry){list(before, 1, draining), remove(2000), list(at, 2, ready), put(ready)}, []Server{draining}},
+		{"gone, then its next incarnation is listed", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, next)}, []Server{next}},
+		{"gone, back in the same epoch", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 1, ready)}, []Server{ready}},
+		{"gone, an earlier incarnation is listed", []func(r *Registry){list(before, 1, ready), remove(2000), list(at, 2, earlier)}, []Server{}},
+		{"an earlier incarnation is listed", []func(r *Registry){list(before, 1, ready), list(at, 2, earlier)}, []Server{ready}},
+		{"an earlier incarnation in the same epoch", []func(r *Registry){list(before, 1, ready), list(at, 1, earlier)}, []Server{earlier}},
+		{"joined since the copy", []func(r *Registry){list(before, 1, ready), list(at, 2), expire(at + 1000)}, []Server{ready}},
+		{"joined since the copy, not registered again", []func(r *Registry){list(before, 1, ready), list(at, 2), expire(soon)}, []Server{}},
+		{"draining, missing from the copy", []func(r *Registry){list(before, 1, draining), list(at, 2)}, []Server{}},
+		{"first list of a process", []func(r *Registry){list(at, 2, ready)}, []Server{ready}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := NewRegistry(testHoldTime)
+			for _, step := range tt.steps {
+				step(r)
+			}
+			is.New(t).Equal(r.List(), tt.want)
+		})
+	}
+}
+
+// Guards against a host that starts after a restore and never learns of a server
+// that the others hold back, and against a memory of servers that only grows.
+func TestHeldAndForgotten(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(testHoldTime)
+	r.Replace(0, 1, []Server{{ID: "a", Born: 7}, {ID: "b", Born: 7}}, false)
+	r.Remove(1000, "a", false)
+	r.Remove(1000, "b", false)
+	is.Equal(r.Replace(2000, 2, []Server{{ID: "a", Born: 7}}, false), []keys.Server{"a"})
+	is.Equal(len(r.Replace(2500, 2, []Server{{ID: "a", Born: 7}}, false)), 0) // it was held back before
+	is.Equal(r.Registered(), []Server{{ID: "a", Born: 7}})
+	is.Equal(r.Len(), 0)
+	r.Expire(1000 + clock.Time(departureRetention))
+	is.Equal(len(r.entries), 1) // a is used, b is forgotten
+}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -22,8 +22,11 @@
 	DrainTimeout clock.Span // longest time until a draining server gets no new requests
 	ApplyTimeout clock.Span // longest time until an accepted configuration is in force
 	GracePeriod  clock.Span // time between SIGTERM and SIGKILL
-	MaxLeaseTime clock.Span // longest lease time of a grant
-	BudgetRatio  float64    // retries per request
-	BudgetSlack  float64    // retries beyond the ratio, of all hosts together
-	BudgetWindow clock.Span
+	// RegistrationInterval is the period in which backend servers renew their
+	// registrations. The store removes a registration after three without renewal.
+	RegistrationInterval clock.Span
+	MaxLeaseTime         clock.Span // longest lease time of a grant
+	BudgetRatio          float64    // retries per request
+	BudgetSlack          float64    // retries beyond the ratio, of all hosts together
+	BudgetWindow         clock.Span
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -43,6 +43,10 @@
 	// registration counts as expired because of an outage. Servers are registered
 	// again within about 2 s of the end of an outage.
 	outageWindow = 2500 * clock.Millisecond
+	// restoredHoldIntervals is how many registration intervals a host waits before
+	// it uses a server that it knows to have left and that a restored store lists.
+	// The store removes the registration after three if the server doesn't renew it.
+	restoredHoldIntervals = 4
 	// If at least massExpiryMinServers registrations, and at least a share of
 	// massExpiryMinShare of all, are removed at once, it counts as an outage
 	// though no call has failed: the store was unavailable during the wait of a
@@ -275,7 +279,7 @@
 	}
 	var lost []keys.Server
 	for _, sv := range h.fleet.Registered() {
-		if !listed[sv.ID] && !sv.Draining {
+		if _, ok := h.fleet.Get(sv.ID); ok && !listed[sv.ID] && !sv.Draining {
 			lost = append(lost, sv.ID)
 		}
 	}
@@ -283,7 +287,9 @@
 	for _, id := range lost {
 		h.log.Info("server registration removed", zap.String("server", string(id)), zap.Bool("outage", outage))
 	}
-	h.fleet.Replace(now, list, outage)
+	for _, id := range h.fleet.Replace(now, rev.Epoch(), list, outage) {
+		h.log.Info("server registration of the restored store is outdated; not using it", zap.String("server", string(id)))
+	}
 	h.serversLoaded = true
 	h.sync.serversRev = rev
 	h.mu.Unlock()
@@ -315,9 +321,10 @@
 		}
 		old, known := h.fleet.Get(ev.ID)
 		h.fleet.Put(ev.Server)
-		if !known || old.Draining != ev.Server.Draining || old.Born != ev.Server.Born {
-			h.log.Info("server", zap.String("server", string(ev.ID)), zap.String("service", string(ev.Server.Service)),
-				zap.Bool("draining", ev.Server.Draining), zap.Int64("born", ev.Server.Born))
+		sv, _ := h.fleet.Get(ev.ID)
+		if !known || old.Draining != sv.Draining || old.Born != sv.Born {
+			h.log.Info("server", zap.String("server", string(ev.ID)), zap.String("service", string(sv.Service)),
+				zap.Bool("draining", sv.Draining), zap.Int64("born", sv.Born))
 		}
 	}
 	h.triggerHeartbeat()
