owner, front: a takeover after a restore of the store keeps one owner per key

Callers saw: two servers that ran requests for the same key for up to 2.5 s, and a key that went to a server with a fencing token that another server had had. Cause: the assigner's record goes back with the store. Its term is one that has been used, so the next term and its fencing tokens repeat, and its tables name servers that have lost ranges since. A running assigner compared revisions across the restore and could not write any more. Change: terms rise by more than a restore can lose for each epoch since the record was written. The record of each epoch is an object of its own, as a conditional write of an earlier epoch can meet its revision again. A running assigner writes the record anew from its memory, goes on renewing under the former tokens, and moves a range only once its server has accepted one of them and then one of the new term: no host whose claim was lost has granted or can grant it. A host that takes over instead marks the record unverified and grants nothing while servers that the tables don't name may have leases.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -54,7 +54,8 @@
 // known to have ended, or the zero value.
 func (r *assignerRole) startClaim(ctx context.Context, now clock.Time, ended owner.Holder) {
 	r.lastClaimAt, r.storeCallPending = now, true
-	c := &claimCall{role: r, startedAt: now, observedTerm: r.host.members.lastAssignerTerm(), endedHolder: ended}
+	_, _, maxTerm, _ := r.host.members.currentAssigner()
+	c := &claimCall{role: r, startedAt: now, observedTerm: r.host.members.lastAssignerTerm(), maxTerm: maxTerm, endedHolder: ended}
 	go c.run(ctx)
 }
 
@@ -95,26 +96,33 @@
 		return
 	}
 	r.host.noteEpoch(ev.rev.Epoch())
-	r.recordRev, r.confirmedAt, r.confirmStartedAt = ev.rev, ev.startedAt, now
-	r.claimedRecord, r.formerEnded = ev.rec, false
-	r.tablesVersion, r.requiredVersion, r.tables, r.recentPublications = 0, 0, nil, nil
-	r.electedAt = r.host.clock.Now()
 	r.assigner = owner.New(owner.Config{
 		LeaseTime: min(leaseTime, r.host.cfg.Settings.MaxLeaseTime), Timeout: grantTimeout, RoleLease: roleLease,
 	}, now, ev.rec)
-	r.heldTerm.Store(ev.rec.Term)
-	r.host.metrics.assignerTerm.Set(float64(ev.rec.Term))
+	r.startTerm(now, ev.rec, ev.rev, ev.startedAt)
 	r.host.log.Info("claimed the assigner role", zap.Uint64("term", ev.rec.Term),
-		zap.String("former", string(ev.prior.Holder)), zap.Uint64("formerTerm", ev.prior.Term), zap.Uint64("epoch", ev.rev.Epoch()))
+		zap.String("former", string(ev.prior.Holder)), zap.Uint64("formerTerm", ev.prior.Term), zap.Uint64("epoch", ev.rev.Epoch()), zap.Bool("unverified", ev.rec.Unverified))
 	r.executeAndPublish(ctx, r.updateServers(now))
 	r.host.triggerHeartbeat()
 }
 
+// startTerm sets the state of a term that begins with a record that this host has
+// written.
+func (r *assignerRole) startTerm(now clock.Time, rec owner.Record, rev epoch.Revision, confirmedAt clock.Time) {
+	r.recordRev, r.confirmedAt, r.confirmStartedAt = rev, confirmedAt, now
+	r.claimedRecord, r.formerEnded = rec, false
+	r.tablesVersion, r.requiredVersion, r.tables, r.recentPublications = 0, 0, nil, nil
+	r.electedAt = r.host.clock.Now()
+	r.heldTerm.Store(rec.Term)
+	r.host.metrics.assignerTerm.Set(float64(rec.Term))
+}
+
 // claimCall claims the assigner's role by a conditional write of the record.
 type claimCall struct {
 	role         *assignerRole
 	startedAt    clock.Time
 	observedTerm uint64       // term of the last assigner known to this host
+	maxTerm      uint64       // highest term known to this host
 	endedHolder  owner.Holder // a process that is known to have ended
 }
 
@@ -136,6 +144,13 @@
 		ev.err = ErrConflict
 		return
 	}
-	ev.rec = ev.prior.NextTerm(owner.Holder{Host: h.cfg.Settings.Host, Incarnation: h.incarnation})
+	ev.rec = ev.prior.NextTerm(owner.Holder{Host: h.cfg.Settings.Host, Incarnation: h.incarnation}, rev.Epoch(), c.maxTerm)
+	switch {
+	case ev.prior.Term == 0 && c.maxTerm == 0 && h.cfg.Settings.FirstStart:
+		ev.rec.Unverified = false // no assigner before this one
+	case ev.rec.Unverified:
+		ev.rec = ev.rec.WithTables(h.members.knownTables(ev.prior.Term), h.serverList())
+		h.discoverHosts(ctx) // a host that isn't known may still act as assigner
+	}
 	ev.rev, ev.err = h.cfg.Store.PutRecord(ctx, ev.rec, rev)
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -312,6 +312,31 @@
 	}
 }
 
+// knownTables returns the known tables that are of a term or a later one.
+func (ms *members) knownTables(term uint64) (tables []owner.Table) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, t := range ms.tables {
+		if t.Term >= term {
+			tables = append(tables, t)
+		}
+	}
+	return tables
+}
+
+// noneActs reports whether each other known host has sent a heartbeat without the
+// assigner's role after the given time, or is leaving.
+func (ms *members) noneActs(after clock.Time) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if !m.leaving && (m.lastHeartbeat <= after || m.roleTerm > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // currentAssigner returns the assigner, its address, the highest known term, and
 // the time of the assigner's last heartbeat.
 func (ms *members) currentAssigner() (name keys.Host, ip string, term uint64, seen clock.Time) {
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -105,6 +105,12 @@
 		outcome  owner.Outcome
 		handover string
 	}
+	restoreDone struct {
+		rec       owner.Record
+		rev       epoch.Revision
+		startedAt clock.Time
+		err       error
+	}
 	claimDone struct {
 		rec       owner.Record
 		rev       epoch.Revision
@@ -229,6 +235,9 @@
 		if r.assigner != nil {
 			r.executeAndPublish(ctx, r.assigner.ReleaseDone(now, ev.release, ev.outcome, ev.handover))
 		}
+	case restoreDone:
+		r.storeCallPending = false
+		r.handleRestore(ctx, now, ev)
 	case claimDone:
 		r.storeCallPending = false
 		r.handleClaim(ctx, now, ev)
@@ -237,7 +246,7 @@
 		r.handleWrite(ctx, now, ev)
 	case readDone:
 		r.storeCallPending = false
-		r.handleRead(now, ev)
+		r.handleRead(ctx, now, ev)
 	}
 }
 
@@ -284,8 +293,12 @@
 }
 
 // allFormerEnded reports whether the processes of all former assigners have
-// ended: they gave up the role, or their hosts run other processes now.
+// ended: they gave up the role, or their hosts run other processes now. After a
+// restore of the store any host can be one.
 func (r *assignerRole) allFormerEnded() bool {
+	if r.claimedRecord.Unverified {
+		return r.host.members.noneActs(r.electedAt)
+	}
 	return r.claimedRecord.FormerEnded(func(h keys.Host) int64 { return r.host.members.incarnationAfter(h, r.electedAt) })
 }
 
@@ -342,7 +355,7 @@
 	}
 }
 
-func (r *assignerRole) handleRead(now clock.Time, ev readDone) {
+func (r *assignerRole) handleRead(ctx context.Context, now clock.Time, ev readDone) {
 	r.host.recordStoreResult(ev.err)
 	if ev.err != nil {
 		if r.assigner != nil {
@@ -362,12 +375,23 @@
 		r.host.applyTables(ts)
 		return
 	}
+	if ev.rev.Epoch() > r.recordRev.Epoch() {
+		switch {
+		case ev.rev.Number() == 0:
+			r.keepAfterRestore(ctx, now, ev.rev)
+			return
+		case ev.rec.Process() == (owner.Holder{Host: r.host.cfg.Settings.Host, Incarnation: r.host.incarnation}):
+			// The response to keepAfterRestore's call was lost.
+			r.restored(ctx, now, restoreDone{rec: ev.rec, rev: ev.rev, startedAt: ev.startedAt})
+			return
+		}
+	}
 	if ev.rec.Term != r.assigner.Term() || ev.rec.Holder != r.host.cfg.Settings.Host || ev.rec.Incarnation != r.host.incarnation {
 		r.stepDown("the store names another assigner")
 		return
 	}
 	r.confirmedAt = max(r.confirmedAt, ev.startedAt)
-	if ev.rev.Number() >= r.recordRev.Number() {
+	if !ev.rev.Before(r.recordRev) {
 		r.recordRev = ev.rev
 		r.assigner.RecordRead(ev.rec)
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -7,17 +7,18 @@
 
 // Settings are the settings of a host's process.
 type Settings struct {
-	Host     keys.Host
-	DC       keys.DataCentre
-	IP       string
-	Callers  string   // address for callers
-	Ready    string   // address for the balancer's readiness check
-	Control  string   // address for operators; may be empty
-	Metrics  string   // address for metrics; may be empty
-	MeshPort uint16   // the same on all hosts
-	Seeds    []string // addresses of some hosts; may be stale
-	Store    string   // address of the store
-	Cores    float64  // processor, in cores of standard speed
+	FirstStart bool // the deployment has never run before
+	Host       keys.Host
+	DC         keys.DataCentre
+	IP         string
+	Callers    string   // address for callers
+	Ready      string   // address for the balancer's readiness check
+	Control    string   // address for operators; may be empty
+	Metrics    string   // address for metrics; may be empty
+	MeshPort   uint16   // the same on all hosts
+	Seeds      []string // addresses of some hosts; may be stale
+	Store      string   // address of the store
+	Cores      float64  // processor, in cores of standard speed
 
 	DrainTimeout clock.Span // longest time until a draining server gets no new requests
 	ApplyTimeout clock.Span // longest time until an accepted configuration is in force
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -19,6 +19,7 @@
 	ErrCompacted  = errors.New("revision compacted: changes since then are no longer available")
 	ErrRefused    = errors.New("store refused the call; nothing was done")
 	ErrNoResponse = errors.New("store did not respond; the call may have taken effect")
+	ErrRestored   = errors.New("store was restored from an older copy since the last call")
 )
 
 // ServerEvent is a change of a server's registration.
@@ -39,10 +40,12 @@
 	// Servers returns the servers that are in use or draining.
 	Servers(ctx context.Context) ([]fleet.Server, epoch.Revision, error)
 	WatchServers(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]ServerEvent, epoch.Revision, error)
-	// Record returns the assignment record. Its revision has no number if there is
-	// none.
+	// Record returns the assignment record. If none was written in the store's
+	// current epoch, the revision has no number, and the record is the last one of
+	// an earlier epoch, or empty.
 	Record(ctx context.Context) (owner.Record, epoch.Revision, error)
-	// PutRecord replaces the record if its revision is still rev.
+	// PutRecord replaces the record if its revision is still rev, or creates the
+	// record of that epoch if rev has no number.
 	PutRecord(ctx context.Context, rec owner.Record, rev epoch.Revision) (epoch.Revision, error)
 	// Hosts returns the addresses of the entry hosts, possibly seconds old.
 	Hosts(ctx context.Context) (map[keys.Host]string, error)
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -23,16 +23,16 @@
 		rs.inFlight = false
 		switch out {
 		case Done:
-			if !rs.acked {
-				// From now on the server rejects grants of the former assigner, as
-				// it has seen a fence of this term.
-				rs.acked, rs.leaseEnd = true, 0
-			}
+			a.acknowledged(rs, sent)
+			rs.released = false
 			rs.leaseEnd = max(rs.leaseEnd, now.Add(a.cfg.maxLease(g.LeaseTime)))
 			rs.unansweredSince, rs.handover = 0, ""
 			delete(a.failedAt, rs.Server)
 		case Refused:
 			rs.startRelease()
+			if !rs.acked {
+				rs.nextCall = rs.leaseEnd
+			}
 		case Failed, Unknown:
 			if out == Unknown {
 				rs.lateLeaseEnd = max(rs.lateLeaseEnd, lateEnd)
@@ -47,6 +47,22 @@
 	return a.advance(now)
 }
 
+// acknowledged handles the first acknowledgement of a grant in this term.
+func (a *Assigner) acknowledged(rs *rangeState, sent clock.Time) {
+	switch {
+	case rs.acked || sent < a.startedAt:
+		return
+	case rs.Fence.term() != a.record.Term:
+		// No host that claimed the role before the restore has granted the range
+		// (see Restored). It still can, until the server has a fence of this term.
+		rs.Fence, rs.nextCall = a.nextFence(), 0
+	default:
+		// From now on the server rejects grants of the former assigner, as it has
+		// seen a fence of this term.
+		rs.acked, rs.leaseEnd = true, 0
+	}
+}
+
 // ReleaseDone handles the outcome of a release.
 func (a *Assigner) ReleaseDone(now clock.Time, r Release, out Outcome, handover string) []Action {
 	for _, rs := range a.rangesOf(r.Service, r.From, r.To, r.Fence) {
@@ -79,7 +95,7 @@
 		return // not written by this process
 	}
 	cur := a.snapshot()
-	if rec.Seq == cur.Seq && equalTables(rec.Tables, cur.Tables) {
+	if rec.Seq == cur.Seq && rec.Unverified == cur.Unverified && equalTables(rec.Tables, cur.Tables) {
 		a.writtenVersion = a.version
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -121,6 +121,9 @@
 	handover        string      // state for the next owner
 	dest            keys.Server // the next owner, if already chosen
 	movedAt         clock.Time  // when the range moved to this server; 0: first assignment
+	// blockedUntil is when the range may be granted at the earliest, because until
+	// then a server that isn't known may have a lease.
+	blockedUntil clock.Time
 }
 
 // Assigner is the state of the host that assigns keys.
@@ -141,7 +144,8 @@
 	nextBalance       clock.Time
 	storeOutage       bool
 	formerEnded       bool
-	slowPenalty       float64 // exponent of the service time ratio in a server's share; see capacity
+	unknownLeaseEnd   clock.Time // until then servers that the record doesn't name may have leases
+	slowPenalty       float64    // exponent of the service time ratio in a server's share; see capacity
 	now               clock.Time
 	failedAt          map[keys.Server]clock.Time // when a grant to the server last failed or went unanswered
 	movedShare        float64                    // share of all keys that changed owner
@@ -162,9 +166,12 @@
 	// Until a server has acknowledged a fence of this term, the former
 	// assigner can renew its leases there.
 	formerExpiry := now.Add(cfg.RoleLease + cfg.maxLease(cfg.LeaseTime))
+	if rec.Unverified {
+		a.unknownLeaseEnd = formerExpiry
+	}
 	for s, ranges := range rec.Tables {
 		for _, r := range normalize(ranges) {
-			rs := &rangeState{Assignment: r, recordVersion: 1}
+			rs := &rangeState{Assignment: r, recordVersion: 1, blockedUntil: a.unknownLeaseEnd}
 			if r.Server != "" {
 				rs.leaseEnd = formerExpiry
 				rs.Fence = a.nextFence()
@@ -193,11 +200,17 @@
 	a.formerEnded = true
 	a.record.Former = nil
 	lastExpiry := now.Add(a.cfg.maxLease(a.cfg.LeaseTime))
+	if a.record.Unverified {
+		// The holder may have given up the role only just now, with grants in flight.
+		lastExpiry = lastExpiry.Add(a.cfg.Timeout)
+	}
+	a.unknownLeaseEnd = min(a.unknownLeaseEnd, lastExpiry)
 	for _, ranges := range a.tables {
 		for _, rs := range ranges {
 			if !rs.acked && !rs.assignedThisTerm() {
 				rs.leaseEnd = min(rs.leaseEnd, lastExpiry)
 			}
+			rs.blockedUntil = min(rs.blockedUntil, lastExpiry)
 		}
 	}
 }
@@ -218,6 +231,10 @@
 	if len(a.record.Former) > 0 && now > a.startedAt.Add(a.cfg.RoleLease) {
 		a.record.Former = nil // their role leases have expired
 	}
+	if a.record.Unverified && a.verified(now) {
+		a.record.Unverified = false
+		a.version++
+	}
 	if now < a.nextBalance {
 		return a.advance(now)
 	}
@@ -258,7 +275,7 @@
 
 // nextAction returns the call that is due for a range, or nil.
 func (a *Assigner) nextAction(now clock.Time, s keys.Service, rs *rangeState) Action {
-	if rs.Server == "" || rs.inFlight || now < rs.nextCall {
+	if rs.Server == "" || rs.inFlight || now < rs.nextCall || now < rs.blockedUntil {
 		return nil
 	}
 	// A server that has not acknowledged a fence of this term is granted the
@@ -295,6 +312,9 @@
 
 // free reports whether no server can hold a valid lease on the range.
 func (rs *rangeState) free(now clock.Time) bool {
+	if now < rs.blockedUntil {
+		return false
+	}
 	if rs.Server == "" {
 		return true
 	}
@@ -313,7 +333,7 @@
 	if a.firstListAt == 0 || now < a.firstListAt.Add(firstAssignDelay) {
 		return
 	}
-	if slices.ContainsFunc(a.tables[s], func(rs *rangeState) bool { return rs.Server == "" && rs.From == 0 && rs.To == MaxKey }) {
+	if slices.ContainsFunc(a.tables[s], func(rs *rangeState) bool { return rs.Server == "" && rs.From == 0 && rs.To == MaxKey && rs.free(now) }) {
 		a.divideEvenly(s)
 	}
 	for _, rs := range a.tables[s] {
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -25,6 +26,8 @@
 
 func newFence(term, seq uint64) Fence { return Fence(term<<seqBits | seq) }
 
+func (f Fence) term() uint64 { return uint64(f) >> seqBits }
+
 // Record is the state in the store: which process is the assigner, and which
 // server may hold a lease on which keys. It is replaced as a whole by
 // conditional writes.
@@ -37,8 +40,17 @@
 	// Former lists the former holders that may still act: they neither resigned
 	// nor are known to have ended.
 	Former []Holder `json:"former,omitempty"`
+	Epoch  uint64   `json:"epoch,omitempty"` // of the store that it was written to
+	// Unverified means that the tables come from before a restore of the store:
+	// servers that they don't name may have leases.
+	Unverified bool `json:"unverified,omitempty"`
 }
 
+// termsPerEpoch is added to the term for each restore of the store since the
+// record was written. It is more than the terms that a restore can lose, so that
+// terms rise, and fences with them.
+const termsPerEpoch = 1024
+
 // Holder is a process that has had the assigner's role.
 type Holder struct {
 	Host        keys.Host `json:"host"`
@@ -55,17 +67,63 @@
 	return h.Host != "" && incarnation != 0 && incarnation != h.Incarnation
 }
 
-// NextTerm returns the record of the next term, with h as the assigner.
-func (r Record) NextTerm(h Holder) Record {
-	next := r
+// NextTerm returns the record of the next term, with h as the assigner, for a
+// store in the given epoch. observedTerm is the highest term that h knows of.
+func (r Record) NextTerm(h Holder, storeEpoch, observedTerm uint64) Record {
+	next := r.inEpoch(storeEpoch)
 	next.Former = slices.Clone(r.Former)
 	if r.Holder != "" {
 		next.Former = append(next.Former, r.Process())
 	}
-	next.Term, next.Seq, next.Holder, next.Incarnation = r.Term+1, 0, h.Host, h.Incarnation
+	next.Term, next.Seq, next.Holder, next.Incarnation = max(next.Term, observedTerm+next.Term-r.Term)+1, 0, h.Host, h.Incarnation
+	return next
+}
+
+// Restored returns the record with which its holder keeps the role after a restore
+// of the store.
+func (r Record) Restored(storeEpoch uint64) Record {
+	next := r.inEpoch(storeEpoch)
+	next.Term, next.Seq, next.Former = next.Term+1, 0, nil
 	return next
 }
 
+// inEpoch returns the record with the terms and the mark that restores of the
+// store since it was written require.
+func (r Record) inEpoch(storeEpoch uint64) Record {
+	if storeEpoch <= r.Epoch {
+		return r
+	}
+	r.Term = max(r.Term+(storeEpoch-r.Epoch)*termsPerEpoch, storeEpoch*termsPerEpoch)
+	r.Epoch, r.Unverified = storeEpoch, true
+	return r
+}
+
+// WithTables returns the record with the tables of a host. Addresses and incarnations of the servers come from the list.
+func (r Record) WithTables(tables []Table, servers []fleet.Server) Record {
+	known := make(map[keys.Server]Assignment)
+	for _, assigned := range r.Tables {
+		for _, as := range assigned {
+			known[as.Server] = Assignment{Server: as.Server, Addr: as.Addr, Born: as.Born}
+		}
+	}
+	for _, sv := range servers {
+		known[sv.ID] = Assignment{Server: sv.ID, Addr: sv.Addr, Born: sv.Born}
+	}
+	r.Tables = maps.Clone(r.Tables)
+	for _, t := range tables {
+		if r.Tables == nil {
+			r.Tables = make(map[keys.Service][]Assignment)
+		}
+		r.Tables[t.Service] = nil
+		for _, span := range t.Spans {
+			as := known[span.Server]
+			as.From, as.To = span.From, span.To
+			r.Tables[t.Service] = append(r.Tables[t.Service], as)
+		}
+	}
+	return r
+}
+
 // FormerEnded reports whether all former holders are known to have ended.
 // incarnationOf returns the incarnation in a host's current heartbeats, or 0 if
 // there are none.
--- a/internal/owner/record_test.go
+++ b/internal/owner/record_test.go
@@ -25,10 +25,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			first := Record{}.NextTerm(Holder{Host: "a", Incarnation: 1})
-			second := first.NextTerm(Holder{Host: "b", Incarnation: 2})
+			first := Record{}.NextTerm(Holder{Host: "a", Incarnation: 1}, 0, 0)
+			second := first.NextTerm(Holder{Host: "b", Incarnation: 2}, 0, 0)
 			second.Holder = "" // it resigns
-			third := second.NextTerm(Holder{Host: "c", Incarnation: 3})
+			third := second.NextTerm(Holder{Host: "c", Incarnation: 3}, 0, 0)
 			is.Equal(third.Term, uint64(3))
 			is.Equal(third.FormerEnded(func(h keys.Host) int64 { return tt.incarnations[h] }), tt.want)
 		})
@@ -38,7 +38,7 @@
 // The former process of the same host has ended.
 func TestFormerOfSameHost(t *testing.T) {
 	is := is.New(t)
-	rec := Record{}.NextTerm(Holder{Host: "a", Incarnation: 1}).NextTerm(Holder{Host: "a", Incarnation: 2})
+	rec := Record{}.NextTerm(Holder{Host: "a", Incarnation: 1}, 0, 0).NextTerm(Holder{Host: "a", Incarnation: 2}, 0, 0)
 	is.True(rec.FormerEnded(func(keys.Host) int64 { return 0 }))
 }
 
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -28,7 +28,7 @@
 	}
 	for _, s := range services {
 		if a.tables[s] == nil {
-			a.tables[s] = []*rangeState{{Assignment: Assignment{To: MaxKey}}}
+			a.tables[s] = []*rangeState{{Assignment: Assignment{To: MaxKey}, blockedUntil: a.unknownLeaseEnd}}
 		}
 	}
 	for _, ranges := range a.tables {
@@ -63,6 +63,9 @@
 // renew its lease there.
 func (a *Assigner) serverRestarted(rs *rangeState, sv fleet.Server) {
 	a.version++
+	if a.record.Unverified && !rs.acked {
+		rs.blockedUntil = a.unknownLeaseEnd
+	}
 	rs.Born, rs.Fence, rs.Addr = sv.Born, a.nextFence(), sv.Addr
 	rs.recordVersion, rs.acked, rs.released, rs.inFlight, rs.nextCall, rs.unansweredSince = a.version, false, false, false, 0, 0
 	rs.leaseEnd = max(rs.leaseEnd, a.startedAt.Add(a.cfg.RoleLease+a.cfg.maxLease(a.cfg.LeaseTime)))
--- a/internal/owner/simulation_test.go
+++ b/internal/owner/simulation_test.go
@@ -17,6 +17,7 @@
 // grant arrives, by a clock that is 2% slow.
 type fakeServer struct {
 	fleet.Server
+	sim           *simulation
 	unreachableBy map[int]bool // indices of assigners that can't reach it
 	leases        []fakeLease
 	fences        []fakeLease // highest fences seen, as ranges
@@ -37,6 +38,7 @@
 	sv.fences = append(sv.fences, fakeLease{from: g.From, to: g.To, fence: g.Fence})
 	sv.release(g.From, g.To)
 	if until := arrived.Add(g.LeaseTime + g.LeaseTime*2/100); until > now {
+		sv.sim.checkFence(sv, g)
 		sv.leases = append(sv.leases, fakeLease{from: g.From, to: g.To, fence: g.Fence, until: until})
 	}
 	return true
@@ -74,6 +76,40 @@
 	assigners []*simAssigner
 	tasks     []task
 	storeDown bool // the store is unreachable
+	epoch     uint64
+	copies    []copyOfStore  // earlier states of the store
+	granted   []grantedRange // with the highest fence that a process of a server had for the keys
+}
+
+// copyOfStore is an earlier state of the store.
+type copyOfStore struct {
+	record Record
+	rev    int
+}
+
+// grantedRange is a range of keys that a process of a server got a lease on.
+type grantedRange struct {
+	process  process
+	from, to Key
+	fence    Fence
+}
+
+// process is a process of a server.
+type process struct {
+	id   keys.Server
+	born int64
+}
+
+// checkFence fails if another server's process had a fence that isn't lower.
+func (sim *simulation) checkFence(sv *fakeServer, g Grant) {
+	p := process{sv.ID, sv.Born}
+	for _, x := range sim.granted {
+		if x.process != p && x.from <= g.To && g.From <= x.to && x.fence >= g.Fence {
+			sim.t.Fatalf("at %d ms server %s got keys %d-%d with fence %d; %s had keys %d-%d with fence %d",
+				sim.now, sv.ID, g.From, g.To, g.Fence, x.process.id, x.from, x.to, x.fence)
+		}
+	}
+	sim.granted = append(sim.granted, grantedRange{p, g.From, g.To, g.Fence})
 }
 
 // simAssigner is an Assigner with the state that package front keeps for it.
@@ -81,6 +117,7 @@
 	index     int
 	assigner  *Assigner
 	rev       int
+	epoch     uint64
 	confirmed clock.Time
 	stopped   bool
 }
@@ -106,15 +143,47 @@
 	if sim.storeDown {
 		return
 	}
-	sim.stored.Term++
-	sim.stored.Seq = 0
-	sim.rev++
-	sa := &simAssigner{index: len(sim.assigners), rev: sim.rev, confirmed: sim.now}
+	first := sim.stored.Term == 0
+	sim.stored = sim.stored.NextTerm(Holder{Host: keys.Host(fmt.Sprintf("h%d", len(sim.assigners)))}, sim.epoch, 0)
+	sim.stored.Unverified = sim.stored.Unverified && !first
+	sim.commit()
+	sa := &simAssigner{index: len(sim.assigners), rev: sim.rev, epoch: sim.epoch, confirmed: sim.now}
 	sa.assigner = New(testConfig, sim.now, sim.stored)
 	sim.assigners = append(sim.assigners, sa)
 	sim.execute(sa, sa.assigner.SetServers(sim.now, []keys.Service{svc}, sim.serverList()))
 }
 
+// commit counts a change of the record and keeps a copy.
+func (sim *simulation) commit() {
+	sim.rev++
+	sim.copies = append(sim.copies, copyOfStore{sim.stored, sim.rev})
+}
+
+// restore returns the store to an earlier state. Revisions repeat from there.
+func (sim *simulation) restore() {
+	if len(sim.copies) == 0 {
+		return
+	}
+	n := rapid.IntRange(max(0, len(sim.copies)-6), len(sim.copies)-1).Draw(sim.t, "copy")
+	c := sim.copies[n]
+	sim.copies = sim.copies[:n+1]
+	sim.stored, sim.rev = c.record, c.rev
+	sim.epoch++
+}
+
+// noneActs tells the only acting assigner after a restore that no other one acts.
+func (sim *simulation) noneActs() {
+	var acting []*simAssigner
+	for _, sa := range sim.assigners {
+		if !sa.stopped {
+			acting = append(acting, sa)
+		}
+	}
+	if len(acting) == 1 && acting[0].assigner.record.Unverified {
+		acting[0].assigner.FormerEnded(sim.now)
+	}
+}
+
 func (sim *simulation) serverAt(addr string) *fakeServer {
 	for _, sv := range sim.servers {
 		if sv.Addr == addr {
@@ -139,12 +208,14 @@
 }
 
 func (sim *simulation) write(sa *simAssigner, act Write) {
-	rev, began := sa.rev, sim.now
+	rev, storeEpoch, began := sa.rev, sa.epoch, sim.now
 	apply := func() bool {
-		if sim.rev != rev {
+		// The record of each epoch has a name of its own.
+		if sim.rev != rev || sim.stored.Epoch != storeEpoch || sim.epoch != storeEpoch {
 			return false
 		}
-		sim.stored, sim.rev = act.Record, sim.rev+1
+		sim.stored = act.Record
+		sim.commit()
 		return true
 	}
 	report := func(ok bool) {
@@ -179,7 +250,15 @@
 		sa.assigner.WriteFailed()
 		return
 	}
-	if sim.stored.Term != sa.assigner.Term() {
+	if sim.epoch > sa.epoch && sim.stored.Epoch < sim.epoch {
+		sim.stored = sa.assigner.Record().Restored(sim.epoch)
+		sim.commit()
+		sa.rev, sa.epoch, sa.confirmed = sim.rev, sim.epoch, sim.now
+		sa.assigner.WriteFailed()
+		sa.assigner.Restored(sim.now, sim.stored)
+		return
+	}
+	if sim.stored.Term != sa.assigner.Term() || sim.epoch != sa.epoch {
 		sa.stopped = true
 		return
 	}
@@ -291,7 +370,8 @@
 }
 
 // No key may have valid leases at two servers, whatever is lost, late,
-// partitioned or restarted, and though former assigners continue for a while.
+// partitioned or restarted, and though former assigners continue for a while. A
+// server gets a key only with a fence above those of all other servers for it.
 // The test fails with any of these mutations: clearing lateLeaseEnd after a
 // failed call; granting before the record is written; keeping the former term's
 // fences; ignoring the role lease in New; moving a range away from a server that
@@ -313,14 +393,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := &simulation{t: t, now: 1000}
 		for i := range 3 {
-			sim.servers = append(sim.servers, &fakeServer{Server: server(fmt.Sprintf("s%d", i)), unreachableBy: make(map[int]bool)})
+			sim.servers = append(sim.servers, &fakeServer{sim: sim, Server: server(fmt.Sprintf("s%d", i)), unreachableBy: make(map[int]bool)})
 		}
 		sim.takeover()
 		sim.advance(2500)
 		restarts := 0
 		for range rapid.IntRange(3, 14).Draw(t, "steps") {
 			sv := sim.servers[rapid.IntRange(0, len(sim.servers)-1).Draw(t, "server")]
-			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0:
 				sim.takeover()
 			case 1:
@@ -346,6 +426,10 @@
 				for _, sa := range sim.assigners {
 					sim.readRecord(sa)
 				}
+			case 8:
+				sim.restore()
+			case 9:
+				sim.noneActs()
 			case 7: // a range of hot keys
 				var loads []KeyLoad
 				from := Key(rapid.IntRange(0, 60000).Draw(t, "hot"))
