front: the assigner confirms its role at once after a restore of the store

Cause: the assigner reads its record every 3 s, so it noticed a restore up to 3 s late. A host that takes over in between knows no record of the new epoch and grants nothing for at least a call's timeout and a lease time. Change: while a host knows of a later epoch than that of its record, the assigner confirms its role every 400 ms.

--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -272,7 +272,7 @@
 		r.stepDown("the store has not confirmed the role within the role lease")
 		return
 	}
-	if now.Sub(r.confirmStartedAt) > confirmInterval && !r.storeCallPending {
+	if now.Sub(r.confirmStartedAt) > r.confirmPeriod() && !r.storeCallPending {
 		r.confirmStartedAt, r.storeCallPending = now, true
 		c := &readCall{role: r, startedAt: now}
 		go c.run(ctx)
@@ -281,10 +281,7 @@
 		r.formerEnded = true
 		r.assigner.FormerEnded(now)
 	}
-	r.host.mu.Lock()
-	out := !r.host.storeUp
-	r.host.mu.Unlock()
-	r.assigner.SetStoreOutage(out)
+	r.assigner.SetStoreOutage(!r.host.isStoreUp())
 	r.executeAndPublish(ctx, r.assigner.Tick(now))
 	if now.Sub(r.lastResendAt) > resendInterval {
 		r.lastResendAt = now
@@ -292,6 +289,16 @@
 	}
 }
 
+// confirmPeriod returns the time between two confirmations of the role. After a
+// restore of the store the role has to be claimed anew soon: if this host ends
+// before, no key can be granted for a while.
+func (r *assignerRole) confirmPeriod() clock.Span {
+	if r.host.knownEpoch() > r.recordRev.Epoch() {
+		return writeBackoff
+	}
+	return confirmInterval
+}
+
 // allFormerEnded reports whether the processes of all former assigners have
 // ended: they gave up the role, or their hosts run other processes now. After a
 // restore of the store any host can be one.
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -145,6 +145,19 @@
 	h.metrics.storeEpoch.Set(float64(e))
 }
 
+// knownEpoch returns the latest known epoch of the store.
+func (h *Host) knownEpoch() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.storeEpoch
+}
+
+func (h *Host) isStoreUp() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.storeUp
+}
+
 // watchStore calls next repeatedly while this host has to watch the store. next
 // returns the revision to continue from; the zero value means to read everything
 // again.
