link: bound the heads of responses

Cause: http.ReadResponse reads header lines without a limit, and a connection skipped informational (1xx) responses without a limit. A server that sent bytes without end (garbage without a newline, a status or header line, header lines, 1xx responses) was read, and the bytes held in memory, until the request's deadline closed the connection. The whole line was then part of a logged error.

Change: the connection's reader reads through headReader, which bounds the heads read for one request to 64 KiB and 512 lines. A response that doesn't begin with HTTP/ ends the request at its first wrong byte. Such a request ends as malformed: it may have run, so it is neither rejected as not run nor retried unless it is idempotent.

TestLongHead shows that a header line of 48 KiB, 400 lines and a body of 256 Ki lines still pass on a kept connection.

--- /dev/null
+++ b/internal/link/endless_test.go
@@ -0,0 +1,140 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// endlessServer responds to each request with a prefix, and then repeats a
+// block until the client closes the connection or maxBytes are written.
+type endlessServer struct {
+	listener net.Listener
+	prefix   string
+	block    string
+	maxBytes int
+	written  atomic.Int64
+}
+
+func newEndlessServer(t *testing.T, prefix, block string, maxBytes int) *endlessServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &endlessServer{listener: l, prefix: prefix, block: block, maxBytes: maxBytes}
+	t.Cleanup(func() { l.Close() })
+	go s.run()
+	return s
+}
+
+func (s *endlessServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(c)
+	}
+}
+
+func (s *endlessServer) loop(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	if _, err := http.ReadRequest(br); err != nil {
+		return
+	}
+	if _, err := io.WriteString(c, s.prefix); err != nil {
+		return
+	}
+	block := strings.Repeat(s.block, 1+(16<<10)/len(s.block))
+	for n := 0; n < s.maxBytes; n += len(block) {
+		if _, err := io.WriteString(c, block); err != nil {
+			return
+		}
+		s.written.Add(int64(len(block)))
+	}
+	if _, err := br.ReadByte(); err != nil { // keeps the connection open until the client closes it
+		return
+	}
+}
+
+// sendWithin sends a request and returns the time until its result. The bytes
+// without end of a server must end it long before its deadline.
+func sendWithin(p *Pool) (res Result, took time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	res = p.Do(ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }})
+	return res, time.Since(began)
+}
+
+// Guards against a head without end that is read, and held in memory, until the
+// request's deadline.
+func TestEndlessHead(t *testing.T) {
+	tests := []struct {
+		name   string
+		prefix string
+		block  string
+	}{
+		{"blank lines", "", "\r\n"},
+		{"garbage without a newline", "", "x"},
+		{"garbage that begins like a response", "HTT", "x"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nId: me\r\nA: ", "x"},
+		{"continued header line", "HTTP/1.1 200 OK\r\nId: me\r\nA: x\r\n", " x\r\n"},
+		{"header lines", "HTTP/1.1 200 OK\r\nId: me\r\n", "Header-Name: value\r\n"},
+		{"short header lines", "HTTP/1.1 200 OK\r\nId: me\r\n", "a:\n"},
+		{"header lines of a mismatched response", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newEndlessServer(t, tt.prefix, tt.block, 64<<20)
+			res, took := sendWithin(NewPool(s.listener.Addr().String()))
+			is.True(errors.Is(res.Err, ErrMalformed))
+			is.True(len(res.Err.Error()) < 1<<10) // it is logged
+			is.True(res.Sent)
+			is.True(took < 2*time.Second)
+			is.True(s.written.Load() < 16<<20)
+		})
+	}
+}
+
+// Guards against a limit that counts the body as part of the head, or refuses a
+// response with a long head.
+func TestLongHead(t *testing.T) {
+	tests := []struct {
+		name   string
+		header string
+		body   string
+	}{
+		{"long header line", "A: " + strings.Repeat("x", 48<<10) + "\r\n", "abc"},
+		{"many header lines", strings.Repeat("A: b\r\n", 400), "abc"},
+		{"body of many lines", "", strings.Repeat("\n", 256<<10)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			resp := "HTTP/1.1 200 OK\r\nId: me\r\n" + tt.header + "Content-Length: " + strconv.Itoa(len(tt.body)) + "\r\n\r\n" + tt.body
+			s := newRawServer(t, resp, resp)
+			p := NewPool(s.listener.Addr().String())
+			for range 2 {
+				res := send(p)
+				is.NoErr(res.Err)
+				is.Equal(string(res.Body), tt.body)
+			}
+			is.Equal(s.connCount.Load(), int32(1))
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -101,11 +101,17 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	head   *headReader
+	reader *bufio.Reader // reads from head
 	expiry time.Time
 	probes int // health requests since the last request
 }
 
+func newConn(nc net.Conn) *conn {
+	h := &headReader{source: nc}
+	return &conn{Conn: nc, head: h, reader: bufio.NewReaderSize(h, readBufferBytes)}
+}
+
 // Pool has the connections to one backend server.
 type Pool struct {
 	addr   string
@@ -263,7 +269,7 @@
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
 		}
-		c = &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+		c = newConn(nc)
 		res.NewConn = true
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -338,19 +344,11 @@
 // that precede it.
 func (c *conn) readResponse(r Request, res *Result) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	c.head.reset()
 	for {
-		if res.MismatchedResponses > 0 || !res.NewConn {
-			// Detects a connection that the server has closed while it was idle.
-			if _, err := c.reader.Peek(1); err != nil {
-				return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
-			}
-		}
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
-				return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
-			}
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
@@ -410,6 +408,8 @@
 	if err != nil {
 		return false
 	}
-	p.putIdle(&conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expiry: time.Now().Add(defaultIdleTimeout)})
+	c := newConn(nc)
+	c.expiry = time.Now().Add(defaultIdleTimeout)
+	p.putIdle(c)
 	return true
 }
