link: stop reading bodies that can't end in a response

Cause: the body of a response was closed after an error, and closing reads a body of net/http to its end. So a body over the limit, or with a declared length over the limit, was read until the request's deadline. The body of a mismatched response was skipped without a limit, and a health request, whose body isn't used, read up to 64 MiB.

Change: bodies aren't closed (the connection is). A declared length over the limit ends the request at once. A mismatched response is skipped up to 1 MiB; after that the connection is closed. A health request reads 64 KiB at most.

--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -138,3 +138,39 @@
 		})
 	}
 }
+
+// Guards against a body without end that is read until the request's deadline, or
+// that passes as a complete one.
+func TestEndlessBody(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	tests := []struct {
+		name   string
+		prefix string
+		block  string
+		want   error
+	}{
+		{"without a length", "HTTP/1.1 200 OK\r\nId: me\r\n\r\n", "x", ErrMalformed},
+		{"chunks", chunked + "Id: me\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n", ErrMalformed},
+		{"chunk size", chunked + "Id: me\r\n\r\n", "0", ErrConnLost},
+		{"chunk extension", chunked + "Id: me\r\n\r\n4;", "x", ErrConnLost},
+		{"chunk extensions", chunked + "Id: me\r\n\r\n", "1;" + strings.Repeat("x", 2000) + "\r\na\r\n", ErrConnLost},
+		{"trailer", chunked + "Id: me\r\n\r\n0\r\n", "A: b\r\n", ErrConnLost},
+		{"declared length over the limit", "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9000000000\r\n\r\n", "x", ErrMalformed},
+		{"mismatched, declared length", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 9000000000\r\n\r\n", "x", ErrMismatched},
+		{"mismatched, chunks", chunked + "Id: other\r\n\r\n", "4\r\nabcd\r\n", ErrMismatched},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newEndlessServer(t, tt.prefix, tt.block, 512<<20)
+			res, took := sendWithin(NewPool(s.listener.Addr().String()))
+			is.True(errors.Is(res.Err, tt.want))
+			is.True(res.Sent)
+			is.Equal(len(res.Body), 0)
+			is.True(took < 4*time.Second)
+			if strings.HasPrefix(tt.name, "mismatched") {
+				is.True(s.written.Load() < 16<<20)
+			}
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,7 +17,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -54,8 +53,6 @@
 	maxProbes    = 2
 	probeLead    = 1100 * time.Millisecond
 	probeTimeout = 2 * time.Second
-	// maxBodyBytes bounds the body of a response.
-	maxBodyBytes = 64 << 20
 	// maxMismatched is how many mismatched responses, which belong to other
 	// requests, are skipped on a connection before it is closed.
 	maxMismatched = 3
@@ -181,7 +178,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, &res)
+	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, maxProbeBodyBytes, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -273,7 +270,7 @@
 		res.NewConn = true
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	reusable := p.exchange(c, r, &res)
+	reusable := p.exchange(c, r, maxBodyBytes, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
@@ -282,9 +279,9 @@
 	return res
 }
 
-// exchange sends a request on a connection and reads its response. It reports
-// whether the connection can be reused.
-func (p *Pool) exchange(c *conn, r Request, res *Result) (reusable bool) {
+// exchange sends a request on a connection and reads its response with a body of
+// at most maxBytes. It reports whether the connection can be reused.
+func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
@@ -300,14 +297,9 @@
 		res.Err = err
 		return false
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	switch {
-	case err != nil:
-		res.Err = fmt.Errorf("%w: %w", ErrConnLost, err)
-		return false
-	case len(body) > maxBodyBytes:
-		res.Err = fmt.Errorf("%w: body exceeds the limit of %d bytes", ErrMalformed, maxBodyBytes)
+	body, err := readBody(resp, maxBytes)
+	if err != nil {
+		res.Err = err
 		return false
 	}
 	res.Status, res.Header, res.Body, res.Proto = resp.StatusCode, resp.Header, body, resp.Proto
@@ -359,8 +351,8 @@
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrMismatched
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
+		if err := skipBody(resp); err != nil {
+			return nil, err
 		}
 	}
 }
