link, relay: bound the memory of all responses that are being read

Cause: each response may be up to 64 MiB, and nothing bounded the responses of a process together. A server that sends bodies without end on its connections makes a host buffer them all until the deadlines; five of them exceed the 284 MB of a process.

Change: the pools of a host share a Budget of 112 MiB. A body's buffer grows with the bytes received, and is counted while the old and the new one exist. When the budget is exceeded, the longest response of the server with the most bytes is given up (as malformed: it may have run). So a single long response of another server still passes, up to 64 MiB as before; no response is refused in advance.

Result: TestMemoryOfEndlessBodies has 50 endless responses, a budget of 8 MiB and, beside them, short responses and ones of 1 MiB of another server. TestLongBody: one body of 64 MiB passes with a budget of 112 MiB.

--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -101,7 +103,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newEndlessServer(t, tt.prefix, tt.block, 64<<20)
-			res, took := sendWithin(NewPool(s.listener.Addr().String()))
+			res, took := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 			is.True(errors.Is(res.Err, ErrMalformed))
 			is.True(len(res.Err.Error()) < 1<<10) // it is logged
 			is.True(res.Sent)
@@ -128,7 +130,7 @@
 			is := is.New(t)
 			resp := "HTTP/1.1 200 OK\r\nId: me\r\n" + tt.header + "Content-Length: " + strconv.Itoa(len(tt.body)) + "\r\n\r\n" + tt.body
 			s := newRawServer(t, resp, resp)
-			p := NewPool(s.listener.Addr().String())
+			p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 			for range 2 {
 				res := send(p)
 				is.NoErr(res.Err)
@@ -163,7 +165,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newEndlessServer(t, tt.prefix, tt.block, 512<<20)
-			res, took := sendWithin(NewPool(s.listener.Addr().String()))
+			res, took := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 			is.True(errors.Is(res.Err, tt.want))
 			is.True(res.Sent)
 			is.Equal(len(res.Body), 0)
@@ -174,3 +176,89 @@
 		})
 	}
 }
+
+// Guards against responses without end on many connections that together take
+// more memory than the process has, and against the refusal of other servers'
+// responses beside them, short or long.
+func TestMemoryOfEndlessBodies(t *testing.T) {
+	const (
+		connCount   = 50
+		budgetBytes = 8 << 20
+		bodyBytes   = 2 << 20 // per connection, if it is read to the end
+		maxGrowth   = 2*budgetBytes + connCount*128<<10
+	)
+	is := is.New(t)
+	budget := NewBudget(budgetBytes)
+	faulty := newEndlessServer(t, "HTTP/1.1 200 OK\r\nId: me\r\n\r\n", "x", bodyBytes)
+	long := strings.Repeat("y", budgetBytes/8)
+	sound := newRawServer(t, response("me", "abc"), response("me", long))
+	old := debug.SetGCPercent(10) // measures what is in use, not garbage
+	defer debug.SetGCPercent(old)
+	before := heapBytes()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := NewPool(faulty.listener.Addr().String(), budget)
+	results := make(chan Result, connCount)
+	for range connCount {
+		x := &sending{ctx: ctx, pool: p, results: results}
+		go x.run()
+	}
+	sp := NewPool(sound.listener.Addr().String(), budget)
+	peak := uint64(0)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		peak = max(peak, heapBytes())
+		for _, want := range []string{"abc", long} {
+			res := send(sp)
+			is.NoErr(res.Err)
+			is.Equal(string(res.Body), want)
+		}
+	}
+	t.Logf("heap: %d KiB before, %d KiB at its peak", before>>10, peak>>10)
+	is.True(peak < before+maxGrowth)
+	cancel()
+	for range connCount {
+		is.True((<-results).Err != nil)
+	}
+	is.Equal(budget.used, int64(0))
+	is.Equal(len(budget.holds), 0)
+}
+
+// sending is a request that is sent concurrently with others.
+type sending struct {
+	ctx     context.Context
+	pool    *Pool
+	results chan<- Result
+}
+
+func (x *sending) run() {
+	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse})
+}
+
+// heapBytes returns the bytes of the heap in use.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against a budget that refuses a long response of a sound server.
+func TestLongBody(t *testing.T) {
+	body := strings.Repeat("x", maxBodyBytes)
+	tests := []struct {
+		name     string
+		response string
+		length   int
+	}{
+		{"declared length", response("me", body), maxBodyBytes},
+		{"until the end of the connection", "HTTP/1.1 200 OK\r\nId: me\r\n\r\n" + body[1:], maxBodyBytes - 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newRawServer(t, tt.response)
+			res, _ := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*7/4)))
+			is.NoErr(res.Err)
+			is.Equal(len(res.Body), tt.length)
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,7 +6,8 @@
 //
 // # Usage
 //
-//	p := link.NewPool("10.128.0.9:8080")
+//	budget := link.NewBudget(64 << 20) // shared by all pools
+//	p := link.NewPool("10.128.0.9:8080", budget)
 //	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, Matches: matches})
 //	if res.Err != nil && !res.Sent { /* safe to send elsewhere */ }
 package link
@@ -112,13 +113,15 @@
 // Pool has the connections to one backend server.
 type Pool struct {
 	addr   string
+	budget *Budget
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// NewPool returns a Pool without connections.
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
+// NewPool returns a Pool without connections. The budget bounds the memory of the
+// responses of all pools that share it.
+func NewPool(addr string, b *Budget) *Pool { return &Pool{addr: addr, budget: b} }
 
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
@@ -297,7 +300,10 @@
 		res.Err = err
 		return false
 	}
-	body, err := readBody(resp, maxBytes)
+	// The body isn't closed: that would read it to its end.
+	h := p.budget.newHold(p, func() { c.Close() })
+	defer h.close()
+	body, err := readBody(resp, maxBytes, h)
 	if err != nil {
 		res.Err = err
 		return false
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -96,7 +96,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newRawServer(t, tt.response)
-			res := send(NewPool(s.listener.Addr().String()))
+			res := send(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 			is.True(errors.Is(res.Err, tt.want))
 			is.Equal(string(res.Body), tt.body)
 			is.Equal(res.MismatchedResponses, tt.skipped)
@@ -110,7 +110,7 @@
 func TestExtraBytes(t *testing.T) {
 	is := is.New(t)
 	s := newRawServer(t, response("me", "abc")+response("me", "stale"), response("me", "new"))
-	p := NewPool(s.listener.Addr().String())
+	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 	is.NoErr(send(p).Err)
 	time.Sleep(20 * time.Millisecond)
 	res := send(p)
@@ -125,7 +125,7 @@
 func TestClosedWhileIdle(t *testing.T) {
 	is := is.New(t)
 	s := newRawServer(t, response("me", "abc"))
-	p := NewPool(s.listener.Addr().String())
+	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 	is.NoErr(send(p).Err)
 	time.Sleep(20 * time.Millisecond)
 	is.NoErr(send(p).Err)
@@ -140,7 +140,7 @@
 	is.NoErr(err)
 	addr := l.Addr().String()
 	l.Close()
-	res := send(NewPool(addr))
+	res := send(NewPool(addr, NewBudget(maxBodyBytes*2)))
 	is.True(errors.Is(res.Err, ErrDial))
 	is.True(!res.Sent)
 }
@@ -152,12 +152,12 @@
 	is := is.New(t)
 	resp := "HTTP/1.1 200 OK\r\nId: me\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"
 	s := newRawServer(t, resp, resp)
-	p := NewPool(s.listener.Addr().String())
+	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 	is.NoErr(send(p).Err)
 	is.NoErr(send(p).Err)
 	is.Equal(s.connCount.Load(), int32(2)) // a timeout of one second is shorter than the margin
 	plain := newRawServer(t, response("me", ""), response("me", ""))
-	p = NewPool(plain.listener.Addr().String())
+	p = NewPool(plain.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 	is.NoErr(send(p).Err)
 	is.True(!send(p).NewConn)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,9 @@
 	// minSendTime is the least time until the deadline with which a request is
 	// still sent.
 	minSendTime = 5 * clock.Millisecond
+	// maxResponseBytes bounds the memory of all responses that are being read. A
+	// process has 284 MB for these, the copies of complete ones, and the rest.
+	maxResponseBytes = 112 << 20
 )
 
 // Config configures a Relay.
@@ -78,6 +81,7 @@
 	quarantine    *retry.Quarantine
 	pending       map[uint64]chan place.Action
 	pools         map[keys.Server]*pool
+	responses     *link.Budget
 	requestCounts map[string]*uint64                        // requests by route, for the choice by weights
 	routeMeans    map[string]float64                        // moving average of the service time in ms, by route
 	hostCount     int                                       // hosts that share the retry budget
@@ -105,7 +109,7 @@
 	r := &Relay{
 		cfg: cfg, retryBudget: quota.New(cfg.Clock.Now(), cfg.RetryBudget),
 		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
-		pools: make(map[keys.Server]*pool), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
+		pools: make(map[keys.Server]*pool), responses: link.NewBudget(maxResponseBytes), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
@@ -139,7 +143,7 @@
 			if p != nil {
 				p.Close()
 			}
-			r.pools[sv.ID] = &pool{Pool: link.NewPool(sv.Addr), addr: sv.Addr, service: sv.Service}
+			r.pools[sv.ID] = &pool{Pool: link.NewPool(sv.Addr, r.responses), addr: sv.Addr, service: sv.Service}
 		}
 	}
 	for id, p := range r.pools {
