--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,7 +6,8 @@
 //
 // # Usage
 //
-//	p := link.NewPool("10.128.0.9:8080")
+//	budget := link.NewBudget(64 << 20) // shared by all pools
+//	p := link.NewPool("10.128.0.9:8080", budget)
 //	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, Matches: matches})
 //	if res.Err != nil && !res.Sent { /* safe to send elsewhere */ }
 package link
@@ -17,7 +18,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -54,8 +54,6 @@
 	maxProbes    = 2
 	probeLead    = 1100 * time.Millisecond
 	probeTimeout = 2 * time.Second
-	// maxBodyBytes bounds the body of a response.
-	maxBodyBytes = 64 << 20
 	// maxMismatched is how many mismatched responses, which belong to other
 	// requests, are skipped on a connection before it is closed.
 	maxMismatched = 3
@@ -101,21 +99,29 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	head   *headReader
+	reader *bufio.Reader // reads from head
 	expiry time.Time
 	probes int // health requests since the last request
 }
 
+func newConn(nc net.Conn) *conn {
+	h := &headReader{source: nc}
+	return &conn{Conn: nc, head: h, reader: bufio.NewReaderSize(h, readBufferBytes)}
+}
+
 // Pool has the connections to one backend server.
 type Pool struct {
 	addr   string
+	budget *Budget
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// NewPool returns a Pool without connections.
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
+// NewPool returns a Pool without connections. The budget bounds the memory of the
+// responses of all pools that share it.
+func NewPool(addr string, b *Budget) *Pool { return &Pool{addr: addr, budget: b} }
 
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
@@ -175,7 +181,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, &res)
+	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, maxProbeBodyBytes, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -263,11 +269,11 @@
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
 		}
-		c = &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+		c = newConn(nc)
 		res.NewConn = true
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	reusable := p.exchange(c, r, &res)
+	reusable := p.exchange(c, r, maxBodyBytes, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
@@ -276,9 +282,9 @@
 	return res
 }
 
-// exchange sends a request on a connection and reads its response. It reports
-// whether the connection can be reused.
-func (p *Pool) exchange(c *conn, r Request, res *Result) (reusable bool) {
+// exchange sends a request on a connection and reads its response with a body of
+// at most maxBytes. It reports whether the connection can be reused.
+func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
@@ -294,14 +300,12 @@
 		res.Err = err
 		return false
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	switch {
-	case err != nil:
-		res.Err = fmt.Errorf("%w: %w", ErrConnLost, err)
-		return false
-	case len(body) > maxBodyBytes:
-		res.Err = fmt.Errorf("%w: body exceeds the limit of %d bytes", ErrMalformed, maxBodyBytes)
+	// The body isn't closed: that would read it to its end.
+	h := p.budget.newHold(p, func() { c.Close() })
+	defer h.close()
+	body, err := readBody(resp, maxBytes, h)
+	if err != nil {
+		res.Err = err
 		return false
 	}
 	res.Status, res.Header, res.Body, res.Proto = resp.StatusCode, resp.Header, body, resp.Proto
@@ -338,19 +342,11 @@
 // that precede it.
 func (c *conn) readResponse(r Request, res *Result) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	c.head.reset()
 	for {
-		if res.MismatchedResponses > 0 || !res.NewConn {
-			// Detects a connection that the server has closed while it was idle.
-			if _, err := c.reader.Peek(1); err != nil {
-				return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
-			}
-		}
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
-				return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
-			}
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
@@ -361,8 +357,8 @@
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrMismatched
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
+		if err := skipBody(resp); err != nil {
+			return nil, err
 		}
 	}
 }
@@ -410,6 +406,8 @@
 	if err != nil {
 		return false
 	}
-	p.putIdle(&conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expiry: time.Now().Add(defaultIdleTimeout)})
+	c := newConn(nc)
+	c.expiry = time.Now().Add(defaultIdleTimeout)
+	p.putIdle(c)
 	return true
 }
