link: don't send a request where it was rejected before

Callers saw 503 ("not run, try again") for a keyed booking that its server was running. A keyed request that its owner rejects (503 or 421) is sent to the same owner again with the same attempt id, mostly on the same kept connection. If the server writes the rejection there once more, the copy matches by attempt id and is taken for the response to the second send: the host responds 503, or sends the booking a third time.

A connection now remembers the ids (as hashes) that were rejected on it, and a request isn't sent where its id was rejected: it takes another idle connection or a new one. A copy of any other rejection has another id and is skipped as mismatched, also in front of a genuine rejection. A connection is closed after 64 rejections, which bounds the memory and costs one new connection in 64 rejections at most.

TestCopiedRejection fails in its three cases of the same id with the check taken out.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := link.NewPool("10.128.0.9:8080")
-//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, Matches: matches})
+//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, ID: id, Matches: matches, Rejected: rejected})
 //	if res.Err != nil && !res.Sent { /* safe to send elsewhere */ }
 package link
 
@@ -20,12 +20,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -64,6 +66,9 @@
 	// written concurrently.
 	maxInlineBytes  = 8 << 10
 	readBufferBytes = 4 << 10
+	// maxRejections bounds the rejections that are remembered for a connection. It
+	// is closed after them.
+	maxRejections = 64
 )
 
 // Errors of Do.
@@ -82,9 +87,14 @@
 	Header           http.Header
 	Body             []byte
 	HasContentLength bool // send a Content-Length even if the body is empty
+	// ID identifies the request. A request isn't sent on a connection on which its
+	// ID was rejected: a copy of that rejection couldn't be told from the response.
+	ID string
 	// Matches reports whether a response with the given header belongs to this
 	// request.
 	Matches func(http.Header) bool
+	// Rejected reports whether a response says that the request wasn't run.
+	Rejected func(status int, h http.Header) bool
 }
 
 // Result is the response to a request, or the error.
@@ -104,6 +114,9 @@
 	reader *bufio.Reader
 	expiry time.Time
 	probes int // health requests since the last request
+	// rejected has the hashes of the IDs that the server rejected on this
+	// connection. An equal hash of another ID only costs the reuse.
+	rejected []uint64
 }
 
 // Pool has the connections to one backend server.
@@ -175,7 +188,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, &res)
+	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse, Rejected: neverRejected}, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -185,14 +198,21 @@
 
 func anyResponse(http.Header) bool { return true }
 
-// takeIdle returns the idle connection that was used last and can be reused, or
-// nil if there is none. It closes those that can't be reused.
-func (p *Pool) takeIdle(now time.Time) *conn {
+func neverRejected(int, http.Header) bool { return false }
+
+// takeIdle returns the idle connection that was used last and can be reused for
+// the request with the given ID, or nil if there is none. It closes those that
+// can't be reused for any.
+func (p *Pool) takeIdle(now time.Time, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	idHash := xxhash.Sum64String(id)
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if slices.Contains(c.rejected, idHash) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiry) && c.hasNoInput() {
 			c.probes = 0
 			return c
@@ -256,7 +276,7 @@
 
 // Do sends a request and reads the complete response.
 func (p *Pool) Do(ctx context.Context, r Request) (res Result) {
-	c := p.takeIdle(time.Now())
+	c := p.takeIdle(time.Now(), r.ID)
 	if c == nil {
 		nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
 		if err != nil {
@@ -316,9 +336,12 @@
 	default:
 		return false
 	}
+	if r.Rejected(resp.StatusCode, resp.Header) {
+		c.rejected = append(c.rejected, xxhash.Sum64String(r.ID))
+	}
 	now := time.Now()
 	c.expiry = now.Add(idleTimeout(resp.Header))
-	return !resp.Close
+	return !resp.Close && len(c.rejected) < maxRejections
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -68,7 +68,15 @@
 func send(p *Pool) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return p.Do(ctx, Request{Method: "GET", Target: "/x?y=1", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }})
+	return sendID(ctx, p, "me")
+}
+
+func sendID(ctx context.Context, p *Pool, id string) Result {
+	return p.Do(ctx, Request{
+		Method: "GET", Target: "/x?y=1", Host: "h", ID: id,
+		Matches:  func(h http.Header) bool { return h.Get("Id") == id },
+		Rejected: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
+	})
 }
 
 // Guards against a valid response that is returned as an error, and against a
@@ -161,3 +169,63 @@
 	is.NoErr(send(p).Err)
 	is.True(!send(p).NewConn)
 }
+
+func rejection(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// Guards against a copy of an earlier rejection on a kept connection that is
+// taken for the response to a request.
+func TestCopiedRejection(t *testing.T) {
+	tests := []struct {
+		name      string
+		ids       []string // of the requests, in order
+		responses []string // on each connection
+		status    int      // of the last response
+		newConn   bool     // for the last request
+	}{
+		{"before the response to another request", []string{"a", "b"}, []string{rejection("a"), rejection("a") + response("b", "")}, 200, false},
+		{"before the rejection of another request", []string{"a", "b"}, []string{rejection("a"), rejection("a") + rejection("b")}, 503, false},
+		{"without an id", []string{"a", "b"}, []string{rejection("a"), rejection("") + response("b", "")}, 200, false},
+		{"to the same request", []string{"a", "a"}, []string{rejection("a"), rejection("a") + response("a", "")}, 503, true},
+		{"to the same request, after another one", []string{"a", "b", "a"}, []string{rejection("a"), response("b", ""), rejection("a") + response("a", "")}, 503, true},
+		{"to requests without an id", []string{"", ""}, []string{rejection(""), rejection("") + response("", "")}, 503, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			p := NewPool(newRawServer(t, tt.responses...).listener.Addr().String())
+			var res Result
+			for _, id := range tt.ids {
+				res = sendID(ctx, p, id)
+				is.NoErr(res.Err)
+			}
+			is.Equal(res.Status, tt.status)
+			is.Equal(res.NewConn, tt.newConn)
+		})
+	}
+}
+
+// Guards against the loss of a connection to a rejection: it is kept for other
+// requests, until too many rejections would have to be remembered.
+func TestRejectionKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	const n = 2 * maxRejections
+	var responses []string
+	for i := range n {
+		responses = append(responses, rejection(fmt.Sprint(i)))
+	}
+	s := newRawServer(t, responses...)
+	p := NewPool(s.listener.Addr().String())
+	for i := range maxRejections {
+		res := sendID(ctx, p, fmt.Sprint(i))
+		is.NoErr(res.Err)
+		is.Equal(res.Status, http.StatusServiceUnavailable)
+	}
+	is.Equal(s.connCount.Load(), int32(1))
+	is.Equal(p.Idle(), 0)
+}
