--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -20,7 +20,6 @@
 	ErrRestored   = errors.New("store was restored from an older copy; revisions of the former epoch can't be continued from")
 	ErrRefused    = errors.New("store refused the call; nothing was done")
 	ErrNoResponse = errors.New("store did not respond; the call may have taken effect")
-	ErrRestored   = errors.New("store was restored from an older copy since the last call")
 )
 
 // ServerEvent is a change of a server's registration.
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	began := time.Now()
-	res = p.Do(ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }})
+	res = p.Do(ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }, Rejected: neverRejected})
 	return res, time.Since(began)
 }
 
@@ -231,7 +231,7 @@
 }
 
 func (x *sending) run() {
-	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse})
+	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse, Rejected: neverRejected})
 }
 
 // heapBytes returns the bytes of the heap in use.
