front: a host's registration that the store lost was not written again

A host registered once per process. After a restore from a copy without it, hosts that start with stale seeds and few live hosts can't find it. Change: PutHost returns the epoch that has the registration; a host registers again once it knows of a later one. It learns of epochs from lists that it fetches from other hosts too, as most hosts don't watch the store. At most two calls per host and restore. Result: TestHostRegistrationAfterRestore in platform failed before (not registered again within 15 s) and passes.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -189,15 +189,19 @@
 	return out
 }
 
-// join registers this host in the store, and reads the other hosts' addresses
-// there while too few of them are alive: the seeds in the settings may be stale.
+// join registers this host in the store, again after a restore of the store, and
+// reads the other hosts' addresses there while too few of them are alive: the seeds
+// in the settings may be stale.
 func (h *Host) join(ctx context.Context) error {
-	registered := false
+	registered, registeredIn := false, uint64(0)
 	for {
-		if !registered {
-			err := h.cfg.Store.PutHost(ctx, h.cfg.Settings.Host, h.cfg.Settings.IP)
+		if !registered || h.knownEpoch() > registeredIn {
+			storeEpoch, err := h.cfg.Store.PutHost(ctx, h.cfg.Settings.Host, h.cfg.Settings.IP)
 			h.recordStoreResult(err)
-			registered = err == nil
+			if err == nil {
+				h.noteEpoch(storeEpoch)
+				registered, registeredIn = true, storeEpoch
+			}
 		}
 		if ms := h.members.membership(h.clock.Now()); ms.alive < 2 || !ms.majority {
 			h.discoverHosts(ctx)
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -49,7 +49,9 @@
 	PutRecord(ctx context.Context, rec owner.Record, rev epoch.Revision) (epoch.Revision, error)
 	// Hosts returns the addresses of the entry hosts, possibly seconds old.
 	Hosts(ctx context.Context) (map[keys.Host]string, error)
-	PutHost(ctx context.Context, h keys.Host, ip string) error
+	// PutHost registers a host. It returns the epoch of the store that has the
+	// registration.
+	PutHost(ctx context.Context, h keys.Host, ip string) (storeEpoch uint64, err error)
 }
 
 // Granter grants key ranges to backend servers and has them release the ranges.
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -280,6 +280,7 @@
 // call to the store has recently failed for the host that read the list. Failed
 // calls of this host don't matter, as the list may come from another host.
 func (h *Host) replaceServers(list []fleet.Server, rev epoch.Revision, outage bool) {
+	h.noteEpoch(rev.Epoch())
 	h.mu.Lock()
 	if rev.Before(h.sync.serversRev) {
 		h.mu.Unlock()
