--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,7 @@
 	StoreLink                     // link-to-store
 	ServerLink                    // link-to-server
 	Configure                     // configure
+	RepeatRejections              // repeat-refusals
 	numKinds                      // kinds
 )
 
@@ -40,7 +41,9 @@
 func (k Kind) targetsHost() bool { return k <= ReloadHost || k == StoreLink }
 
 // targetsServer reports whether the target of a step is a backend server.
-func (k Kind) targetsServer() bool { return k >= CrashServer && k <= ShedRequests || k == ServerLink }
+func (k Kind) targetsServer() bool {
+	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == RepeatRejections
+}
 
 // planned reports whether a step is planned work, which must not affect callers.
 func (k Kind) planned() bool {
@@ -63,6 +66,8 @@
 	// maxCount is the largest number of responses that are lost or mismatched, or
 	// of requests that are shed, in a step.
 	maxCount = 20
+	// maxRepeatGap is the longest time between two steps of RepeatRejections.
+	maxRepeatGap = 4 * clock.Second
 )
 
 // plannedOnlyEvery says that every n-th seed has planned work only. Time limits
@@ -110,13 +115,31 @@
 			at = at.Add(between(0, maxStepGap))
 		}
 	}
+	steps = append(steps, planRepeats(seed, servers, length)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
-// kindsOf returns the kinds that the steps of a seed may have.
+// planRepeats returns the steps of RepeatRejections. They are drawn apart from the
+// others, whose schedules seeds that once failed depend on.
+func planRepeats(seed uint64, servers int, length clock.Span) (steps []Step) {
+	if seed%plannedOnlyEvery == 0 {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(seed, ^seed))
+	for at := clock.Time(0).Add(startDelay); at < clock.Time(0).Add(length); at = at.Add(clock.Span(1 + r.Int64N(int64(maxRepeatGap)))) {
+		steps = append(steps, Step{
+			Kind: RepeatRejections, At: at, Duration: minFaultTime + clock.Span(r.Int64N(int64(maxFaultTime-minFaultTime))),
+			Target: r.IntN(servers), Mode: Delay, Count: 1 + r.IntN(maxCount),
+		})
+	}
+	return steps
+}
+
+// kindsOf returns the kinds that the steps of a seed may have, apart from those of
+// planRepeats.
 func kindsOf(seed uint64) (all []Kind) {
-	for k := range numKinds {
+	for k := range RepeatRejections {
 		if k.planned() || seed%plannedOnlyEvery != 0 {
 			all = append(all, k)
 		}
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -80,6 +80,8 @@
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.SendMismatched(p.step.Count) })
 	case ShedRequests:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Reject(p.step.Count) })
+	case RepeatRejections:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.RepeatRejections(p.step.Count) })
 	case StoreBusy:
 		d.store.SetFault(fakes.Busy)
 	case StoreHang:
@@ -122,6 +124,8 @@
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.SendMismatched(0) })
 	case ShedRequests:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Reject(0) })
+	case RepeatRejections:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.RepeatRejections(0) })
 	case StoreBusy, StoreHang, StoreLoseAcks:
 		d.store.SetFault(fakes.NoFault)
 	case StoreStopWatches:
