A leaving server that says so only in its responses gets no new requests

Seen: a server may say in all its responses that it leaves (header Server-Leaving) while its registration stays ready, or while the store is out of reach. The router didn't read that header, so it went on sending to the server until the registration changed.

Change: link passes the head of every response (requests and health requests) to relay, and the granter reports the header of replies to grants and releases. place keeps a notice for the process of the server, by ID and born, apart from the list of servers: an older registration, or one that was missing meanwhile, doesn't end it, a later process does. A marked server gets requests only for keys that it owns, and without a key only if all servers of the service leave; none from 200 ms before the bound (settings, drain) on. Heartbeats name the servers that told the host, and every host counts them as draining, so the assigner moves their keys. Health requests to a marked server end. The pool of a server is replaced when its process is, so that a late response isn't put down to the next process.

front/call_test.go: its stub and one comparison follow the new result type of Granter; it checks the same outcomes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,15 @@
 	Born     int64      // incarnation: Unix time in ms of its start
 }
 
+// Incarnation is one process of a server.
+type Incarnation struct {
+	ID   keys.Server `cbor:"1,keyasint"`
+	Born int64       `cbor:"2,keyasint"` // as in Server
+}
+
+// Incarnation returns the process that a registration describes.
+func (sv Server) Incarnation() Incarnation { return Incarnation{ID: sv.ID, Born: sv.Born} }
+
 // Registry is the current set of backend servers.
 type Registry struct {
 	servers    map[keys.Server]Server
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/owner"
 )
 
@@ -46,7 +47,9 @@
 }
 
 func (c *grantCall) run(ctx context.Context) {
-	out, err := c.send(ctx, grantTimeout-c.role.now().Sub(c.sentAt))
+	reply, err := c.send(ctx, grantTimeout-c.role.now().Sub(c.sentAt))
+	out := reply.Outcome
+	c.role.applyReply(reply, fleet.Incarnation{ID: c.grant.Server, Born: c.grant.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("grant", outcomeName(out)).Inc()
 	if out != owner.Done || c.grant.First {
 		c.role.host.log.Info("grant", zap.String("server", string(c.grant.Server)), zap.Uint16("from", uint16(c.grant.From)),
@@ -60,9 +63,9 @@
 // assumed to start at the end of the timeout at the latest (see
 // owner.Assigner.GrantDone), so the grant must not be sent after that, for example
 // by a host that was suspended before the call.
-func (c *grantCall) send(ctx context.Context, left clock.Span) (owner.Outcome, error) {
+func (c *grantCall) send(ctx context.Context, left clock.Span) (GrantReply, error) {
 	if left <= 0 {
-		return owner.Failed, fmt.Errorf("grant not sent: its timeout passed %d ms ago", -left)
+		return GrantReply{Outcome: owner.Failed}, fmt.Errorf("grant not sent: its timeout passed %d ms ago", -left)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left.Std())
 	defer cancel()
@@ -78,11 +81,20 @@
 func (c *releaseCall) run(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, releaseTimeout.Std())
 	defer cancel()
-	out, handover, err := c.role.host.cfg.Granter.Release(call, c.release)
+	reply, err := c.role.host.cfg.Granter.Release(call, c.release)
+	out := reply.Outcome
+	c.role.applyReply(reply, fleet.Incarnation{ID: c.release.Server, Born: c.release.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("release", outcomeName(out)).Inc()
 	c.role.host.log.Info("release", zap.String("server", string(c.release.Server)), zap.Uint16("from", uint16(c.release.From)),
 		zap.Uint16("to", uint16(c.release.To)), zap.Uint64("fence", uint64(c.release.Fence)), zap.String("outcome", outcomeName(out)), zap.Error(err))
-	c.role.postResult(ctx, releaseDone{release: c.release, outcome: out, handover: handover})
+	c.role.postResult(ctx, releaseDone{release: c.release, outcome: out, handover: reply.Handover})
+}
+
+// applyReply applies what a reply says about the process that sent it.
+func (r *assignerRole) applyReply(reply GrantReply, in fleet.Incarnation) {
+	if reply.Leaving {
+		r.host.relay.ServerLeaves(in)
+	}
 }
 
 func outcomeName(o owner.Outcome) string {
--- a/internal/front/call_test.go
+++ b/internal/front/call_test.go
@@ -14,14 +14,14 @@
 // deadlineGranter records the time left until the deadline of each grant.
 type deadlineGranter struct{ timeLeft []time.Duration }
 
-func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant) (owner.Outcome, error) {
+func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant) (GrantReply, error) {
 	end, _ := ctx.Deadline()
 	g.timeLeft = append(g.timeLeft, time.Until(end))
-	return owner.Done, nil
+	return GrantReply{Outcome: owner.Done}, nil
 }
 
-func (g *deadlineGranter) Release(context.Context, owner.Release) (owner.Outcome, string, error) {
-	return owner.Failed, "", nil
+func (g *deadlineGranter) Release(context.Context, owner.Release) (GrantReply, error) {
+	return GrantReply{Outcome: owner.Failed}, nil
 }
 
 // Guards against a grant that is sent after its range counts as free. A host that
@@ -50,7 +50,7 @@
 				is.True(g.timeLeft[0] <= (grantTimeout - tt.since).Std())
 				return
 			}
-			is.Equal(out, owner.Failed)
+			is.Equal(out.Outcome, owner.Failed)
 		})
 	}
 }
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -90,6 +90,7 @@
 	for id, n := range inFlight {
 		b.InFlight[mesh.HashServer(id)] = n
 	}
+	b.LeavingServers = h.relay.LeavingServers()
 	h.members.mu.Lock()
 	if gossip {
 		b.Members = h.members.gossipSample(now)
@@ -152,6 +153,7 @@
 		if now := h.clock.Now(); h.members.handleHeartbeat(now, b) && h.members.sendsMemberList(now) {
 			h.send([]string{b.IP}, mesh.Message{Members: h.members.active(now)})
 		}
+		h.relay.ServersLeave(b.LeavingServers)
 		h.relay.SetPeerLoad(b.From, h.resolveHashes(b.InFlight), b.Queued)
 		h.checkSnapshots()
 	}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -112,6 +112,7 @@
 	s := cfg.Settings
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
+		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Metrics:     relay.NewMetrics(cfg.Registry),
 	})
@@ -136,6 +137,12 @@
 	}
 }
 
+// serverLeaving has the keys of a leaving server moved, and the other hosts told.
+func (h *Host) serverLeaving() {
+	h.role.notifyServersChanged()
+	h.triggerHeartbeat()
+}
+
 // Start opens the listeners and starts the workers.
 func (h *Host) Start(context.Context) (err error) {
 	defer func() {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -49,8 +49,15 @@
 	PutHost(ctx context.Context, h keys.Host, ip string) error
 }
 
+// GrantReply is a server's reply to a grant or release.
+type GrantReply struct {
+	Outcome  owner.Outcome
+	Handover string // state for the next owner of a released range
+	Leaving  bool   // the server is about to end
+}
+
 // Granter grants key ranges to backend servers and has them release the ranges.
 type Granter interface {
-	Grant(ctx context.Context, g owner.Grant) (owner.Outcome, error)
-	Release(ctx context.Context, r owner.Release) (out owner.Outcome, handover string, err error)
+	Grant(ctx context.Context, g owner.Grant) (GrantReply, error)
+	Release(ctx context.Context, r owner.Release) (GrantReply, error)
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -352,8 +352,12 @@
 	h.role.notifyServersChanged()
 }
 
+// serverList returns the listed servers. Those that have said that they are
+// leaving are draining in it, whatever their registrations say.
 func (h *Host) serverList() []fleet.Server {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.fleet.List()
+	list := h.fleet.List()
+	h.mu.Unlock()
+	h.relay.MarkLeaving(list)
+	return list
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -108,14 +108,22 @@
 
 // Pool has the connections to one backend server.
 type Pool struct {
-	addr   string
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
+	addr    string
+	observe func(status int, h http.Header)
+	mu      sync.Mutex
+	idle    []*conn
+	closed  bool
 }
 
 // NewPool returns a Pool without connections.
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
+func NewPool(addr string) *Pool {
+	return &Pool{addr: addr, observe: func(int, http.Header) {}}
+}
+
+// Observe has the head of each response passed to a function, also that of health
+// requests and of responses whose body is incomplete, but not that of mismatched
+// ones. It is called before the first request.
+func (p *Pool) Observe(observe func(status int, h http.Header)) { p.observe = observe }
 
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
@@ -295,6 +303,7 @@
 		return false
 	}
 	defer resp.Body.Close()
+	p.observe(resp.StatusCode, resp.Header)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	switch {
 	case err != nil:
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -59,6 +60,9 @@
 	ConfirmationAge clock.Span           `cbor:"15,keyasint"`           // time since the store last confirmed both to this host; negative: never
 	DC              keys.DataCentre      `cbor:"16,keyasint,omitempty"`
 	Cores           float64              `cbor:"17,keyasint,omitempty"` // its processor, in cores of standard speed
+	// LeavingServers are the servers that have told it that they are leaving,
+	// until their registrations say so.
+	LeavingServers []fleet.Incarnation `cbor:"19,keyasint,omitempty"`
 }
 
 // ServerHash stands for a server in heartbeats, which would otherwise consist
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,6 +79,7 @@
 type Grant struct {
 	Service   keys.Service
 	Server    keys.Server
+	Born      int64 // incarnation of Server
 	Addr      string
 	From, To  Key
 	Fence     Fence
@@ -91,6 +92,7 @@
 type Release struct {
 	Service  keys.Service
 	Server   keys.Server
+	Born     int64 // incarnation of Server
 	Addr     string
 	From, To Key
 	Fence    Fence
@@ -269,7 +271,7 @@
 			return nil
 		}
 		rs.inFlight, rs.nextCall = true, now.Add(releaseRetryDelay)
-		return Release{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence}
+		return Release{Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence}
 	}
 	if rs.recordVersion > a.writtenVersion {
 		return nil
@@ -287,7 +289,7 @@
 	lease := a.cfg.LeaseTime
 	rs.inFlight = true
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
-	return Grant{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked}
+	return Grant{Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked}
 }
 
 // Record returns the current record.
--- /dev/null
+++ b/internal/place/notice.go
@@ -0,0 +1,99 @@
+package place
+
+import (
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// notice is what a process of a server has said about itself in its responses.
+// It outlives the server's entry in the list, which may be missing or older than
+// the response while the store is down or after it was restored from a copy.
+type notice struct {
+	born     int64 // incarnation of the server
+	leaving  bool
+	leavesAt clock.Time // a leaving server gets no requests from then on
+}
+
+// applies reports whether a listed server is the process that gave the notice,
+// or an earlier one.
+func (n notice) applies(sv fleet.Server) bool { return sv.Born <= n.born }
+
+// noticeOf returns the notice that applies to a listed server, or the zero value.
+func (s *State) noticeOf(sv fleet.Server) notice {
+	if n := s.notices[sv.ID]; n.applies(sv) {
+		return n
+	}
+	return notice{}
+}
+
+// noticeBy returns the notice of a process, to be changed. ok is false if a later
+// process has given one.
+func (s *State) noticeBy(in fleet.Incarnation) (n notice, ok bool) {
+	n, found := s.notices[in.ID]
+	if !found || n.born < in.Born {
+		return notice{born: in.Born}, true
+	}
+	return n, n.born == in.Born
+}
+
+// setNotice replaces the notice of a server.
+func (s *State) setNotice(id keys.Server, n notice) {
+	s.notices[id] = n
+	if sv := s.servers[id]; sv != nil && n.applies(sv.Server) {
+		sv.notice = n
+	}
+}
+
+// SetLeaving records that a process of a server is leaving. From then on it gets
+// requests only if no other server can serve them: those for its keys, and those
+// of a service whose servers are all leaving. It gets none from leavesAt on.
+// first is false if this is already known.
+func (s *State) SetLeaving(now clock.Time, in fleet.Incarnation, leavesAt clock.Time) (first bool, acts []Action) {
+	n, ok := s.noticeBy(in)
+	if !ok || n.leaving {
+		return false, nil
+	}
+	n.leaving, n.leavesAt = true, leavesAt
+	s.setNotice(in.ID, n)
+	s.groupServers()
+	return true, s.dispatchAll(now)
+}
+
+// Leaving reports whether a listed server has said that it is leaving.
+func (s *State) Leaving(sv fleet.Server) bool { return s.noticeOf(sv).leaving }
+
+// groupServers sets the servers of each service that get requests without a key.
+func (s *State) groupServers() {
+	s.serversOf = make(map[keys.Service][]*server)
+	s.leavingOf = make(map[keys.Service][]*server)
+	for _, id := range s.order {
+		sv := s.servers[id]
+		switch {
+		case sv.Draining:
+		case sv.notice.leaving:
+			s.leavingOf[sv.Service] = append(s.leavingOf[sv.Service], sv)
+		default:
+			s.serversOf[sv.Service] = append(s.serversOf[sv.Service], sv)
+		}
+	}
+}
+
+// candidates returns the servers that may run a request without a key: those that
+// stay or, if there are none, the leaving ones that still get requests.
+func (s *State) candidates(now clock.Time, name keys.Service) (group []*server) {
+	if group = s.serversOf[name]; len(group) > 0 {
+		return group
+	}
+	for _, sv := range s.leavingOf[name] {
+		if !sv.gone(now) {
+			group = append(group, sv)
+		}
+	}
+	return group
+}
+
+// gone reports whether a server gets no requests any more because it leaves.
+func (sv *server) gone(now clock.Time) bool {
+	return sv.Draining || sv.notice.leaving && now >= sv.notice.leavesAt
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -132,7 +132,10 @@
 type State struct {
 	dc        keys.DataCentre
 	servers   map[keys.Server]*server
+	order     []keys.Server // as in the last list
 	serversOf map[keys.Service][]*server
+	leavingOf map[keys.Service][]*server
+	notices   map[keys.Server]notice
 	services  map[keys.Service]*service
 	peers     map[keys.Host]*peer
 	tables    map[keys.Service]owner.Table
@@ -148,6 +151,7 @@
 func New(dc keys.DataCentre, idleConns func(keys.Server) int) *State {
 	return &State{
 		dc: dc, idleConns: idleConns, servers: make(map[keys.Server]*server), serversOf: make(map[keys.Service][]*server),
+		leavingOf: make(map[keys.Service][]*server), notices: make(map[keys.Server]notice),
 		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
 }
@@ -163,7 +167,7 @@
 func (s *State) SetServers(now clock.Time, list []fleet.Server) []Action {
 	old := s.servers
 	s.servers = make(map[keys.Server]*server, len(list))
-	s.serversOf = make(map[keys.Service][]*server)
+	s.order = s.order[:0]
 	for _, sv := range list {
 		x := old[sv.ID]
 		if x == nil || x.Born != sv.Born || x.Addr != sv.Addr {
@@ -173,12 +177,11 @@
 			}
 			x = &server{localInFlight: inFlight, peerInFlight: make(map[keys.Host]int), serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
 		}
-		x.Server = sv
+		x.Server, x.notice = sv, s.noticeOf(sv)
 		s.servers[sv.ID] = x
-		if !sv.Draining {
-			s.serversOf[sv.Service] = append(s.serversOf[sv.Service], x)
-		}
+		s.order = append(s.order, sv.ID)
 	}
+	s.groupServers()
 	for h, p := range s.peers {
 		s.addPeerLoad(h, p)
 	}
@@ -244,7 +247,7 @@
 		return []Action{Refuse{ID: r.ID, Why: Unreachable, RetryAfter: retryAfterMax / 2}}
 	}
 	x := s.service(r.Service)
-	if wait := s.expectedWait(x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
+	if wait := s.expectedWait(now, x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, RetryAfter: retryAfter(wait)}}
 	}
 	x.queue = slices.Insert(x.queue, x.position(&r), &r)
@@ -287,7 +290,7 @@
 		sv := s.ownerOf(r)
 		// r.Tried doesn't matter here: only the owner may run the request, so a
 		// server that rejected it gets it again.
-		if sv == nil || sv.Draining || now < sv.avoidUntil {
+		if sv == nil || sv.gone(now) || now < sv.avoidUntil {
 			return nil
 		}
 		if s.full(sv) {
@@ -296,7 +299,7 @@
 		return sv
 	}
 	least := math.Inf(1)
-	group := s.serversOf[r.Service]
+	group := s.candidates(now, r.Service)
 	s.rotation++
 	for i := range group {
 		sv := group[(i+s.rotation)%len(group)]
@@ -371,7 +374,7 @@
 				left = append(left, r)
 				continue
 			}
-			acts = append(acts, Refuse{ID: r.ID, Why: s.refusalReason(r), RetryAfter: retryAfter(s.expectedWait(x, r, i))})
+			acts = append(acts, Refuse{ID: r.ID, Why: s.refusalReason(now, r), RetryAfter: retryAfter(s.expectedWait(now, x, r, i))})
 		}
 		clear(x.queue[len(left):])
 		x.queue = left
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -33,7 +33,7 @@
 		sv := s.ownerOf(r)
 		return sv != nil && sv.connFailures > 1 && sv.avoidUntil >= until
 	}
-	group := s.serversOf[r.Service]
+	group := s.candidates(now, r.Service)
 	return len(group) > 0 && !slices.ContainsFunc(group, func(sv *server) bool { return sv.connFailures <= 1 || sv.avoidUntil < until })
 }
 
@@ -72,8 +72,8 @@
 // expectedWait estimates how long a request at a position of the queue has to
 // wait: the number of requests ahead of it, here and in proportion on the other
 // hosts, divided by the rate at which the servers that may run it free slots.
-func (s *State) expectedWait(x *service, r *Request, at int) clock.Span {
-	ahead, group := at, s.serversOf[r.Service]
+func (s *State) expectedWait(now clock.Time, x *service, r *Request, at int) clock.Span {
+	ahead, group := at, s.candidates(now, r.Service)
 	if r.Keyed {
 		sv := s.ownerOf(r)
 		if sv == nil {
@@ -138,9 +138,9 @@
 }
 
 // refusalReason returns why a request that has waited to its limit is refused.
-func (s *State) refusalReason(r *Request) Why {
+func (s *State) refusalReason(now clock.Time, r *Request) Why {
 	switch {
-	case len(s.serversOf[r.Service]) == 0:
+	case len(s.candidates(now, r.Service)) == 0:
 		return NoServer
 	case r.Keyed && s.tables[r.Service].Owner(r.Key) == "":
 		return NoOwner
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -45,6 +45,7 @@
 	avoidUntil       clock.Time
 	warmupUntil      clock.Time
 	explored         bool // some host has sent it a request
+	notice           notice
 }
 
 // connLimit returns how many requests this host may have in flight at a server
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -22,6 +22,8 @@
 	ID     string // Meta.ID of the request that the response belongs to
 	Signed bool
 	NotRun bool // the server didn't run the request and never will
+	// Leaving means that the server is about to end.
+	Leaving bool
 }
 
 // Codec reads and writes the HTTP headers of a platform.
--- /dev/null
+++ b/internal/relay/notice.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/link"
+)
+
+// leaveMargin is how much earlier than Config.DrainTimeout a leaving server gets
+// its last requests.
+const leaveMargin = 200 * clock.Millisecond
+
+// newPool returns the pool for a process of a server.
+func (r *Relay) newPool(sv fleet.Server) *pool {
+	p := &pool{Pool: link.NewPool(sv.Addr), server: sv}
+	p.Observe(func(status int, h http.Header) { r.applyNotices(sv.Incarnation(), r.cfg.Codec.Reply(status, h)) })
+	return p
+}
+
+// applyNotices applies what a response says about the process that sent it.
+func (r *Relay) applyNotices(in fleet.Incarnation, reply Reply) {
+	if reply.Leaving {
+		r.ServerLeaves(in)
+	}
+}
+
+// ServerLeaves records that a process of a server has told this host that it is
+// leaving.
+func (r *Relay) ServerLeaves(in fleet.Incarnation) {
+	r.mu.Lock()
+	if p := r.pools[in.ID]; p != nil && p.server.Born == in.Born {
+		p.leaving = true
+	}
+	r.mu.Unlock()
+	r.setLeaving(in, "server")
+}
+
+// ServersLeave records that processes of servers have told another host that they
+// are leaving.
+func (r *Relay) ServersLeave(list []fleet.Incarnation) {
+	for _, in := range list {
+		r.setLeaving(in, "host")
+	}
+}
+
+// setLeaving logs a process that wasn't known to be leaving.
+func (r *Relay) setLeaving(in fleet.Incarnation, toldBy string) {
+	r.mu.Lock()
+	now := r.cfg.Clock.Now()
+	first, acts := r.placement.SetLeaving(now, in, now.Add(r.cfg.DrainTimeout-leaveMargin))
+	r.deliver(acts)
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	r.cfg.Log.Info("server is leaving", zap.String("server", string(in.ID)), zap.Int64("born", in.Born), zap.String("toldBy", toldBy))
+	if r.cfg.ServerLeaving != nil {
+		r.cfg.ServerLeaving()
+	}
+}
+
+// LeavingServers returns the listed servers that have told this host that they are
+// leaving and whose registrations don't say so.
+func (r *Relay) LeavingServers() (list []fleet.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools {
+		if p.leaving && !p.server.Draining {
+			list = append(list, p.server.Incarnation())
+		}
+	}
+	return list
+}
+
+// MarkLeaving sets Draining in a list for the servers that are known to be
+// leaving.
+func (r *Relay) MarkLeaving(list []fleet.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, sv := range list {
+		list[i].Draining = sv.Draining || r.placement.Leaving(sv)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,9 +61,12 @@
 	Codec       Codec
 	DC          keys.DataCentre
 	RetryBudget quota.Config
-	Log         *zap.Logger
-	Metrics     *Metrics
-	LoadChanged func() // called when the number of requests in flight may have changed
+	// DrainTimeout is the time after which a leaving server must get no requests.
+	DrainTimeout  clock.Span
+	Log           *zap.Logger
+	Metrics       *Metrics
+	LoadChanged   func() // called when the number of requests in flight may have changed
+	ServerLeaving func() // called when a server is leaving that wasn't before
 }
 
 // Relay forwards the requests that one host receives.
@@ -93,11 +96,11 @@
 	at clock.Time
 }
 
-// pool has the connections to a server.
+// pool has the connections to one process of a server.
 type pool struct {
 	*link.Pool
-	addr    string
-	service keys.Service
+	server  fleet.Server // as in the last list
+	leaving bool         // the server has told this host that it is leaving
 }
 
 // New returns a Relay without a configuration.
@@ -127,20 +130,21 @@
 // Config returns the configuration, or nil if there is none yet.
 func (r *Relay) Config() *intent.Config { return r.activeConfig.Load() }
 
-// SetServers replaces the list of servers. Connections to servers that were removed
-// or have another address are closed.
+// SetServers replaces the list of servers. Connections to servers that were
+// removed, have restarted or have another address are closed.
 func (r *Relay) SetServers(list []fleet.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := make(map[keys.Server]bool, len(list))
 	for _, sv := range list {
 		seen[sv.ID] = true
-		if p := r.pools[sv.ID]; p == nil || p.addr != sv.Addr {
+		if p := r.pools[sv.ID]; p == nil || p.server.Addr != sv.Addr || p.server.Born != sv.Born {
 			if p != nil {
 				p.Close()
 			}
-			r.pools[sv.ID] = &pool{Pool: link.NewPool(sv.Addr), addr: sv.Addr, service: sv.Service}
+			r.pools[sv.ID] = r.newPool(sv)
 		}
+		r.pools[sv.ID].server = sv
 	}
 	for id, p := range r.pools {
 		if !seen[id] {
@@ -264,21 +268,21 @@
 		if time.Since(swept) >= sweepPeriod {
 			swept = time.Now()
 			for _, p := range r.pools {
-				p.Sweep(ctx, swept, r.healthPath(p.service))
+				p.Sweep(ctx, swept, r.healthPath(p.server))
 			}
 		}
 		r.mu.Unlock()
 	}
 }
 
-// healthPath returns the path of a service's health check, or "" without a
-// configuration.
-func (r *Relay) healthPath(s keys.Service) string {
+// healthPath returns the path of a server's health check, or "" if it gets no
+// health requests. r.mu must be held.
+func (r *Relay) healthPath(sv fleet.Server) string {
 	c := r.activeConfig.Load()
-	if c == nil {
+	if c == nil || r.placement.Leaving(sv) {
 		return ""
 	}
-	svc, _ := c.Service(s)
+	svc, _ := c.Service(sv.Service)
 	return svc.Health
 }
 
