A server that asks for a pause gets no requests until its end

Seen: a server that rejects a request with 503 may add Retry-After: it wants nothing from this host for so long. The router read only that the request had not run, left the server out for 60 ms and sent to it again, health requests included.

A request is refused at once, with the rest of the pause as Retry-After, if the owner of its key, or every server of a service without keys, is in a pause beyond the time for which it may wait; queued ones too. An idempotent request with a key isn't tried again at an owner that failed it and asked for a pause.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -161,3 +161,44 @@
 	is.NoErr(send(p).Err)
 	is.True(!send(p).NewConn)
 }
+
+// Guards against a response of which the server's notices are missed, such as one
+// with an incomplete body or to a health request, and against a notice that is
+// taken from a mismatched response.
+func TestObserve(t *testing.T) {
+	head := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nContent-Length: 3\r\n\r\n"
+	}
+	tests := []struct {
+		name      string
+		responses []string
+		want      []string // IDs of the observed heads
+	}{
+		{"complete", []string{head("me") + "abc"}, []string{"me"}},
+		{"incomplete", []string{head("me")}, []string{"me"}},
+		{"mismatched", []string{head("other") + "abc" + head("me") + "abc"}, []string{"me"}},
+		{"health", []string{head("me") + "abc", head("health") + "abc"}, []string{"me", "health"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool(newRawServer(t, tt.responses...).listener.Addr().String())
+			observed := make(chan string, 4)
+			p.Observe(func(status int, h http.Header) {
+				is.Equal(status, http.StatusServiceUnavailable)
+				observed <- h.Get("Id")
+			})
+			send(p)
+			p.Sweep(t.Context(), time.Now().Add(defaultIdleTimeout-probeLead/2), "/health")
+			for _, id := range tt.want {
+				select {
+				case got := <-observed:
+					is.Equal(got, id)
+				case <-time.After(time.Second):
+					t.Fatalf("head of %q not observed", id)
+				}
+			}
+			is.Equal(len(observed), 0)
+		})
+	}
+}
--- a/internal/place/notice.go
+++ b/internal/place/notice.go
@@ -13,6 +13,8 @@
 	born     int64 // incarnation of the server
 	leaving  bool
 	leavesAt clock.Time // a leaving server gets no requests from then on
+	// pausedUntil is the end of the pause that it has asked for.
+	pausedUntil clock.Time
 }
 
 // applies reports whether a listed server is the process that gave the notice,
@@ -60,6 +62,23 @@
 	return true, s.dispatchAll(now)
 }
 
+// Pause records that a process of a server wants no requests before a time. first
+// is false if it is in a pause already. A longer pause replaces a shorter one.
+func (s *State) Pause(now clock.Time, in fleet.Incarnation, until clock.Time) (first bool) {
+	n, ok := s.noticeBy(in)
+	if !ok || until <= n.pausedUntil {
+		return false
+	}
+	first = n.pausedUntil <= now
+	n.pausedUntil = until
+	s.setNotice(in.ID, n)
+	s.lastPauseEnd = max(s.lastPauseEnd, until)
+	return first
+}
+
+// Paused reports whether a listed server wants no requests for now.
+func (s *State) Paused(now clock.Time, sv fleet.Server) bool { return now < s.noticeOf(sv).pausedUntil }
+
 // Leaving reports whether a listed server has said that it is leaving.
 func (s *State) Leaving(sv fleet.Server) bool { return s.noticeOf(sv).leaving }
 
@@ -97,3 +116,50 @@
 func (sv *server) gone(now clock.Time) bool {
 	return sv.Draining || sv.notice.leaving && now >= sv.notice.leavesAt
 }
+
+// avoided reports whether a server gets no requests for now, because it asked for
+// a pause, rejected one or couldn't be reached.
+func (sv *server) avoided(now clock.Time) bool {
+	return now < max(sv.avoidUntil, sv.notice.pausedUntil)
+}
+
+// availableAt returns from when a server is expected to accept requests.
+func (sv *server) availableAt() clock.Time {
+	if sv.connFailures > 1 {
+		return max(sv.avoidUntil, sv.notice.pausedUntil)
+	}
+	return sv.notice.pausedUntil
+}
+
+// blocked refuses a request if no server that may run it is expected to accept
+// one before the request's wait limit: its owner if it has a key, else any server
+// of the service. ok is false if it may be served.
+func (s *State) blocked(now clock.Time, r *Request) (ref Refuse, ok bool) {
+	sv := s.firstAvailable(now, r)
+	limit := s.waitLimit(now, r)
+	switch {
+	case sv == nil || sv.availableAt() < limit:
+		return ref, false
+	case sv.notice.pausedUntil < limit:
+		return Refuse{ID: r.ID, Why: Unreachable, RetryAfter: retryAfterMax / 2}, true
+	}
+	return Refuse{ID: r.ID, Why: Paused, RetryAfter: max(sv.notice.pausedUntil.Sub(now), retryAfterMin)}, true
+}
+
+// firstAvailable returns the server that is expected to accept a request first, or
+// nil if that isn't known. The keys of an owner that leaves are about to move.
+func (s *State) firstAvailable(now clock.Time, r *Request) (first *server) {
+	if r.Keyed {
+		sv := s.ownerOf(r)
+		if sv == nil || sv.Draining || sv.notice.leaving {
+			return nil
+		}
+		return sv
+	}
+	for _, sv := range s.candidates(now, r.Service) {
+		if first == nil || sv.availableAt() < first.availableAt() {
+			first = sv
+		}
+	}
+	return first
+}
--- a/internal/place/notice_test.go
+++ b/internal/place/notice_test.go
@@ -84,3 +84,72 @@
 	acts := s.SetTable(1900, owner.Table{Service: svc, Term: 1, Version: 2, Spans: []owner.Range{{From: 0, To: owner.MaxKey, Server: "s1"}}})
 	is.Equal(starts(acts), []uint64{2})
 }
+
+// Guards against requests to a server in the pause that it asked for, also after
+// its registration was missing, and against a later process that gets none. A
+// rejection or a shorter pause doesn't end it.
+func TestPausedServer(t *testing.T) {
+	tests := []struct {
+		name  string
+		lists [][]fleet.Server
+		at    clock.Time
+		want  bool // it gets a request
+	}{
+		{"in the pause", nil, 4999, false},
+		{"after the pause", nil, 5000, true},
+		{"registered again", [][]fleet.Server{nil, servers(1)}, 4999, false},
+		{"new process", [][]fleet.Server{{{ID: "s0", Service: svc, Addr: "a0", DC: "north", Slots: 2, Born: 2}}}, 100, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(1)
+			s.Submit(0, newRequest(1, 0))
+			in := fleet.Incarnation{ID: "s0", Born: 1}
+			is.True(s.Pause(0, in, 5000))
+			is.True(!s.Pause(10, in, 1000))
+			s.Done(10, "s0", Result{Shed: true})
+			for _, list := range tt.lists {
+				s.SetServers(50, list)
+			}
+			is.Equal(len(starts(s.Submit(tt.at, newRequest(2, tt.at)))) == 1, tt.want)
+		})
+	}
+}
+
+// Guards against requests that wait in vain for servers in a pause, queued before
+// it or submitted in it, and against a caller that isn't told when it ends.
+func TestPauseRefusesAtOnce(t *testing.T) {
+	tests := []struct {
+		name       string
+		keyed      bool
+		ends       []clock.Time // of the pauses of the servers; the first one owns all keys
+		retryAfter clock.Span   // 0: it may be served
+	}{
+		{"owner", true, []clock.Time{5000, 0}, 4900},
+		{"owner, for a moment", true, []clock.Time{250, 0}, 0},
+		{"another server than the owner", true, []clock.Time{0, 5000}, 0},
+		{"one server", false, []clock.Time{5000, 0}, 0},
+		{"all servers", false, []clock.Time{5000, 4000}, 3900},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(2)
+			s.SetTable(0, owner.Table{Service: svc, Term: 1, Version: 1, Spans: []owner.Range{{From: 0, To: owner.MaxKey, Server: "s0"}}})
+			s.SetPeerLoad(0, "other", map[keys.Server]int{"s0": 3, "s1": 3}, nil) // no server has room
+			queued, later := newRequest(1, 90), newRequest(2, 100)
+			queued.Keyed, later.Keyed = tt.keyed, tt.keyed
+			is.Equal(len(s.Submit(90, queued)), 0)
+			for i, end := range tt.ends {
+				s.Pause(95, fleet.Incarnation{ID: s.order[i], Born: 1}, end)
+			}
+			got := refusals(append(s.Submit(100, later), s.Tick(100)...))
+			if tt.retryAfter == 0 {
+				is.Equal(len(got), 0)
+				return
+			}
+			is.Equal(got, []Refuse{{ID: 2, Why: Paused, RetryAfter: tt.retryAfter}, {ID: 1, Why: Paused, RetryAfter: tt.retryAfter}})
+		})
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -109,6 +109,7 @@
 	NoOwner                 // no-owner
 	Stopping                // stopping
 	Unreachable             // unreachable
+	Paused                  // paused
 )
 
 // Result is the outcome of a request at a server.
@@ -136,14 +137,16 @@
 	serversOf map[keys.Service][]*server
 	leavingOf map[keys.Service][]*server
 	notices   map[keys.Server]notice
-	services  map[keys.Service]*service
-	peers     map[keys.Host]*peer
-	tables    map[keys.Service]owner.Table
-	idleConns func(keys.Server) int // number of idle connections to a server
-	rotation  int                   // start of the next scan of a group, so that ties are spread
-	stopped   bool
-	hostCount int                  // hosts that send to the same servers
-	maxConns  map[keys.Service]int // connections that a server accepts from all hosts together
+	// lastPauseEnd is the latest end of a pause that a server has asked for.
+	lastPauseEnd clock.Time
+	services     map[keys.Service]*service
+	peers        map[keys.Host]*peer
+	tables       map[keys.Service]owner.Table
+	idleConns    func(keys.Server) int // number of idle connections to a server
+	rotation     int                   // start of the next scan of a group, so that ties are spread
+	stopped      bool
+	hostCount    int                  // hosts that send to the same servers
+	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
 }
 
 // New returns the state of a host in a data centre. idleConns returns the
@@ -243,8 +246,8 @@
 	if s.stopped {
 		return []Action{Refuse{ID: r.ID, Why: Stopping, RetryAfter: retryAfterMin}}
 	}
-	if s.unreachable(now, &r) {
-		return []Action{Refuse{ID: r.ID, Why: Unreachable, RetryAfter: retryAfterMax / 2}}
+	if ref, ok := s.blocked(now, &r); ok {
+		return []Action{ref}
 	}
 	x := s.service(r.Service)
 	if wait := s.expectedWait(now, x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
@@ -290,7 +293,7 @@
 		sv := s.ownerOf(r)
 		// r.Tried doesn't matter here: only the owner may run the request, so a
 		// server that rejected it gets it again.
-		if sv == nil || sv.gone(now) || now < sv.avoidUntil {
+		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
 		if s.full(sv) {
@@ -303,7 +306,7 @@
 	s.rotation++
 	for i := range group {
 		sv := group[(i+s.rotation)%len(group)]
-		if now < sv.avoidUntil || slices.Contains(r.Tried, sv.ID) {
+		if sv.avoided(now) || slices.Contains(r.Tried, sv.ID) {
 			continue
 		}
 		if s.shouldExplore(now, sv) {
@@ -354,7 +357,8 @@
 }
 
 // Tick drops load reports older than peerMaxAge, starts the queued requests for
-// which servers have room, and refuses those that have waited too long.
+// which servers have room, and refuses those that have waited too long or whose
+// servers have asked for a pause.
 func (s *State) Tick(now clock.Time) (acts []Action) {
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
@@ -370,6 +374,12 @@
 	for _, x := range s.services {
 		left := x.queue[:0]
 		for i, r := range x.queue {
+			if now < s.lastPauseEnd {
+				if ref, ok := s.blocked(now, r); ok {
+					acts = append(acts, ref)
+					continue
+				}
+			}
 			if now < s.waitLimit(now, r) {
 				left = append(left, r)
 				continue
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -24,19 +24,6 @@
 	return x
 }
 
-// unreachable reports whether no server that may run a request is expected to
-// accept a connection before the request's wait limit: its owner if it has a
-// key, else any server of the service.
-func (s *State) unreachable(now clock.Time, r *Request) bool {
-	until := s.waitLimit(now, r)
-	if r.Keyed {
-		sv := s.ownerOf(r)
-		return sv != nil && sv.connFailures > 1 && sv.avoidUntil >= until
-	}
-	group := s.candidates(now, r.Service)
-	return len(group) > 0 && !slices.ContainsFunc(group, func(sv *server) bool { return sv.connFailures <= 1 || sv.avoidUntil < until })
-}
-
 // position returns the index at which a request is inserted in the queue, which
 // is ordered by priority, size class and objective. If not all requests can be
 // served in time, serving the shortest first serves the most.
@@ -71,28 +58,32 @@
 
 // expectedWait estimates how long a request at a position of the queue has to
 // wait: the number of requests ahead of it, here and in proportion on the other
-// hosts, divided by the rate at which the servers that may run it free slots.
+// hosts, divided by the rate at which the servers that may run it free slots. The
+// rest of a pause that its owner has asked for is added.
 func (s *State) expectedWait(now clock.Time, x *service, r *Request, at int) clock.Span {
-	ahead, group := at, s.candidates(now, r.Service)
+	ahead, group, pause := at, s.candidates(now, r.Service), clock.Span(0)
 	if r.Keyed {
 		sv := s.ownerOf(r)
 		if sv == nil {
 			return 0 // unknown how long the key will have no owner
 		}
-		ahead, group = s.aheadFor(x, sv, at), []*server{sv}
+		ahead, group, pause = s.aheadFor(x, sv, at), []*server{sv}, max(sv.notice.pausedUntil.Sub(now), 0)
 	}
 	slots := 0.0
 	for _, sv := range group {
+		if !r.Keyed && now < sv.notice.pausedUntil {
+			continue
+		}
 		slots += float64(sv.Slots) / max(sv.serviceTimeRatio, 0.1)
 	}
 	if slots == 0 || ahead == 0 {
-		return 0
+		return pause
 	}
 	all := ahead
 	for _, p := range s.peers {
 		all += p.queued[r.Service] * ahead / max(len(x.queue), 1)
 	}
-	return clock.Span(float64(all) * x.meanMs / slots)
+	return pause + clock.Span(float64(all)*x.meanMs/slots)
 }
 
 // aheadFor returns how many requests before a position of the queue wait for a
--- a/internal/place/why_string.go
+++ b/internal/place/why_string.go
@@ -14,11 +14,12 @@
 	_ = x[NoOwner-3]
 	_ = x[Stopping-4]
 	_ = x[Unreachable-5]
+	_ = x[Paused-6]
 }
 
-const _Why_name = "queue-fullwaited-outno-serverno-ownerstoppingunreachable"
+const _Why_name = "queue-fullwaited-outno-serverno-ownerstoppingunreachablepaused"
 
-var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45, 56}
+var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45, 56, 62}
 
 func (i Why) String() string {
 	idx := int(i) - 0
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -270,7 +270,7 @@
 	case dialFailed:
 		return resp, false
 	case answered:
-		if !result.placement.Failed || !idempotent || !c.takeRetry() {
+		if !result.placement.Failed || !idempotent || c.pause(result.reply) > 0 || !c.takeRetry() {
 			return c.finish(caller.Response{Status: res.Status, Header: endToEnd(res.Header), Body: res.Body}, reasonAnswered), true
 		}
 		c.mayHaveRun = true
@@ -282,7 +282,7 @@
 		if c.mayHaveRun {
 			return c.finish(caller.Response{Status: http.StatusBadGateway}, reasonRejected), true
 		}
-		return c.refuse(reasonRejected, 0), true
+		return c.refuse(reasonRejected, c.pause(result.reply)), true
 	}
 	c.mayHaveRun = true
 	if idempotent && c.takeRetry() {
@@ -291,6 +291,15 @@
 	return c.finish(caller.Response{Status: http.StatusBadGateway}, reasonAnswerLost), true
 }
 
+// pause returns how long the owner of the request's key wants no requests. Without
+// a key another server may run the request at once.
+func (c *call) pause(reply Reply) clock.Span {
+	if svc, _ := c.cfg.Service(c.service); svc.Keyed && c.meta.HasKey {
+		return reply.Pause
+	}
+	return 0
+}
+
 // takeRetry takes a retry from the budget, and reports whether the request may be
 // sent once more.
 func (c *call) takeRetry() bool {
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -24,6 +24,9 @@
 	NotRun bool // the server didn't run the request and never will
 	// Leaving means that the server is about to end.
 	Leaving bool
+	// Pause is how long a server that rejected the request wants no other one from
+	// this host.
+	Pause clock.Span
 }
 
 // Codec reads and writes the HTTP headers of a platform.
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -26,6 +26,20 @@
 	if reply.Leaving {
 		r.ServerLeaves(in)
 	}
+	if reply.Pause > 0 {
+		r.pause(in, reply.Pause)
+	}
+}
+
+// pause leaves a server without requests for a time that it has asked for.
+func (r *Relay) pause(in fleet.Incarnation, d clock.Span) {
+	r.mu.Lock()
+	now := r.cfg.Clock.Now()
+	first := r.placement.Pause(now, in, now.Add(d))
+	r.mu.Unlock()
+	if first {
+		r.cfg.Log.Info("server asked for a pause", zap.String("server", string(in.ID)), zap.Int64("ms", int64(d)))
+	}
 }
 
 // ServerLeaves records that a process of a server has told this host that it is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -279,7 +279,7 @@
 // health requests. r.mu must be held.
 func (r *Relay) healthPath(sv fleet.Server) string {
 	c := r.activeConfig.Load()
-	if c == nil || r.placement.Leaving(sv) {
+	if c == nil || r.placement.Leaving(sv) || r.placement.Paused(r.cfg.Clock.Now(), sv) {
 		return ""
 	}
 	svc, _ := c.Service(sv.Service)
