--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -109,6 +109,7 @@
 	NoOwner                 // no-owner
 	Stopping                // stopping
 	Unreachable             // unreachable
+	Paused                  // paused
 )
 
 // Result is the outcome of a request at a server.
@@ -132,15 +133,20 @@
 type State struct {
 	dc        keys.DataCentre
 	servers   map[keys.Server]*server
+	order     []keys.Server // as in the last list
 	serversOf map[keys.Service][]*server
-	services  map[keys.Service]*service
-	peers     map[keys.Host]*peer
-	tables    map[keys.Service]owner.Table
-	idleConns func(keys.Server) int // number of idle connections to a server
-	rotation  int                   // start of the next scan of a group, so that ties are spread
-	stopped   bool
-	hostCount int                  // hosts that send to the same servers
-	maxConns  map[keys.Service]int // connections that a server accepts from all hosts together
+	leavingOf map[keys.Service][]*server
+	notices   map[keys.Server]notice
+	// lastPauseEnd is the latest end of a pause that a server has asked for.
+	lastPauseEnd clock.Time
+	services     map[keys.Service]*service
+	peers        map[keys.Host]*peer
+	tables       map[keys.Service]owner.Table
+	idleConns    func(keys.Server) int // number of idle connections to a server
+	rotation     int                   // start of the next scan of a group, so that ties are spread
+	stopped      bool
+	hostCount    int                  // hosts that send to the same servers
+	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
 }
 
 // New returns the state of a host in a data centre. idleConns returns the
@@ -148,6 +154,7 @@
 func New(dc keys.DataCentre, idleConns func(keys.Server) int) *State {
 	return &State{
 		dc: dc, idleConns: idleConns, servers: make(map[keys.Server]*server), serversOf: make(map[keys.Service][]*server),
+		leavingOf: make(map[keys.Service][]*server), notices: make(map[keys.Server]notice),
 		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
 }
@@ -163,7 +170,7 @@
 func (s *State) SetServers(now clock.Time, list []fleet.Server) []Action {
 	old := s.servers
 	s.servers = make(map[keys.Server]*server, len(list))
-	s.serversOf = make(map[keys.Service][]*server)
+	s.order = s.order[:0]
 	for _, sv := range list {
 		x := old[sv.ID]
 		if x == nil || x.Born != sv.Born || x.Addr != sv.Addr {
@@ -173,12 +180,11 @@
 			}
 			x = &server{localInFlight: inFlight, peerInFlight: make(map[keys.Host]int), serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
 		}
-		x.Server = sv
+		x.Server, x.notice = sv, s.noticeOf(sv)
 		s.servers[sv.ID] = x
-		if !sv.Draining {
-			s.serversOf[sv.Service] = append(s.serversOf[sv.Service], x)
-		}
+		s.order = append(s.order, sv.ID)
 	}
+	s.groupServers()
 	for h, p := range s.peers {
 		s.addPeerLoad(h, p)
 	}
@@ -240,11 +246,11 @@
 	if s.stopped {
 		return []Action{Refuse{ID: r.ID, Why: Stopping, RetryAfter: retryAfterMin}}
 	}
-	if s.unreachable(now, &r) {
-		return []Action{Refuse{ID: r.ID, Why: Unreachable, RetryAfter: retryAfterMax / 2}}
+	if ref, ok := s.blocked(now, &r); ok {
+		return []Action{ref}
 	}
 	x := s.service(r.Service)
-	if wait := s.expectedWait(x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
+	if wait := s.expectedWait(now, x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, RetryAfter: retryAfter(wait)}}
 	}
 	x.queue = slices.Insert(x.queue, x.position(&r), &r)
@@ -287,7 +293,7 @@
 		sv := s.ownerOf(r)
 		// r.Tried doesn't matter here: only the owner may run the request, so a
 		// server that rejected it gets it again.
-		if sv == nil || sv.Draining || now < sv.avoidUntil {
+		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
 		if s.full(sv) {
@@ -296,11 +302,11 @@
 		return sv
 	}
 	least := math.Inf(1)
-	group := s.serversOf[r.Service]
+	group := s.candidates(now, r.Service)
 	s.rotation++
 	for i := range group {
 		sv := group[(i+s.rotation)%len(group)]
-		if now < sv.avoidUntil || slices.Contains(r.Tried, sv.ID) {
+		if sv.avoided(now) || slices.Contains(r.Tried, sv.ID) {
 			continue
 		}
 		if s.shouldExplore(now, sv) {
@@ -351,7 +357,8 @@
 }
 
 // Tick drops load reports older than peerMaxAge, starts the queued requests for
-// which servers have room, and refuses those that have waited too long.
+// which servers have room, and refuses those that have waited too long or whose
+// servers have asked for a pause.
 func (s *State) Tick(now clock.Time) (acts []Action) {
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
@@ -367,11 +374,17 @@
 	for _, x := range s.services {
 		left := x.queue[:0]
 		for i, r := range x.queue {
+			if now < s.lastPauseEnd {
+				if ref, ok := s.blocked(now, r); ok {
+					acts = append(acts, ref)
+					continue
+				}
+			}
 			if now < s.waitLimit(now, r) {
 				left = append(left, r)
 				continue
 			}
-			acts = append(acts, Refuse{ID: r.ID, Why: s.refusalReason(r), RetryAfter: retryAfter(s.expectedWait(x, r, i))})
+			acts = append(acts, Refuse{ID: r.ID, Why: s.refusalReason(now, r), RetryAfter: retryAfter(s.expectedWait(now, x, r, i))})
 		}
 		clear(x.queue[len(left):])
 		x.queue = left
