owner, platform, link: a fencing token reaches one process only

Cause: a grant is sent to an address. When a server's process ended and another one, under another ID or its own, was back at the address before its registration had reached the assigner, the next renewal went there on a new connection, with the fencing token of the former process, and the later process accepted it.

Change: connections are numbered in the order in which they were opened. A token that has been sent is sent again only on a connection that was open when it was first sent or last acknowledged; such a connection reaches the process that got it, or none. If none is left, the call isn't sent, and the range gets a new token at once. No write has to come first: the record names the server already, and the tokens of the next term are higher. An unanswered first grant counts as sent. Grants and releases go through internal/link, which knows whether bytes were sent and detects connections that the server has closed; up to now net/http chose the connection after the token was in the body.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -46,13 +46,16 @@
 }
 
 func (c *grantCall) run(ctx context.Context) {
-	out, err := c.send(ctx, grantTimeout-c.role.now().Sub(c.sentAt))
+	out, lastConn, err := c.send(ctx, grantTimeout-c.role.now().Sub(c.sentAt))
 	c.role.host.metrics.keyCalls.WithLabelValues("grant", outcomeName(out)).Inc()
-	if out != owner.Done || c.grant.First {
+	if out != owner.Done || c.grant.LastConn == 0 {
 		c.role.host.log.Info("grant", zap.String("server", string(c.grant.Server)), zap.Uint16("from", uint16(c.grant.From)),
 			zap.Uint16("to", uint16(c.grant.To)), zap.Uint64("fence", uint64(c.grant.Fence)), zap.String("outcome", outcomeName(out)),
 			zap.Bool("handover", c.grant.Handover != ""), zap.Error(err))
 	}
+	if out == owner.Done || c.grant.LastConn == 0 {
+		c.grant.LastConn = lastConn
+	}
 	c.role.postResult(ctx, grantDone{grant: c.grant, sentAt: c.sentAt, outcome: out})
 }
 
@@ -60,9 +63,9 @@
 // assumed to start at the end of the timeout at the latest (see
 // owner.Assigner.GrantDone), so the grant must not be sent after that, for example
 // by a host that was suspended before the call.
-func (c *grantCall) send(ctx context.Context, left clock.Span) (owner.Outcome, error) {
+func (c *grantCall) send(ctx context.Context, left clock.Span) (out owner.Outcome, lastConn uint64, err error) {
 	if left <= 0 {
-		return owner.Failed, fmt.Errorf("grant not sent: its timeout passed %d ms ago", -left)
+		return owner.Failed, 0, fmt.Errorf("grant not sent: its timeout passed %d ms ago", -left)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left.Std())
 	defer cancel()
@@ -93,6 +96,8 @@
 		return "refused"
 	case owner.Failed:
 		return "failed"
+	case owner.Unconnected:
+		return "unconnected"
 	}
 	return "unknown"
 }
--- a/internal/front/call_test.go
+++ b/internal/front/call_test.go
@@ -14,10 +14,10 @@
 // deadlineGranter records the time left until the deadline of each grant.
 type deadlineGranter struct{ timeLeft []time.Duration }
 
-func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant) (owner.Outcome, error) {
+func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant) (owner.Outcome, uint64, error) {
 	end, _ := ctx.Deadline()
 	g.timeLeft = append(g.timeLeft, time.Until(end))
-	return owner.Done, nil
+	return owner.Done, 0, nil
 }
 
 func (g *deadlineGranter) Release(context.Context, owner.Release) (owner.Outcome, string, error) {
@@ -43,7 +43,7 @@
 			is := is.New(t)
 			g := &deadlineGranter{}
 			c := &grantCall{role: &assignerRole{host: &Host{cfg: Config{Granter: g}}}}
-			out, err := c.send(t.Context(), grantTimeout-tt.since)
+			out, _, err := c.send(t.Context(), grantTimeout-tt.since)
 			is.Equal(len(g.timeLeft) == 1, tt.sent)
 			if tt.sent {
 				is.NoErr(err)
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -51,6 +51,8 @@
 
 // Granter grants key ranges to backend servers and has them release the ranges.
 type Granter interface {
-	Grant(ctx context.Context, g owner.Grant) (owner.Outcome, error)
+	// Grant also returns the number of the last connection that was open when the
+	// grant was sent, or 0 if it wasn't sent.
+	Grant(ctx context.Context, g owner.Grant) (out owner.Outcome, lastConn uint64, err error)
 	Release(ctx context.Context, r owner.Release) (out owner.Outcome, handover string, err error)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -20,9 +20,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,6 +74,7 @@
 	ErrConnLost   = errors.New("link: connection lost")
 	ErrMismatched = errors.New("link: response belongs to another request")
 	ErrMalformed  = errors.New("link: malformed response")
+	ErrNoConn     = errors.New("link: no connection that was open before")
 )
 
 // Request is a request to a backend server.
@@ -85,29 +88,48 @@
 	// Matches reports whether a response with the given header belongs to this
 	// request.
 	Matches func(http.Header) bool
+	// LastConn is the highest number of a connection that may carry the request;
+	// 0 means any, and a new one is opened if none is idle.
+	LastConn uint64
 }
 
 // Result is the response to a request, or the error.
 type Result struct {
-	Sent                bool // bytes of the request may have reached the server
-	Status              int
-	Proto               string
-	Header              http.Header
-	Body                []byte
-	NewConn             bool // a new connection was opened
-	MismatchedResponses int  // responses to other requests, which were skipped
+	Sent    bool // bytes of the request may have reached the server
+	Status  int
+	Proto   string
+	Header  http.Header
+	Body    []byte
+	NewConn bool // a new connection was opened
+	// LastConn is the number of the last connection that was open when the request
+	// was sent. Connections up to this one reach the process that responded or
+	// earlier ones at its address.
+	LastConn            uint64
+	MismatchedResponses int // responses to other requests, which were skipped
 	Err                 error
 }
 
+// lastConn is the number of the connection that was opened last.
+var lastConn atomic.Uint64
+
 type conn struct {
 	net.Conn
+	number uint64 // connections of all pools are numbered in the order in which they were opened
 	reader *bufio.Reader
 	expiry time.Time
 	probes int // health requests since the last request
 }
 
+func newConn(nc net.Conn) *conn {
+	return &conn{Conn: nc, number: lastConn.Add(1), reader: bufio.NewReaderSize(nc, readBufferBytes)}
+}
+
 // Pool has the connections to one backend server.
 type Pool struct {
+	// ResetOnClose makes connections end with a TCP reset, which discards the
+	// bytes that haven't been delivered. It must be set before the first request.
+	ResetOnClose bool
+
 	addr   string
 	mu     sync.Mutex
 	idle   []*conn
@@ -185,14 +207,18 @@
 
 func anyResponse(http.Header) bool { return true }
 
-// takeIdle returns the idle connection that was used last and can be reused, or
-// nil if there is none. It closes those that can't be reused.
-func (p *Pool) takeIdle(now time.Time) *conn {
+// takeIdle returns the idle connection up to number last (0: any) that was used
+// last and can be reused, or nil if there is none. It closes those that can't be
+// reused.
+func (p *Pool) takeIdle(now time.Time, last uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if last != 0 && c.number > last {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiry) && c.hasNoInput() {
 			c.probes = 0
 			return c
@@ -256,16 +282,21 @@
 
 // Do sends a request and reads the complete response.
 func (p *Pool) Do(ctx context.Context, r Request) (res Result) {
-	c := p.takeIdle(time.Now())
+	c := p.takeIdle(time.Now(), r.LastConn)
 	if c == nil {
-		nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+		if r.LastConn != 0 {
+			res.Err = ErrNoConn
+			return res
+		}
+		nc, err := p.dial(ctx)
 		if err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
 		}
-		c = &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+		c = newConn(nc)
 		res.NewConn = true
 	}
+	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(c, r, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
@@ -276,6 +307,20 @@
 	return res
 }
 
+func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
+	nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+	if err != nil || !p.ResetOnClose {
+		return nc, err
+	}
+	if tc, ok := nc.(*net.TCPConn); ok {
+		if err := tc.SetLinger(0); err != nil {
+			nc.Close()
+			return nil, err
+		}
+	}
+	return nc, nil
+}
+
 // exchange sends a request on a connection and reads its response. It reports
 // whether the connection can be reused.
 func (p *Pool) exchange(c *conn, r Request, res *Result) (reusable bool) {
@@ -406,10 +451,12 @@
 // Probe reports whether the server accepts a connection. It adds the connection
 // to the pool.
 func (p *Pool) Probe() bool {
-	nc, err := Dialer(dialTimeout).Dial("tcp", p.addr)
+	nc, err := p.dial(context.Background())
 	if err != nil {
 		return false
 	}
-	p.putIdle(&conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expiry: time.Now().Add(defaultIdleTimeout)})
+	c := newConn(nc)
+	c.expiry = time.Now().Add(defaultIdleTimeout)
+	p.putIdle(c)
 	return true
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -161,3 +161,27 @@
 	is.NoErr(send(p).Err)
 	is.True(!send(p).NewConn)
 }
+
+// Guards against a request that reaches another process at the address than the
+// one that an earlier connection reached.
+func TestLastConn(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, response("me", ""), response("me", ""))
+	p := NewPool(s.listener.Addr().String())
+	do := func(last uint64) Result {
+		return p.Do(t.Context(), Request{Method: "GET", Target: "/x", Host: "h", Matches: anyResponse, LastConn: last})
+	}
+	first := do(0)
+	is.NoErr(first.Err)
+	is.True(first.LastConn > 0)
+	again := do(first.LastConn)
+	is.NoErr(again.Err)
+	is.True(!again.NewConn) // the server closes it now
+	time.Sleep(20 * time.Millisecond)
+	closed := do(again.LastConn)
+	is.Equal(closed.Err, ErrNoConn)
+	is.True(!closed.Sent)
+	is.True(do(0).NewConn)
+	is.Equal(do(again.LastConn).Err, ErrNoConn) // the idle connection was opened later
+	is.Equal(s.requestCount.Load(), int32(3))
+}
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -17,10 +17,13 @@
 }
 
 // GrantDone handles the outcome of a grant that was sent at the given time.
+// g.LastConn is that of the next grant with the same fencing token: the last
+// connection that was open when the first grant with it, or the last one that was
+// executed, was sent.
 func (a *Assigner) GrantDone(now, sent clock.Time, g Grant, out Outcome) []Action {
 	lateEnd := sent.Add(a.cfg.Timeout + a.cfg.maxLease(g.LeaseTime))
 	for _, rs := range a.rangesOf(g.Service, g.From, g.To, g.Fence) {
-		rs.inFlight = false
+		rs.inFlight, rs.lastConn = false, g.LastConn
 		switch out {
 		case Done:
 			if !rs.acked {
@@ -33,6 +36,12 @@
 			delete(a.failedAt, rs.Server)
 		case Refused:
 			rs.startRelease()
+		case Unconnected:
+			// The record names the server already, and the next term has higher
+			// tokens, so it needn't be written first.
+			if !rs.releasing || !rs.acked {
+				rs.Fence, rs.lastConn, rs.nextCall = a.nextFence(), 0, 0
+			}
 		case Failed, Unknown:
 			if out == Unknown {
 				rs.lateLeaseEnd = max(rs.lateLeaseEnd, lateEnd)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,6 +69,9 @@
 	Refused                // rejected: the server has seen a higher fencing token
 	Failed                 // not executed, and never will be
 	Unknown                // no response; may still be executed
+	// Unconnected: not sent, as no connection up to Grant.LastConn is left. The
+	// process that got the fencing token may have ended.
+	Unconnected
 )
 
 // Action is a call or write that the caller has to execute: a Grant, a Release
@@ -85,6 +88,10 @@
 	LeaseTime clock.Span
 	Handover  string // state from the former owner
 	First     bool   // not a renewal
+	// LastConn is the number of the last connection that may carry the grant. A
+	// later one may reach another process at the address than the one that got
+	// Fence before. 0: no process has got it.
+	LastConn uint64
 }
 
 // Release makes a server give up its lease on a range of keys.
@@ -111,6 +118,7 @@
 	Assignment
 	recordVersion   uint64      // first version of the record that names this server
 	acked           bool        // the server has acknowledged this fence
+	lastConn        uint64      // see Grant.LastConn
 	leaseEnd        clock.Time  // latest time at which the server's lease can be valid
 	lateLeaseEnd    clock.Time  // same, for grants that were never answered
 	unansweredSince clock.Time  // first unanswered grant since the last response; 0: none
@@ -287,7 +295,7 @@
 	lease := a.cfg.LeaseTime
 	rs.inFlight = true
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
-	return Grant{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked}
+	return Grant{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked, LastConn: rs.lastConn}
 }
 
 // Record returns the current record.
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -64,7 +64,7 @@
 func (a *Assigner) serverRestarted(rs *rangeState, sv fleet.Server) {
 	a.version++
 	rs.Born, rs.Fence, rs.Addr = sv.Born, a.nextFence(), sv.Addr
-	rs.recordVersion, rs.acked, rs.released, rs.inFlight, rs.nextCall, rs.unansweredSince = a.version, false, false, false, 0, 0
+	rs.recordVersion, rs.acked, rs.released, rs.inFlight, rs.nextCall, rs.unansweredSince, rs.lastConn = a.version, false, false, false, 0, 0, 0
 	rs.leaseEnd = max(rs.leaseEnd, a.startedAt.Add(a.cfg.RoleLease+a.cfg.maxLease(a.cfg.LeaseTime)))
 	rs.releasing, rs.handover = sv.Draining, ""
 }
