owner: a former assigner's last grant counts until its timeout

Cause: a grant may arrive until its timeout (700 ms) after it was sent, and the lease starts then. The successor of an assigner that has given up the role, has ended or has let its role lease expire waited for one lease time from the claim (or from the end of the role lease), but not for calls in flight. If it can't reach a server, that server's ranges were free up to the timeout too early.

Evidence: TestFormerAssignersLastGrant failed before in both cases (the other server got the keys, 65536 in place of 32768, while the lease of the former assigner's last grant was valid).

Change: the time until which former assigners' calls may arrive is one field, formerEnd: role lease and timeout after the claim, or the timeout after they are known to have ended. What depended on the role lease or on the flag depends on it. A server that restarts after the former assigners have ended no longer keeps its ranges for the role lease.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -148,8 +148,8 @@
 	firstListAt       clock.Time
 	nextBalance       clock.Time
 	storeOutage       bool
-	formerEnded       bool
-	slowPenalty       float64 // exponent of the service time ratio in a server's share; see capacity
+	formerEnd         clock.Time // until then calls of former assigners may arrive
+	slowPenalty       float64    // exponent of the service time ratio in a server's share; see capacity
 	now               clock.Time
 	failedAt          map[keys.Server]clock.Time // when a grant to the server last failed or went unanswered
 	movedShare        float64                    // share of all keys that changed owner
@@ -167,9 +167,10 @@
 		version: 1, writtenVersion: 1, nextBalance: now.Add(balanceInterval),
 	}
 	a.loads = a.fastLoads
-	// Until a server has acknowledged a fence of this term, the former
-	// assigner can renew its leases there.
-	formerExpiry := now.Add(cfg.RoleLease + cfg.maxLease(cfg.LeaseTime))
+	// Until a server has acknowledged a fence of this term, the former assigner can
+	// renew its leases there. Its last grant may arrive until its timeout.
+	a.formerEnd = now.Add(cfg.RoleLease + cfg.Timeout)
+	formerExpiry := a.formerEnd.Add(cfg.maxLease(cfg.LeaseTime))
 	for s, ranges := range rec.Tables {
 		for _, r := range normalize(ranges) {
 			rs := &rangeState{Assignment: r, recordVersion: 1}
@@ -198,9 +199,9 @@
 // FormerEnded records that the processes of all former assigners are known to
 // have ended. They can't renew leases any more, so only their last ones remain.
 func (a *Assigner) FormerEnded(now clock.Time) {
-	a.formerEnded = true
+	a.formerEnd = min(a.formerEnd, now.Add(a.cfg.Timeout))
 	a.record.Former = nil
-	lastExpiry := now.Add(a.cfg.maxLease(a.cfg.LeaseTime))
+	lastExpiry := a.formerEnd.Add(a.cfg.maxLease(a.cfg.LeaseTime))
 	for _, ranges := range a.tables {
 		for _, rs := range ranges {
 			if !rs.acked && !rs.assignedThisTerm() {
@@ -223,8 +224,8 @@
 
 // Tick returns the actions that are due.
 func (a *Assigner) Tick(now clock.Time) (acts []Action) {
-	if len(a.record.Former) > 0 && now > a.startedAt.Add(a.cfg.RoleLease) {
-		a.record.Former = nil // their role leases have expired
+	if len(a.record.Former) > 0 && a.formerExpired(now) {
+		a.record.Former = nil
 	}
 	if now < a.nextBalance {
 		return a.advance(now)
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -65,11 +65,9 @@
 	a.version++
 	rs.Born, rs.Fence, rs.Addr = sv.Born, a.nextFence(), sv.Addr
 	rs.recordVersion, rs.acked, rs.released, rs.inFlight, rs.nextCall, rs.unansweredSince, rs.lastConn = a.version, false, false, false, 0, 0, 0
-	rs.leaseEnd = max(rs.leaseEnd, a.startedAt.Add(a.cfg.RoleLease+a.cfg.maxLease(a.cfg.LeaseTime)))
+	rs.leaseEnd = max(rs.leaseEnd, a.formerEnd.Add(a.cfg.maxLease(a.cfg.LeaseTime)))
 	rs.releasing, rs.handover = sv.Draining, ""
 }
 
 // formerExpired reports whether no former assigner can act any more.
-func (a *Assigner) formerExpired(now clock.Time) bool {
-	return a.formerEnded || now > a.startedAt.Add(a.cfg.RoleLease)
-}
+func (a *Assigner) formerExpired(now clock.Time) bool { return now > a.formerEnd }
