--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -51,11 +51,14 @@
 	out := reply.Outcome
 	c.role.applyReply(reply, fleet.Incarnation{ID: c.grant.Server, Born: c.grant.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("grant", outcomeName(out)).Inc()
-	if out != owner.Done || c.grant.First {
+	if out != owner.Done || c.grant.LastConn == 0 {
 		c.role.host.log.Info("grant", zap.String("server", string(c.grant.Server)), zap.Uint16("from", uint16(c.grant.From)),
 			zap.Uint16("to", uint16(c.grant.To)), zap.Uint64("fence", uint64(c.grant.Fence)), zap.String("outcome", outcomeName(out)),
 			zap.Bool("handover", c.grant.Handover != ""), zap.Error(err))
 	}
+	if out == owner.Done || c.grant.LastConn == 0 {
+		c.grant.LastConn = reply.LastConn
+	}
 	c.role.postResult(ctx, grantDone{grant: c.grant, sentAt: c.sentAt, outcome: out})
 }
 
@@ -105,6 +108,8 @@
 		return "refused"
 	case owner.Failed:
 		return "failed"
+	case owner.Unconnected:
+		return "unconnected"
 	}
 	return "unknown"
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -24,6 +24,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -75,6 +76,7 @@
 	ErrConnLost   = errors.New("link: connection lost")
 	ErrMismatched = errors.New("link: response belongs to another request")
 	ErrMalformed  = errors.New("link: malformed response")
+	ErrNoConn     = errors.New("link: no connection that was open before")
 )
 
 // Request is a request to a backend server.
@@ -93,22 +95,33 @@
 	Matches func(http.Header) bool
 	// Rejected reports whether a response says that the request wasn't run.
 	Rejected func(status int, h http.Header) bool
+	// LastConn is the highest number of a connection that may carry the request;
+	// 0 means any, and a new one is opened if none is idle.
+	LastConn uint64
 }
 
 // Result is the response to a request, or the error.
 type Result struct {
-	Sent                bool // bytes of the request may have reached the server
-	Status              int
-	Proto               string
-	Header              http.Header
-	Body                []byte
-	NewConn             bool // a new connection was opened
-	MismatchedResponses int  // responses to other requests, which were skipped
+	Sent    bool // bytes of the request may have reached the server
+	Status  int
+	Proto   string
+	Header  http.Header
+	Body    []byte
+	NewConn bool // a new connection was opened
+	// LastConn is the number of the last connection that was open when the request
+	// was sent. Connections up to this one reach the process that responded or
+	// earlier ones at its address.
+	LastConn            uint64
+	MismatchedResponses int // responses to other requests, which were skipped
 	Err                 error
 }
 
+// lastConn is the number of the connection that was opened last.
+var lastConn atomic.Uint64
+
 type conn struct {
 	net.Conn
+	number uint64 // connections of all pools are numbered in the order in which they were opened
 	head   *headReader
 	reader *bufio.Reader // reads from head
 	expiry time.Time
@@ -120,11 +133,15 @@
 
 func newConn(nc net.Conn) *conn {
 	h := &headReader{source: nc}
-	return &conn{Conn: nc, head: h, reader: bufio.NewReaderSize(h, readBufferBytes)}
+	return &conn{Conn: nc, number: lastConn.Add(1), head: h, reader: bufio.NewReaderSize(h, readBufferBytes)}
 }
 
 // Pool has the connections to one backend server.
 type Pool struct {
+	// ResetOnClose makes connections end with a TCP reset, which discards the
+	// bytes that haven't been delivered. It must be set before the first request.
+	ResetOnClose bool
+
 	addr    string
 	budget  *Budget
 	observe func(status int, h http.Header)
@@ -214,16 +231,16 @@
 
 func neverRejected(int, http.Header) bool { return false }
 
-// takeIdle returns the idle connection that was used last and can be reused for
-// the request with the given ID, or nil if there is none. It closes those that
-// can't be reused for any.
-func (p *Pool) takeIdle(now time.Time, id string) *conn {
+// takeIdle returns the idle connection that was used last and can be reused for a
+// request (see Request.ID and Request.LastConn), or nil if there is none. It closes
+// those that can't be reused for any.
+func (p *Pool) takeIdle(now time.Time, r Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idHash := xxhash.Sum64String(id)
+	idHash := xxhash.Sum64String(r.ID)
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if slices.Contains(c.rejected, idHash) {
+		if r.LastConn != 0 && c.number > r.LastConn || slices.Contains(c.rejected, idHash) {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
@@ -290,9 +307,13 @@
 
 // Do sends a request and reads the complete response.
 func (p *Pool) Do(ctx context.Context, r Request) (res Result) {
-	c := p.takeIdle(time.Now(), r.ID)
+	c := p.takeIdle(time.Now(), r)
 	if c == nil {
-		nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+		if r.LastConn != 0 {
+			res.Err = ErrNoConn
+			return res
+		}
+		nc, err := p.dial(ctx)
 		if err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
@@ -300,6 +321,7 @@
 		c = newConn(nc)
 		res.NewConn = true
 	}
+	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(c, r, maxBodyBytes, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
@@ -310,6 +332,20 @@
 	return res
 }
 
+func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
+	nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+	if err != nil || !p.ResetOnClose {
+		return nc, err
+	}
+	if tc, ok := nc.(*net.TCPConn); ok {
+		if err := tc.SetLinger(0); err != nil {
+			nc.Close()
+			return nil, err
+		}
+	}
+	return nc, nil
+}
+
 // exchange sends a request on a connection and reads its response with a body of
 // at most maxBytes. It reports whether the connection can be reused.
 func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
@@ -434,7 +470,7 @@
 // Probe reports whether the server accepts a connection. It adds the connection
 // to the pool.
 func (p *Pool) Probe() bool {
-	nc, err := Dialer(dialTimeout).Dial("tcp", p.addr)
+	nc, err := p.dial(context.Background())
 	if err != nil {
 		return false
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,6 +69,9 @@
 	Refused                // rejected: the server has seen a higher fencing token
 	Failed                 // not executed, and never will be
 	Unknown                // no response; may still be executed
+	// Unconnected: not sent, as no connection up to Grant.LastConn is left. The
+	// process that got the fencing token may have ended.
+	Unconnected
 )
 
 // Action is a call or write that the caller has to execute: a Grant, a Release
@@ -86,6 +89,10 @@
 	LeaseTime clock.Span
 	Handover  string // state from the former owner
 	First     bool   // not a renewal
+	// LastConn is the number of the last connection that may carry the grant. A
+	// later one may reach another process at the address than the one that got
+	// Fence before. 0: no process has got it.
+	LastConn uint64
 }
 
 // Release makes a server give up its lease on a range of keys.
@@ -113,6 +120,7 @@
 	Assignment
 	recordVersion   uint64      // first version of the record that names this server
 	acked           bool        // the server has acknowledged this fence
+	lastConn        uint64      // see Grant.LastConn
 	leaseEnd        clock.Time  // latest time at which the server's lease can be valid
 	lateLeaseEnd    clock.Time  // same, for grants that were never answered
 	unansweredSince clock.Time  // first unanswered grant since the last response; 0: none
@@ -145,8 +153,8 @@
 	firstListAt       clock.Time
 	nextBalance       clock.Time
 	storeOutage       bool
-	formerEnded       bool
 	unknownLeaseEnd   clock.Time // until then servers that the record doesn't name may have leases
+	formerEnd         clock.Time // until then calls of former assigners may arrive
 	slowPenalty       float64    // exponent of the service time ratio in a server's share; see capacity
 	now               clock.Time
 	failedAt          map[keys.Server]clock.Time // when a grant to the server last failed or went unanswered
@@ -165,9 +173,10 @@
 		version: 1, writtenVersion: 1, nextBalance: now.Add(balanceInterval),
 	}
 	a.loads = a.fastLoads
-	// Until a server has acknowledged a fence of this term, the former
-	// assigner can renew its leases there.
-	formerExpiry := now.Add(cfg.RoleLease + cfg.maxLease(cfg.LeaseTime))
+	// Until a server has acknowledged a fence of this term, the former assigner can
+	// renew its leases there. Its last grant may arrive until its timeout.
+	a.formerEnd = now.Add(cfg.RoleLease + cfg.Timeout)
+	formerExpiry := a.formerEnd.Add(cfg.maxLease(cfg.LeaseTime))
 	if rec.Unverified {
 		a.unknownLeaseEnd = formerExpiry
 	}
@@ -199,13 +208,9 @@
 // FormerEnded records that the processes of all former assigners are known to
 // have ended. They can't renew leases any more, so only their last ones remain.
 func (a *Assigner) FormerEnded(now clock.Time) {
-	a.formerEnded = true
+	a.formerEnd = min(a.formerEnd, now.Add(a.cfg.Timeout))
 	a.record.Former = nil
-	lastExpiry := now.Add(a.cfg.maxLease(a.cfg.LeaseTime))
-	if a.record.Unverified {
-		// The holder may have given up the role only just now, with grants in flight.
-		lastExpiry = lastExpiry.Add(a.cfg.Timeout)
-	}
+	lastExpiry := a.formerEnd.Add(a.cfg.maxLease(a.cfg.LeaseTime))
 	a.unknownLeaseEnd = min(a.unknownLeaseEnd, lastExpiry)
 	for _, ranges := range a.tables {
 		for _, rs := range ranges {
@@ -230,8 +235,8 @@
 
 // Tick returns the actions that are due.
 func (a *Assigner) Tick(now clock.Time) (acts []Action) {
-	if len(a.record.Former) > 0 && now > a.startedAt.Add(a.cfg.RoleLease) {
-		a.record.Former = nil // their role leases have expired
+	if len(a.record.Former) > 0 && a.formerExpired(now) {
+		a.record.Former = nil
 	}
 	if a.record.Unverified && a.verified(now) {
 		a.record.Unverified = false
@@ -306,7 +311,10 @@
 	lease := a.cfg.LeaseTime
 	rs.inFlight = true
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
-	return Grant{Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked}
+	return Grant{
+		Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease,
+		Handover: rs.handover, First: !rs.acked, LastConn: rs.lastConn,
+	}
 }
 
 // Record returns the current record.
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -13,8 +13,8 @@
 func (a *Assigner) Restored(now clock.Time, rec Record) {
 	a.record.Term, a.record.Epoch, a.record.Seq = rec.Term, rec.Epoch, rec.Seq
 	a.record.Former, a.record.Unverified = rec.Former, rec.Unverified
-	a.startedAt, a.formerEnded = now, false
-	a.unknownLeaseEnd = now.Add(a.cfg.RoleLease + a.cfg.maxLease(a.cfg.LeaseTime))
+	a.startedAt, a.formerEnd = now, now.Add(a.cfg.RoleLease+a.cfg.Timeout)
+	a.unknownLeaseEnd = a.formerEnd.Add(a.cfg.maxLease(a.cfg.LeaseTime))
 	a.version++
 	for _, ranges := range a.tables {
 		for _, rs := range ranges {
