soak: steps that restore the store from an older copy

Change: store-restore takes a copy, and at its end has the store fail, return from the copy, and the writers write again. The oracle is unchanged. These steps are drawn apart, in seeds whose remainder by 8 is 3 or 6: the schedules of all other steps stay as they were, and the seeds of TestSoak get none.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,7 @@
 	StoreLink                     // link-to-store
 	ServerLink                    // link-to-server
 	Configure                     // configure
+	StoreRestore                  // store-restore
 	numKinds                      // kinds
 )
 
@@ -60,6 +61,8 @@
 	maxStepGap = 400 * clock.Millisecond
 	// maxSeriesGap is the longest time between two series.
 	maxSeriesGap = 1500 * clock.Millisecond
+	// maxRestoreGap is the longest time between two steps that restore the store.
+	maxRestoreGap = 6 * clock.Second
 	// maxCount is the largest number of responses that are lost or mismatched, or
 	// of requests that are shed, in a step.
 	maxCount = 20
@@ -86,7 +89,9 @@
 // End returns the time at which the step is reverted.
 func (s Step) End() clock.Time { return s.At.Add(s.Duration) }
 
-// Plan returns the random steps of a seed. Steps come in series and overlap.
+// Plan returns the random steps of a seed. Steps come in series and overlap. Steps
+// that restore the store are drawn apart from the others, so that the others stay
+// as they were when a seed failed.
 func Plan(seed uint64, hosts, servers int, length clock.Span) (steps []Step) {
 	r := rand.New(rand.NewPCG(seed, seed>>1))
 	from := kindsOf(seed)
@@ -110,14 +115,33 @@
 			at = at.Add(between(0, maxStepGap))
 		}
 	}
+	if hasRestores(seed) {
+		steps = append(steps, planRestores(seed, length)...)
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
-// kindsOf returns the kinds that the steps of a seed may have.
+// hasRestores reports whether a plan restores the store. The seeds that TestSoak
+// plays again don't.
+func hasRestores(seed uint64) bool { return seed%8 == 3 || seed%8 == 6 }
+
+// planRestores returns the steps of a seed that restore the store. They overlap
+// with the others and with each other.
+func planRestores(seed uint64, length clock.Span) (steps []Step) {
+	r := rand.New(rand.NewPCG(seed, ^seed))
+	between := func(lo, hi clock.Span) clock.Span { return lo + clock.Span(r.Int64N(int64(hi-lo)+1)) }
+	for at := clock.Time(0).Add(startDelay + between(0, maxRestoreGap)); at < clock.Time(0).Add(length); at = at.Add(between(0, maxRestoreGap)) {
+		steps = append(steps, Step{Kind: StoreRestore, At: at, Duration: between(minFaultTime, maxFaultTime), Mode: Delay, Count: 1})
+	}
+	return steps
+}
+
+// kindsOf returns the kinds that the steps of a seed may have, but for those of
+// planRestores.
 func kindsOf(seed uint64) (all []Kind) {
 	for k := range numKinds {
-		if k.planned() || seed%plannedOnlyEvery != 0 {
+		if k != StoreRestore && (k.planned() || seed%plannedOnlyEvery != 0) {
 			all = append(all, k)
 		}
 	}
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -15,11 +15,23 @@
 // period of the settings and a second.
 const exitTimeout = 7 * clock.Second
 
+const (
+	// restoreOutage is how long the store is away before it returns from a copy.
+	restoreOutage = 500 * time.Millisecond
+	// rewriteDelay is the time from a restore until operator and servers have
+	// written again what they wrote last.
+	rewriteDelay = time.Second
+	// staleExpiry is the time from then until registrations expire that only the
+	// copy has.
+	staleExpiry = 1600 * time.Millisecond
+)
+
 // stepper executes one step of a plan.
 type stepper struct {
 	deployment *deployment
 	step       Step
-	start      time.Time // of the plan
+	start      time.Time  // of the plan
+	copy       fakes.Copy // of the store, from the begin of a step that restores it
 }
 
 // run applies the step at its time and reverts it at its end.
@@ -96,6 +108,8 @@
 		d.backends[p.step.Target].proxy.SetMode(p.step.Mode)
 	case Configure:
 		d.writeNextConfig()
+	case StoreRestore:
+		p.copy = d.store.Copy()
 	}
 	return nil
 }
@@ -130,10 +144,25 @@
 		d.hosts[p.step.Target].store.SetMode(Pass)
 	case ServerLink:
 		d.backends[p.step.Target].proxy.SetMode(Pass)
+	case StoreRestore:
+		p.restoreStore()
 	}
 	return nil
 }
 
+// restoreStore has the store fail and return from the copy of the step's begin.
+func (p *stepper) restoreStore() {
+	d := p.deployment
+	d.store.SetFault(fakes.Busy)
+	time.Sleep(restoreOutage)
+	d.store.Restore(p.copy)
+	d.store.SetFault(fakes.NoFault)
+	time.Sleep(rewriteDelay)
+	d.store.WriteAgain()
+	time.Sleep(staleExpiry)
+	d.store.ExpireStale()
+}
+
 // restart waits until a process that got SIGTERM has ended, and starts the next
 // one. A process that has not ended after exitTimeout is killed, since a pause
 // that overlaps may have kept it from stopping.
