front: remove the configuration's revision, which nothing read

Versions alone decide which configuration is newer. Result: tests of internal/front, TestConfigurationAfterRestore and TestUndecodableConfiguration pass.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -10,10 +10,9 @@
 
 // applyConfig puts a configuration in force, unless it is no newer than the one in
 // force.
-func (h *Host) applyConfig(cfg *intent.Config, rev uint64) {
+func (h *Host) applyConfig(cfg *intent.Config) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.sync.configRev = max(h.sync.configRev, rev)
 	if old := h.relay.Config(); old != nil && old.Version() >= cfg.Version() {
 		return
 	}
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -37,7 +37,6 @@
 // the fetching host are left out.
 type snapshot struct {
 	Config     *intent.Document `cbor:"1,keyasint,omitempty"`
-	ConfigRev  uint64           `cbor:"2,keyasint,omitempty"`
 	Servers    []fleet.Server   `cbor:"3,keyasint,omitempty"`
 	ServersRev uint64           `cbor:"4,keyasint,omitempty"` // number of the store revision of Servers
 	Outage     bool             `cbor:"5,keyasint,omitempty"` // a call to the store has failed recently
@@ -77,7 +76,7 @@
 	h.mu.Lock()
 	if c := h.relay.Config(); c != nil && c.Version() > config {
 		doc := c.Document()
-		s.Config, s.ConfigRev = &doc, h.sync.configRev
+		s.Config = &doc
 	}
 	if rev := h.sync.serversRev; h.serversLoaded && peerRevision(storeEpoch, number, rev).Before(rev) {
 		s.Servers, s.ServersRev, s.Epoch = h.fleet.Registered(), rev.Number(), rev.Epoch()
@@ -174,7 +173,7 @@
 		return err
 	}
 	if s.Config != nil {
-		h.applyConfig(intent.New(*s.Config), s.ConfigRev)
+		h.applyConfig(intent.New(*s.Config))
 	}
 	if s.ServersRev > 0 {
 		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), s.Outage)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -58,7 +58,6 @@
 // syncState records how up to date this host is with the store. Host.mu guards
 // it.
 type syncState struct {
-	configRev          uint64         // store revision of the configuration
 	serversRev         epoch.Revision // store revision of the last change of the servers
 	configConfirmedAt  clock.Time     // when the store last confirmed the configuration
 	serversConfirmedAt clock.Time     // when it last confirmed the servers
@@ -214,7 +213,7 @@
 		if err != nil {
 			return next, err
 		}
-		h.applyConfig(cfg, next.Number())
+		h.applyConfig(cfg)
 		h.markConfigConfirmed(began)
 		return next, nil
 	}
@@ -223,7 +222,7 @@
 		return next, err
 	}
 	if cfg != nil {
-		h.applyConfig(cfg, next.Number())
+		h.applyConfig(cfg)
 	}
 	h.markConfigConfirmed(h.clock.Now())
 	return next, nil
