--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,15 @@
 	gone
 )
 
+// Incarnation is one process of a server.
+type Incarnation struct {
+	ID   keys.Server `cbor:"1,keyasint"`
+	Born int64       `cbor:"2,keyasint"` // as in Server
+}
+
+// Incarnation returns the process that a registration describes.
+func (sv Server) Incarnation() Incarnation { return Incarnation{ID: sv.ID, Born: sv.Born} }
+
 // Registry is the current set of backend servers.
 type Registry struct {
 	holdTime clock.Span
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -125,16 +125,24 @@
 
 // Pool has the connections to one backend server.
 type Pool struct {
-	addr   string
-	budget *Budget
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
+	addr    string
+	budget  *Budget
+	observe func(status int, h http.Header)
+	mu      sync.Mutex
+	idle    []*conn
+	closed  bool
 }
 
 // NewPool returns a Pool without connections. The budget bounds the memory of the
 // responses of all pools that share it.
-func NewPool(addr string, b *Budget) *Pool { return &Pool{addr: addr, budget: b} }
+func NewPool(addr string, b *Budget) *Pool {
+	return &Pool{addr: addr, budget: b, observe: func(int, http.Header) {}}
+}
+
+// Observe has the head of each response passed to a function, also that of health
+// requests and of responses whose body is incomplete, but not that of mismatched
+// ones. It is called before the first request.
+func (p *Pool) Observe(observe func(status int, h http.Header)) { p.observe = observe }
 
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
@@ -320,6 +328,7 @@
 		res.Err = err
 		return false
 	}
+	p.observe(resp.StatusCode, resp.Header)
 	// The body isn't closed: that would read it to its end.
 	h := p.budget.newHold(p, func() { c.Close() })
 	defer h.close()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,7 @@
 	ServerLink                    // link-to-server
 	Configure                     // configure
 	StoreRestore                  // store-restore
+	RepeatRejections              // repeat-refusals
 	numKinds                      // kinds
 )
 
@@ -41,7 +42,9 @@
 func (k Kind) targetsHost() bool { return k <= ReloadHost || k == StoreLink }
 
 // targetsServer reports whether the target of a step is a backend server.
-func (k Kind) targetsServer() bool { return k >= CrashServer && k <= ShedRequests || k == ServerLink }
+func (k Kind) targetsServer() bool {
+	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == RepeatRejections
+}
 
 // planned reports whether a step is planned work, which must not affect callers.
 func (k Kind) planned() bool {
@@ -66,6 +69,8 @@
 	// maxCount is the largest number of responses that are lost or mismatched, or
 	// of requests that are shed, in a step.
 	maxCount = 20
+	// maxRepeatGap is the longest time between two steps of RepeatRejections.
+	maxRepeatGap = 4 * clock.Second
 )
 
 // plannedOnlyEvery says that every n-th seed has planned work only. Time limits
@@ -118,6 +123,7 @@
 	if hasRestores(seed) {
 		steps = append(steps, planRestores(seed, length)...)
 	}
+	steps = append(steps, planRepeats(seed, servers, length)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -137,11 +143,27 @@
 	return steps
 }
 
-// kindsOf returns the kinds that the steps of a seed may have, but for those of
-// planRestores.
+// planRepeats returns the steps of RepeatRejections. They are drawn apart from the
+// others, whose schedules seeds that once failed depend on.
+func planRepeats(seed uint64, servers int, length clock.Span) (steps []Step) {
+	if seed%plannedOnlyEvery == 0 {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(seed, ^seed))
+	for at := clock.Time(0).Add(startDelay); at < clock.Time(0).Add(length); at = at.Add(clock.Span(1 + r.Int64N(int64(maxRepeatGap)))) {
+		steps = append(steps, Step{
+			Kind: RepeatRejections, At: at, Duration: minFaultTime + clock.Span(r.Int64N(int64(maxFaultTime-minFaultTime))),
+			Target: r.IntN(servers), Mode: Delay, Count: 1 + r.IntN(maxCount),
+		})
+	}
+	return steps
+}
+
+// kindsOf returns the kinds that the steps of a seed may have, apart from those of
+// planRestores and planRepeats.
 func kindsOf(seed uint64) (all []Kind) {
-	for k := range numKinds {
-		if k != StoreRestore && (k.planned() || seed%plannedOnlyEvery != 0) {
+	for k := range StoreRestore {
+		if k.planned() || seed%plannedOnlyEvery != 0 {
 			all = append(all, k)
 		}
 	}
