--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -26,13 +26,14 @@
 	_ = x[StoreLink-15]
 	_ = x[ServerLink-16]
 	_ = x[Configure-17]
-	_ = x[RepeatRejections-18]
-	_ = x[numKinds-19]
+	_ = x[StoreRestore-18]
+	_ = x[RepeatRejections-19]
+	_ = x[numKinds-20]
 }
 
-const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurerepeat-refusalskinds"
+const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurestore-restorerepeat-refusalskinds"
 
-var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 225, 230}
+var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 223, 238, 243}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
