--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -19,6 +19,7 @@
 	ErrCompacted  = errors.New("revision compacted: changes since then are no longer available")
 	ErrRefused    = errors.New("store refused the call; nothing was done")
 	ErrNoResponse = errors.New("store did not respond; the call may have taken effect")
+	ErrMalformed  = errors.New("response of the store can't be decoded")
 )
 
 // ServerEvent is a change of a server's registration.
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -175,6 +175,9 @@
 				continue
 			}
 		}
+		if errors.Is(err, ErrMalformed) {
+			rev = epoch.Revision{} // a watch from the same revision gets the same response
+		}
 		// A watch may fail at any time. The next one continues from the same
 		// revision.
 		backoff(ctx, fails)
