platform, front: go on following the configuration after an invalid one

Cause: a configuration that can't be decoded failed the call. The watch then started again from the same revision and failed again, also when a valid version followed: events are applied in order, and the first invalid one ended the call. A host alone in the deployment never got another configuration; others got it only through hosts that listed it afresh. Meanwhile each retry was a call.

Change: an invalid configuration is logged and ignored, in lists and watches. The last valid one of a watch counts. A list with an invalid one returns none, and the host goes on from its revision with the configuration in force, or gets one from another host.

--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -32,10 +32,11 @@
 // Store is the platform's store, which keeps the configuration, the assignment
 // record, and the registrations of servers and hosts.
 type Store interface {
-	// Config returns the configuration and the store's revision of it.
+	// Config returns the configuration, or nil if the store has an invalid one, and
+	// the store's revision of it.
 	Config(ctx context.Context) (*intent.Config, epoch.Revision, error)
 	// WatchConfig waits for a change after a revision. It returns nil and the
-	// next revision if there was none.
+	// next revision if there was none, or none to a valid configuration.
 	WatchConfig(ctx context.Context, rev epoch.Revision, wait clock.Span) (*intent.Config, epoch.Revision, error)
 	// Servers returns the servers that are in use or draining.
 	Servers(ctx context.Context) ([]fleet.Server, epoch.Revision, error)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -200,7 +200,9 @@
 		if err != nil {
 			return next, err
 		}
-		h.applyConfig(cfg, next.Number())
+		if cfg != nil {
+			h.applyConfig(cfg, next.Number())
+		}
 		h.markConfigConfirmed(began)
 		return next, nil
 	}
