--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -164,9 +164,13 @@
 
 // Pick returns the service of the n-th request of the route. Any sequence of
 // consecutive numbers is divided in proportion to the weights, with the least
-// deviation; random choice would miss the weights in short sequences.
+// deviation; random choice would miss the weights in short sequences. It returns
+// "" for a route without a service.
 func (r *Route) Pick(n uint64) keys.Service {
-	if len(r.Parts) == 1 {
+	switch len(r.Parts) {
+	case 0:
+		return ""
+	case 1:
 		return r.Parts[0].Service
 	}
 	total := 0
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -61,3 +61,12 @@
 		is.Equal(off.Pick(i), keys.Service("b"))
 	}
 }
+
+// Guards against a route without a service that ends the process with its first
+// request.
+func TestPickWithoutService(t *testing.T) {
+	is := is.New(t)
+	for _, parts := range [][]WeightedService{nil, {}} {
+		is.Equal((&Route{Parts: parts}).Pick(7), keys.Service(""))
+	}
+}
