caller: write long responses without a copy

Cause: the head and the body of a response were copied into one buffer, so each complete long response was in memory twice while its caller read it.

Change: bodies of more than 16 KiB are written from where they are.

Result: TestLongResponse (32 MiB) failed before: more than 8 MiB were allocated. It passes now.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -45,6 +45,9 @@
 	// caller could lose the response.
 	lingerTimeout   = 500 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxCopiedBytes bounds the response bodies that are copied behind their head.
+	// Longer ones are written without a copy.
+	maxCopiedBytes = 16 << 10
 	// bodyTimeout bounds the reading of a request body.
 	bodyTimeout = 30 * time.Second
 )
@@ -384,7 +387,7 @@
 		c.closing.Store(true)
 	}
 	var b bytes.Buffer
-	b.Grow(256 + len(resp.Body))
+	b.Grow(256 + min(len(resp.Body), maxCopiedBytes))
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
 	noBody := resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
 	for name, values := range resp.Header {
@@ -406,8 +409,13 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !ex.isHead && !noBody {
-		b.Write(resp.Body)
+	body := resp.Body
+	if ex.isHead || noBody {
+		body = nil
+	}
+	if len(body) <= maxCopiedBytes {
+		b.Write(body)
+		body = nil
 	}
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return true
@@ -415,5 +423,10 @@
 	if _, err := c.netConn.Write(b.Bytes()); err != nil {
 		return true
 	}
+	if len(body) > 0 {
+		if _, err := c.netConn.Write(body); err != nil {
+			return true
+		}
+	}
 	return closed
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -171,3 +173,35 @@
 	is.Equal(err, io.EOF)
 	is.True(time.Since(began) < 2*time.Second)
 }
+
+// Guards against a copy of each long response, for which the process may not have
+// the memory, and against one that is written in part.
+func TestLongResponse(t *testing.T) {
+	is := is.New(t)
+	const size = 32 << 20
+	body := bytes.Repeat([]byte("x"), size)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	handle := func(context.Context, *Request) Response {
+		return Response{Status: 200, Header: http.Header{}, Body: body}
+	}
+	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: 300}
+	s := New(Config{Handle: handle, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()})
+	a := &acceptor{server: s, listener: l}
+	go a.run()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	runtime.ReadMemStats(&after)
+	is.Equal(n, int64(size))
+	is.True(after.TotalAlloc-before.TotalAlloc < size/4)
+}
