link: wait for the memory of responses that were given up

Cause: the bytes of a response that was given up were free for others at once, though its goroutine had not released them.

Change: they count until the response's buffer is released; a response that needs room waits for that. The budget is 100 MiB, which still lets one response of 64 MiB pass alone (TestLongBody).

--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -7,15 +7,19 @@
 // with the most is given up: the responses of a server that sends bytes without
 // end make room for those of the others.
 type Budget struct {
-	mu    sync.Mutex
-	max   int64
-	used  int64
-	holds map[*hold]struct{}
+	mu       sync.Mutex
+	released *sync.Cond // bytes were released, or a hold was given up
+	max      int64
+	used     int64
+	leaving  int64 // bytes of given up holds that aren't closed, part of used
+	holds    map[*hold]struct{}
 }
 
 // NewBudget returns a Budget of a number of bytes.
 func NewBudget(maxBytes int64) *Budget {
-	return &Budget{max: maxBytes, holds: make(map[*hold]struct{})}
+	b := &Budget{max: maxBytes, holds: make(map[*hold]struct{})}
+	b.released = sync.NewCond(&b.mu)
+	return b
 }
 
 // hold is the memory of one response body.
@@ -35,8 +39,8 @@
 	return h
 }
 
-// add adds a number of bytes, which may be negative. It reports whether the
-// response may go on.
+// add adds a number of bytes, which may be negative. It waits until responses that
+// were given up have released theirs. It reports whether the response may go on.
 func (h *hold) add(n int64) bool {
 	b := h.budget
 	b.mu.Lock()
@@ -46,8 +50,15 @@
 	}
 	h.bytes += n
 	b.used += n
-	for b.used > b.max && !h.givenUp {
-		b.giveUpOne()
+	if n < 0 {
+		b.released.Broadcast()
+	}
+	for !h.givenUp && b.used > b.max {
+		if b.used-b.leaving > b.max {
+			b.giveUpOne()
+			continue
+		}
+		b.released.Wait()
 	}
 	return !h.givenUp
 }
@@ -57,30 +68,34 @@
 func (b *Budget) giveUpOne() {
 	byPool := make(map[*Pool]int64)
 	for h := range b.holds {
-		byPool[h.pool] += h.bytes
+		if !h.givenUp {
+			byPool[h.pool] += h.bytes
+		}
 	}
 	var longest *hold
 	for h := range b.holds {
+		if h.givenUp {
+			continue
+		}
 		if longest == nil || byPool[h.pool] > byPool[longest.pool] || h.pool == longest.pool && h.bytes > longest.bytes {
 			longest = h
 		}
 	}
 	longest.givenUp = true
-	b.remove(longest)
+	b.leaving += longest.bytes
 	longest.giveUp()
+	b.released.Broadcast()
 }
 
-// close ends the hold. It may have been given up before.
+// close releases the bytes.
 func (h *hold) close() {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	if !h.givenUp {
-		h.budget.remove(h)
-	}
-}
-
-// remove removes a hold with its bytes. b.mu is held.
-func (b *Budget) remove(h *hold) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	delete(b.holds, h)
 	b.used -= h.bytes
+	if h.givenUp {
+		b.leaving -= h.bytes
+	}
+	b.released.Broadcast()
 }
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -256,7 +256,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newRawServer(t, tt.response)
-			res, _ := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*7/4)))
+			res, _ := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(100<<20)))
 			is.NoErr(res.Err)
 			is.Equal(len(res.Body), tt.length)
 		})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,7 +55,7 @@
 	minSendTime = 5 * clock.Millisecond
 	// maxResponseBytes bounds the memory of all responses that are being read. A
 	// process has 284 MB for these, the copies of complete ones, and the rest.
-	maxResponseBytes = 112 << 20
+	maxResponseBytes = 100 << 20
 )
 
 // Config configures a Relay.
