front: keep the process below its memory limit

Cause: by default garbage may take as much memory as what is in use. Beside responses without end, the heap of a host grew to 357 MB (trial with a budget of 112 MiB for the responses), and a process over limits.memory_mb is killed.

Change: the settings have the memory of the process, and the garbage collector runs as often as needed from 60% of it on.

--- a/cmd/laburnummux/front.go
+++ b/cmd/laburnummux/front.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	settings.LimitMemory()
 	if port := cmd.String("metrics"); port != "" {
 		settings.Metrics = settings.IP + ":" + port
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"runtime/debug"
+
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -18,6 +20,7 @@
 	Seeds    []string // addresses of some hosts; may be stale
 	Store    string   // address of the store
 	Cores    float64  // processor, in cores of standard speed
+	Memory   int64    // bytes above which the process is killed; 0: unknown
 
 	DrainTimeout clock.Span // longest time until a draining server gets no new requests
 	ApplyTimeout clock.Span // longest time until an accepted configuration is in force
@@ -27,3 +30,16 @@
 	BudgetSlack  float64    // retries beyond the ratio, of all hosts together
 	BudgetWindow clock.Span
 }
+
+// heapShare is the share of a process's memory from which on the garbage collector
+// runs as often as needed. The rest is for stacks, the C library, bytes that have
+// been received but not read, and what is allocated during a collection.
+const heapShare = 0.6
+
+// LimitMemory makes the garbage collector keep the process below its memory. By
+// default, garbage may take as much memory as what is in use.
+func (s Settings) LimitMemory() {
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare))
+	}
+}
