link: close idle connections that receive bytes

Cause: bytes that a server sends on an idle connection stay in the socket's buffer, which counts as memory of the process, until the connection is used or expires after 8 s. Only the use of a connection checked for them.

It also closes those that the server has closed, which held a descriptor until then.

Result: TestInputWhileIdle failed before and passes now; a quiet connection stays open. Cost: one system call per idle connection and second.

--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -25,6 +25,7 @@
 	prefix   string
 	block    string
 	maxBytes int
+	pause    time.Duration // after the prefix
 	written  atomic.Int64
 }
 
@@ -58,6 +59,7 @@
 	if _, err := io.WriteString(c, s.prefix); err != nil {
 		return
 	}
+	time.Sleep(s.pause)
 	block := strings.Repeat(s.block, 1+(16<<10)/len(s.block))
 	for n := 0; n < s.maxBytes; n += len(block) {
 		if _, err := io.WriteString(c, block); err != nil {
@@ -241,6 +243,26 @@
 	return m.HeapAlloc
 }
 
+// Guards against an idle connection that receives bytes until it expires: they
+// count as memory of the process.
+func TestInputWhileIdle(t *testing.T) {
+	is := is.New(t)
+	s := newEndlessServer(t, response("me", "abc"), "x", 64<<20)
+	s.pause = 50 * time.Millisecond
+	quiet := newRawServer(t, response("me", "abc"), response("me", "abc"))
+	p, q := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes)), NewPool(quiet.listener.Addr().String(), NewBudget(maxBodyBytes))
+	for _, p := range []*Pool{p, q} {
+		res := send(p)
+		is.NoErr(res.Err)
+		is.Equal(p.Idle(), 1)
+	}
+	time.Sleep(200 * time.Millisecond)
+	p.Sweep(t.Context(), time.Now(), "")
+	q.Sweep(t.Context(), time.Now(), "")
+	is.Equal(p.Idle(), 0)
+	is.Equal(q.Idle(), 1)
+}
+
 // Guards against a budget that refuses a long response of a sound server.
 func TestLongBody(t *testing.T) {
 	body := strings.Repeat("x", maxBodyBytes)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -141,8 +141,8 @@
 	return len(p.idle)
 }
 
-// Sweep closes the expired idle connections. The one that was used last is kept
-// open with health requests to the given path, at most maxProbes in a row, as
+// Sweep closes the idle connections that have expired or have input, which may go
+// on without end. The one that was used last is kept open with health requests to the given path, at most maxProbes in a row, as
 // they cost less than a new connection.
 func (p *Pool) Sweep(ctx context.Context, now time.Time, healthPath string) {
 	p.mu.Lock()
@@ -151,7 +151,7 @@
 	for i, c := range p.idle {
 		last := i == len(p.idle)-1
 		switch {
-		case !now.Before(c.expiry):
+		case !now.Before(c.expiry), !c.hasNoInput():
 			c.Close()
 		case last && healthPath != "" && c.probes < maxProbes && c.expiry.Sub(now) <= probeLead:
 			c.probes++
