link: a response with a status that ends no request is malformed

Cause: a server's response with status 101, or one below 100 or above 599, was taken for its response, and passed on to the caller if it was signed. A caller reads a status of one or two digits, or the bytes after a 101, as no response of the protocol.

Change: such a response is malformed; the request may have run.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -351,6 +351,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if resp.StatusCode < 200 || resp.StatusCode > 599 { // no request asks for another protocol
+			return nil, fmt.Errorf("%w: status %d", ErrMalformed, resp.StatusCode)
+		}
 		if r.Matches(resp.Header) {
 			return resp, nil
 		}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -89,6 +89,9 @@
 		{"truncated", "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9\r\n\r\nabc", ErrConnLost, "", 0},
 		{"truncated chunk", "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", ErrConnLost, "", 0},
 		{"no response", "", ErrConnLost, "", 0},
+		{"switching protocols", "HTTP/1.1 101 Switching Protocols\r\nId: me\r\n\r\nabc", ErrMalformed, "", 0},
+		{"status below 100", "HTTP/1.1 042 Odd\r\nId: me\r\nContent-Length: 0\r\n\r\n", ErrMalformed, "", 0},
+		{"status above 599", "HTTP/1.1 742 Odd\r\nId: me\r\nContent-Length: 0\r\n\r\n", ErrMalformed, "", 0},
 		{"not HTTP", "garbage\r\n\r\n", ErrMalformed, "", 0},
 		{"only a mismatched response until the end of the connection", "HTTP/1.1 200 OK\r\nId: other\r\n\r\nabc", ErrMismatched, "", 1},
 	}
