platform: don't take a repeated response for that to a grant or release

Two servers held the same keys (OWNER): a server that repeats an earlier response on a kept connection made a release look done while it still had the keys, and the range was granted to the next server at once. Responses to grants and releases have no id, and net/http takes bytes that follow the request for its response. The same way a repeated 409 or 400 let an accepted grant seem rejected, so that its lease wasn't waited for, and a repeated 200 let a first grant seem acknowledged, after which the former assigner's renewals aren't waited for.

Request.Rejected of link becomes Confusable, as the same memory of a connection serves both.

In the soak repeat-refusals becomes repeat-answers, which also repeats responses before those to releases.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := link.NewPool("10.128.0.9:8080")
-//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, ID: id, Matches: matches, Rejected: rejected})
+//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, ID: id, Matches: matches, Confusable: rejected})
 //	if res.Err != nil && !res.Sent { /* safe to send elsewhere */ }
 package link
 
@@ -66,9 +66,9 @@
 	// written concurrently.
 	maxInlineBytes  = 8 << 10
 	readBufferBytes = 4 << 10
-	// maxRejections bounds the rejections that are remembered for a connection. It
-	// is closed after them.
-	maxRejections = 64
+	// maxConfusable bounds the confusable responses that are remembered for a
+	// connection. It is closed after them.
+	maxConfusable = 64
 )
 
 // Errors of Do.
@@ -87,14 +87,16 @@
 	Header           http.Header
 	Body             []byte
 	HasContentLength bool // send a Content-Length even if the body is empty
-	// ID identifies the request. A request isn't sent on a connection on which its
-	// ID was rejected: a copy of that rejection couldn't be told from the response.
+	// ID identifies the request, or the kind of request if responses don't identify
+	// it further.
 	ID string
-	// Matches reports whether a response with the given header belongs to this
-	// request.
-	Matches func(http.Header) bool
-	// Rejected reports whether a response says that the request wasn't run.
-	Rejected func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to this request.
+	Matches func(status int, h http.Header) bool
+	// Confusable reports whether a copy of a response, which a faulty server may
+	// send later on the same connection, could do harm as the response to another
+	// request with the same ID. That isn't sent on this connection any more.
+	Confusable func(status int, h http.Header) bool
+	NewConn    bool // send it on a new connection only
 }
 
 // Result is the response to a request, or the error.
@@ -114,21 +116,36 @@
 	reader *bufio.Reader
 	expiry time.Time
 	probes int // health requests since the last request
-	// rejected has the hashes of the IDs that the server rejected on this
-	// connection. An equal hash of another ID only costs the reuse.
-	rejected []uint64
+	// confusable has the hashes of the IDs with a confusable response. An equal hash
+	// of another ID only costs the reuse.
+	confusable []uint64
 }
 
 // Pool has the connections to one backend server.
 type Pool struct {
-	addr   string
+	cfg    Config
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// NewPool returns a Pool without connections.
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
+// Config configures a Pool.
+type Config struct {
+	Addr    string
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // nil: as Dialer
+	MaxIdle int                                                               // most idle connections; 0: no limit
+}
+
+// NewPool returns a Pool without connections for an address.
+func NewPool(addr string) *Pool { return New(Config{Addr: addr}) }
+
+// New returns a Pool without connections.
+func New(cfg Config) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = Dialer(dialTimeout).DialContext
+	}
+	return &Pool{cfg: cfg}
+}
 
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
@@ -188,7 +205,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse, Rejected: neverRejected}, &res)
+	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.cfg.Addr, Matches: anyResponse, Confusable: noResponse}, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -196,9 +213,9 @@
 	pr.pool.putIdle(pr.conn)
 }
 
-func anyResponse(http.Header) bool { return true }
+func anyResponse(int, http.Header) bool { return true }
 
-func neverRejected(int, http.Header) bool { return false }
+func noResponse(int, http.Header) bool { return false }
 
 // takeIdle returns the idle connection that was used last and can be reused for
 // the request with the given ID, or nil if there is none. It closes those that
@@ -209,7 +226,7 @@
 	idHash := xxhash.Sum64String(id)
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if slices.Contains(c.rejected, idHash) {
+		if slices.Contains(c.confusable, idHash) {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
@@ -249,7 +266,7 @@
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.cfg.MaxIdle > 0 && len(p.idle) >= p.cfg.MaxIdle {
 		c.Close()
 		return
 	}
@@ -276,9 +293,12 @@
 
 // Do sends a request and reads the complete response.
 func (p *Pool) Do(ctx context.Context, r Request) (res Result) {
-	c := p.takeIdle(time.Now(), r.ID)
+	var c *conn
+	if !r.NewConn {
+		c = p.takeIdle(time.Now(), r.ID)
+	}
 	if c == nil {
-		nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+		nc, err := p.cfg.Dial(ctx, "tcp", p.cfg.Addr)
 		if err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
@@ -336,12 +356,12 @@
 	default:
 		return false
 	}
-	if r.Rejected(resp.StatusCode, resp.Header) {
-		c.rejected = append(c.rejected, xxhash.Sum64String(r.ID))
+	if r.Confusable(resp.StatusCode, resp.Header) {
+		c.confusable = append(c.confusable, xxhash.Sum64String(r.ID))
 	}
 	now := time.Now()
 	c.expiry = now.Add(idleTimeout(resp.Header))
-	return !resp.Close && len(c.rejected) < maxRejections
+	return !resp.Close && len(c.confusable) < maxConfusable
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with
@@ -378,7 +398,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if r.Matches(resp.Header) {
+		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -429,7 +449,7 @@
 // Probe reports whether the server accepts a connection. It adds the connection
 // to the pool.
 func (p *Pool) Probe() bool {
-	nc, err := Dialer(dialTimeout).Dial("tcp", p.addr)
+	nc, err := p.cfg.Dial(context.Background(), "tcp", p.cfg.Addr)
 	if err != nil {
 		return false
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -74,8 +74,8 @@
 func sendID(ctx context.Context, p *Pool, id string) Result {
 	return p.Do(ctx, Request{
 		Method: "GET", Target: "/x?y=1", Host: "h", ID: id,
-		Matches:  func(h http.Header) bool { return h.Get("Id") == id },
-		Rejected: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
+		Matches:    func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Confusable: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
 	})
 }
 
@@ -214,14 +214,14 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	const n = 2 * maxRejections
+	const n = 2 * maxConfusable
 	var responses []string
 	for i := range n {
 		responses = append(responses, rejection(fmt.Sprint(i)))
 	}
 	s := newRawServer(t, responses...)
 	p := NewPool(s.listener.Addr().String())
-	for i := range maxRejections {
+	for i := range maxConfusable {
 		res := sendID(ctx, p, fmt.Sprint(i))
 		is.NoErr(res.Err)
 		is.Equal(res.Status, http.StatusServiceUnavailable)
@@ -229,3 +229,15 @@
 	is.Equal(s.connCount.Load(), int32(1))
 	is.Equal(p.Idle(), 0)
 }
+
+// Guards against more idle connections than a server allows a host.
+func TestMaxIdle(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, response("me", ""), response("me", ""))
+	p := New(Config{Addr: s.listener.Addr().String(), MaxIdle: 1})
+	is.True(p.Probe())
+	is.True(p.Probe())
+	is.Equal(p.Idle(), 1)
+	is.NoErr(send(p).Err)
+	is.Equal(p.Idle(), 1)
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -178,8 +178,8 @@
 	r.cfg.Codec.Forward(h, remaining, sv.ID)
 	res := p.Do(ctx, link.Request{
 		Method: c.req.Method, Target: c.req.Target, Host: c.req.Host, Header: h, Body: c.req.Body, HasContentLength: c.req.HasContentLength,
-		ID: c.meta.ID, Matches: func(h http.Header) bool { return r.cfg.Codec.Reply(0, h).ID == c.meta.ID },
-		Rejected: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
+		ID: c.meta.ID, Matches: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).ID == c.meta.ID },
+		Confusable: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
 	})
 	end := r.cfg.Clock.Now()
 	took := end.Sub(now)
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -26,13 +26,13 @@
 	_ = x[StoreLink-15]
 	_ = x[ServerLink-16]
 	_ = x[Configure-17]
-	_ = x[RepeatRejections-18]
+	_ = x[RepeatResponses-18]
 	_ = x[numKinds-19]
 }
 
-const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurerepeat-refusalskinds"
+const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurerepeat-answerskinds"
 
-var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 225, 230}
+var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 224, 229}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,7 +33,7 @@
 	StoreLink                     // link-to-store
 	ServerLink                    // link-to-server
 	Configure                     // configure
-	RepeatRejections              // repeat-refusals
+	RepeatResponses               // repeat-answers
 	numKinds                      // kinds
 )
 
@@ -42,7 +42,7 @@
 
 // targetsServer reports whether the target of a step is a backend server.
 func (k Kind) targetsServer() bool {
-	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == RepeatRejections
+	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == RepeatResponses
 }
 
 // planned reports whether a step is planned work, which must not affect callers.
@@ -66,7 +66,7 @@
 	// maxCount is the largest number of responses that are lost or mismatched, or
 	// of requests that are shed, in a step.
 	maxCount = 20
-	// maxRepeatGap is the longest time between two steps of RepeatRejections.
+	// maxRepeatGap is the longest time between two steps of RepeatResponses.
 	maxRepeatGap = 4 * clock.Second
 )
 
@@ -120,7 +120,7 @@
 	return steps
 }
 
-// planRepeats returns the steps of RepeatRejections. They are drawn apart from the
+// planRepeats returns the steps of RepeatResponses. They are drawn apart from the
 // others, whose schedules seeds that once failed depend on.
 func planRepeats(seed uint64, servers int, length clock.Span) (steps []Step) {
 	if seed%plannedOnlyEvery == 0 {
@@ -129,7 +129,7 @@
 	r := rand.New(rand.NewPCG(seed, ^seed))
 	for at := clock.Time(0).Add(startDelay); at < clock.Time(0).Add(length); at = at.Add(clock.Span(1 + r.Int64N(int64(maxRepeatGap)))) {
 		steps = append(steps, Step{
-			Kind: RepeatRejections, At: at, Duration: minFaultTime + clock.Span(r.Int64N(int64(maxFaultTime-minFaultTime))),
+			Kind: RepeatResponses, At: at, Duration: minFaultTime + clock.Span(r.Int64N(int64(maxFaultTime-minFaultTime))),
 			Target: r.IntN(servers), Mode: Delay, Count: 1 + r.IntN(maxCount),
 		})
 	}
@@ -139,7 +139,7 @@
 // kindsOf returns the kinds that the steps of a seed may have, apart from those of
 // planRepeats.
 func kindsOf(seed uint64) (all []Kind) {
-	for k := range RepeatRejections {
+	for k := range RepeatResponses {
 		if k.planned() || seed%plannedOnlyEvery != 0 {
 			all = append(all, k)
 		}
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -80,8 +80,11 @@
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.SendMismatched(p.step.Count) })
 	case ShedRequests:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Reject(p.step.Count) })
-	case RepeatRejections:
-		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.RepeatRejections(p.step.Count) })
+	case RepeatResponses:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) {
+			sv.RepeatRejections(p.step.Count)
+			sv.RepeatBeforeRelease(p.step.Count)
+		})
 	case StoreBusy:
 		d.store.SetFault(fakes.Busy)
 	case StoreHang:
@@ -124,8 +127,11 @@
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.SendMismatched(0) })
 	case ShedRequests:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Reject(0) })
-	case RepeatRejections:
-		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.RepeatRejections(0) })
+	case RepeatResponses:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) {
+			sv.RepeatRejections(0)
+			sv.RepeatBeforeRelease(0)
+		})
 	case StoreBusy, StoreHang, StoreLoseAcks:
 		d.store.SetFault(fakes.NoFault)
 	case StoreStopWatches:
