--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,7 +8,7 @@
 //
 //	budget := link.NewBudget(64 << 20) // shared by all pools
 //	p := link.NewPool("10.128.0.9:8080", budget)
-//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, ID: id, Matches: matches, Rejected: rejected})
+//	res := p.Do(ctx, link.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h, ID: id, Matches: matches, Confusable: rejected})
 //	if res.Err != nil && !res.Sent { /* safe to send elsewhere */ }
 package link
 
@@ -65,9 +65,9 @@
 	// written concurrently.
 	maxInlineBytes  = 8 << 10
 	readBufferBytes = 4 << 10
-	// maxRejections bounds the rejections that are remembered for a connection. It
-	// is closed after them.
-	maxRejections = 64
+	// maxConfusable bounds the confusable responses that are remembered for a
+	// connection. It is closed after them.
+	maxConfusable = 64
 )
 
 // Errors of Do.
@@ -87,14 +87,16 @@
 	Header           http.Header
 	Body             []byte
 	HasContentLength bool // send a Content-Length even if the body is empty
-	// ID identifies the request. A request isn't sent on a connection on which its
-	// ID was rejected: a copy of that rejection couldn't be told from the response.
+	// ID identifies the request, or the kind of request if responses don't identify
+	// it further.
 	ID string
-	// Matches reports whether a response with the given header belongs to this
-	// request.
-	Matches func(http.Header) bool
-	// Rejected reports whether a response says that the request wasn't run.
-	Rejected func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to this request.
+	Matches func(status int, h http.Header) bool
+	// Confusable reports whether a copy of a response, which a faulty server may
+	// send later on the same connection, could do harm as the response to another
+	// request with the same ID. That isn't sent on this connection any more.
+	Confusable func(status int, h http.Header) bool
+	NewConn    bool // send it on a new connection only
 	// LastConn is the highest number of a connection that may carry the request;
 	// 0 means any, and a new one is opened if none is idle.
 	LastConn uint64
@@ -126,9 +128,9 @@
 	reader *bufio.Reader // reads from head
 	expiry time.Time
 	probes int // health requests since the last request
-	// rejected has the hashes of the IDs that the server rejected on this
-	// connection. An equal hash of another ID only costs the reuse.
-	rejected []uint64
+	// confusable has the hashes of the IDs with a confusable response. An equal hash
+	// of another ID only costs the reuse.
+	confusable []uint64
 }
 
 func newConn(nc net.Conn) *conn {
@@ -138,22 +140,30 @@
 
 // Pool has the connections to one backend server.
 type Pool struct {
-	// ResetOnClose makes connections end with a TCP reset, which discards the
-	// bytes that haven't been delivered. It must be set before the first request.
-	ResetOnClose bool
-
-	addr    string
-	budget  *Budget
+	cfg     Config
 	observe func(status int, h http.Header)
 	mu      sync.Mutex
 	idle    []*conn
 	closed  bool
 }
 
-// NewPool returns a Pool without connections. The budget bounds the memory of the
-// responses of all pools that share it.
-func NewPool(addr string, b *Budget) *Pool {
-	return &Pool{addr: addr, budget: b, observe: func(int, http.Header) {}}
+// Config configures a Pool.
+type Config struct {
+	Addr    string
+	Budget  *Budget                                                           // bounds the memory of the responses of all pools that share it
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // nil: as Dialer
+	MaxIdle int                                                               // most idle connections; 0: no limit
+}
+
+// NewPool returns a Pool without connections for an address.
+func NewPool(addr string, b *Budget) *Pool { return New(Config{Addr: addr, Budget: b}) }
+
+// New returns a Pool without connections.
+func New(cfg Config) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = Dialer(dialTimeout).DialContext
+	}
+	return &Pool{cfg: cfg, observe: func(int, http.Header) {}}
 }
 
 // Observe has the head of each response passed to a function, also that of health
@@ -219,7 +229,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse, Rejected: neverRejected}, maxProbeBodyBytes, &res)
+	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.cfg.Addr, Matches: anyResponse, Confusable: noResponse}, maxProbeBodyBytes, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -227,9 +237,9 @@
 	pr.pool.putIdle(pr.conn)
 }
 
-func anyResponse(http.Header) bool { return true }
+func anyResponse(int, http.Header) bool { return true }
 
-func neverRejected(int, http.Header) bool { return false }
+func noResponse(int, http.Header) bool { return false }
 
 // takeIdle returns the idle connection that was used last and can be reused for a
 // request (see Request.ID and Request.LastConn), or nil if there is none. It closes
@@ -240,7 +250,7 @@
 	idHash := xxhash.Sum64String(r.ID)
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if r.LastConn != 0 && c.number > r.LastConn || slices.Contains(c.rejected, idHash) {
+		if r.LastConn != 0 && c.number > r.LastConn || slices.Contains(c.confusable, idHash) {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
@@ -280,7 +290,7 @@
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.cfg.MaxIdle > 0 && len(p.idle) >= p.cfg.MaxIdle {
 		c.Close()
 		return
 	}
@@ -307,13 +317,16 @@
 
 // Do sends a request and reads the complete response.
 func (p *Pool) Do(ctx context.Context, r Request) (res Result) {
-	c := p.takeIdle(time.Now(), r)
+	var c *conn
+	if !r.NewConn {
+		c = p.takeIdle(time.Now(), r)
+	}
 	if c == nil {
 		if r.LastConn != 0 {
 			res.Err = ErrNoConn
 			return res
 		}
-		nc, err := p.dial(ctx)
+		nc, err := p.cfg.Dial(ctx, "tcp", p.cfg.Addr)
 		if err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
@@ -332,20 +345,6 @@
 	return res
 }
 
-func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
-	nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
-	if err != nil || !p.ResetOnClose {
-		return nc, err
-	}
-	if tc, ok := nc.(*net.TCPConn); ok {
-		if err := tc.SetLinger(0); err != nil {
-			nc.Close()
-			return nil, err
-		}
-	}
-	return nc, nil
-}
-
 // exchange sends a request on a connection and reads its response with a body of
 // at most maxBytes. It reports whether the connection can be reused.
 func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
@@ -366,7 +365,7 @@
 	}
 	p.observe(resp.StatusCode, resp.Header)
 	// The body isn't closed: that would read it to its end.
-	h := p.budget.newHold(p, func() { c.Close() })
+	h := p.cfg.Budget.newHold(p, func() { c.Close() })
 	defer h.close()
 	body, err := readBody(resp, maxBytes, h)
 	if err != nil {
@@ -385,12 +384,12 @@
 	default:
 		return false
 	}
-	if r.Rejected(resp.StatusCode, resp.Header) {
-		c.rejected = append(c.rejected, xxhash.Sum64String(r.ID))
+	if r.Confusable(resp.StatusCode, resp.Header) {
+		c.confusable = append(c.confusable, xxhash.Sum64String(r.ID))
 	}
 	now := time.Now()
 	c.expiry = now.Add(idleTimeout(resp.Header))
-	return !resp.Close && len(c.rejected) < maxRejections
+	return !resp.Close && len(c.confusable) < maxConfusable
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with
@@ -422,7 +421,7 @@
 		if resp.StatusCode < 200 || resp.StatusCode > 599 { // no request asks for another protocol
 			return nil, fmt.Errorf("%w: status %d", ErrMalformed, resp.StatusCode)
 		}
-		if r.Matches(resp.Header) {
+		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -473,7 +472,7 @@
 // Probe reports whether the server accepts a connection. It adds the connection
 // to the pool.
 func (p *Pool) Probe() bool {
-	nc, err := p.dial(context.Background())
+	nc, err := p.cfg.Dial(context.Background(), "tcp", p.cfg.Addr)
 	if err != nil {
 		return false
 	}
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -69,7 +69,7 @@
 	case rs.Fence.term() != a.record.Term:
 		// No host that claimed the role before the restore has granted the range
 		// (see Restored). It still can, until the server has a fence of this term.
-		rs.Fence, rs.nextCall = a.nextFence(), 0
+		rs.Fence, rs.lastConn, rs.nextCall = a.nextFence(), 0, 0
 	default:
 		// From now on the server rejects grants of the former assigner, as it has
 		// seen a fence of this term.
