place: the pause of an owner that leaves doesn't count as wait

Seen: in a table test of the wait, a request for a key whose owner leaves and is in a pause was refused as queue-full, though the key is about to move.

Change: the rest of a pause is added to the expected wait only if the owner stays, as in the check that refuses requests at once.

Tests: TestWaitInPause failed for the leaving owner before. Its other cases, and TestNoticeOfFormerProcess, guard what mutations of the package showed to be untested (wait with a pause; a late response of a former process).

--- a/internal/place/notice.go
+++ b/internal/place/notice.go
@@ -123,6 +123,15 @@
 	return now < max(sv.avoidUntil, sv.notice.pausedUntil)
 }
 
+// pauseLeft returns how long requests for the keys of a server have to wait for
+// the end of its pause. The keys of a server that leaves are about to move.
+func (sv *server) pauseLeft(now clock.Time) clock.Span {
+	if sv.Draining || sv.notice.leaving {
+		return 0
+	}
+	return max(sv.notice.pausedUntil.Sub(now), 0)
+}
+
 // availableAt returns from when a server is expected to accept requests.
 func (sv *server) availableAt() clock.Time {
 	if sv.connFailures > 1 {
--- a/internal/place/notice_test.go
+++ b/internal/place/notice_test.go
@@ -153,3 +153,53 @@
 		})
 	}
 }
+
+// Guards against a late response of a former process that marks the present one,
+// which has given a notice itself.
+func TestNoticeOfFormerProcess(t *testing.T) {
+	is := is.New(t)
+	s := New("north", oneIdleConn)
+	s.SetServers(0, []fleet.Server{{ID: "s0", Service: svc, Addr: "a0", DC: "north", Slots: 2, Born: 6}})
+	s.Pause(0, fleet.Incarnation{ID: "s0", Born: 6}, 100)
+	first, _ := s.SetLeaving(0, fleet.Incarnation{ID: "s0", Born: 5}, 0)
+	is.True(!first)
+	is.True(!s.Pause(0, fleet.Incarnation{ID: "s0", Born: 5}, 5000))
+	is.Equal(len(starts(s.Submit(100, newRequest(1, 100)))), 1)
+}
+
+// Guards against a refusal for the pause of a leaving owner, whose keys move, and
+// against requests that are queued though a pause makes their wait too long.
+func TestWaitInPause(t *testing.T) {
+	tests := []struct {
+		name    string
+		keyed   bool
+		leaving bool
+		pause   clock.Time // its end; of the first server, which owns all keys
+		ahead   int        // queued requests
+		refused bool
+	}{
+		{"room without a pause", false, false, 0, 5, false},      // 5 x 100 ms / 4 slots
+		{"less room in the pause", false, false, 5000, 5, true},  // 5 x 100 ms / 2 slots
+		{"short queue at the owner", true, false, 150, 1, false}, // 150 ms + 100 ms / 2 slots
+		{"long queue at the owner", true, false, 150, 2, true},   // 150 ms + 2 x 100 ms / 2 slots
+		{"leaving owner", true, true, 5000, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(2)
+			s.SetTable(0, owner.Table{Service: svc, Term: 1, Version: 1, Spans: []owner.Range{{From: 0, To: owner.MaxKey, Server: "s0"}}})
+			s.SetPeerLoad(0, "other", map[keys.Server]int{"s0": 3, "s1": 3}, nil) // no server has room
+			in := fleet.Incarnation{ID: "s0", Born: 1}
+			s.Pause(0, in, tt.pause)
+			if tt.leaving {
+				s.SetLeaving(0, in, 1800)
+			}
+			for id := range tt.ahead + 1 {
+				r := newRequest(uint64(id), 0)
+				r.Keyed = tt.keyed
+				is.Equal(len(s.Submit(0, r)) > 0, tt.refused && id == tt.ahead)
+			}
+		})
+	}
+}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -67,7 +67,7 @@
 		if sv == nil {
 			return 0 // unknown how long the key will have no owner
 		}
-		ahead, group, pause = s.aheadFor(x, sv, at), []*server{sv}, max(sv.notice.pausedUntil.Sub(now), 0)
+		ahead, group, pause = s.aheadFor(x, sv, at), []*server{sv}, sv.pauseLeft(now)
 	}
 	slots := 0.0
 	for _, sv := range group {
