relay: heartbeats don't look through all servers for leaving ones

Cause: LeavingServers is called for each heartbeat, up to 125 times a second, and went through all pools though usually no server leaves.

Change: it returns at once unless a server has told this host that it leaves since the last call that found none.

--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -47,7 +47,7 @@
 func (r *Relay) ServerLeaves(in fleet.Incarnation) {
 	r.mu.Lock()
 	if p := r.pools[in.ID]; p != nil && p.server.Born == in.Born {
-		p.leaving = true
+		p.leaving, r.toldLeaving = true, true
 	}
 	r.mu.Unlock()
 	r.setLeaving(in, "server")
@@ -78,15 +78,19 @@
 }
 
 // LeavingServers returns the listed servers that have told this host that they are
-// leaving and whose registrations don't say so.
+// leaving and whose registrations don't say so. It is called for each heartbeat.
 func (r *Relay) LeavingServers() (list []fleet.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.toldLeaving {
+		return nil
+	}
 	for _, p := range r.pools {
 		if p.leaving && !p.server.Draining {
 			list = append(list, p.server.Incarnation())
 		}
 	}
+	r.toldLeaving = len(list) > 0
 	return list
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,7 @@
 	keyLoads      map[keys.Service]map[owner.Key]clock.Span // estimated service time since the last TakeObservations
 	serviceTimes  map[keys.Server]*owner.ServiceTime        // since the last TakeObservations
 	lastLoss      serverLoss
+	toldLeaving   bool // some pool may have leaving set
 }
 
 // serverLoss is the loss of a server: it accepted no connection after one had
