front: a leaving server keeps its keys while the store is down

Seen: in a trial with the store down, an owner said in a response that it leaves, and 0 of 6 requests for its keys were served until the store was back. Without the mark they would have been served until the server ended.

Cause: the assigner had the keys released at once, but can't give them to another server before the store has the record.

Change: the assigner learns of a server that only says so in responses once its calls to the store succeed again. What it has learned stays for its term, so that an outage that begins later doesn't take it back.

--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -85,7 +86,8 @@
 	recentPublications []publication // sent less than tableAckTimeout ago
 	requiredVersion    uint64        // tables version that all hosts should have by now
 	resigned           bool
-	storeCallPending   bool // a read, write or claim of the record is in flight
+	storeCallPending   bool                       // a read, write or claim of the record is in flight
+	leaving            map[fleet.Incarnation]bool // servers that the assigner treats as draining though their registrations don't say so
 	startedAt          clock.Time
 	lastMinorityAt     clock.Time // last time without a majority, on the clock of members
 }
@@ -246,7 +248,23 @@
 	if cfg == nil {
 		return nil
 	}
-	return r.assigner.SetServers(now, cfg.KeyedServices(), r.host.serverList())
+	return r.assigner.SetServers(now, cfg.KeyedServices(), r.serverList())
+}
+
+// serverList returns the servers for the assigner. Keys can't move while the store
+// is down, so a server that says that it leaves keeps its keys until the store is
+// back.
+func (r *assignerRole) serverList() []fleet.Server {
+	r.host.mu.Lock()
+	list, up := r.host.fleet.List(), r.host.storeUp
+	r.host.mu.Unlock()
+	for i, sv := range list {
+		if up && r.host.relay.Leaving(sv) {
+			r.leaving[sv.Incarnation()] = true
+		}
+		list[i].Draining = sv.Draining || r.leaving[sv.Incarnation()]
+	}
+	return list
 }
 
 func (r *assignerRole) tick(ctx context.Context) {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -127,6 +127,7 @@
 			h.log.Warn("store is unavailable; continuing with the last known state", zap.Error(err))
 		} else {
 			h.log.Info("store is available again")
+			h.role.notifyServersChanged() // see assignerRole.serverList
 		}
 	}
 }
@@ -358,6 +359,8 @@
 	h.mu.Lock()
 	list := h.fleet.List()
 	h.mu.Unlock()
-	h.relay.MarkLeaving(list)
+	for i, sv := range list {
+		list[i].Draining = sv.Draining || h.relay.Leaving(sv)
+	}
 	return list
 }
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -94,12 +94,10 @@
 	return list
 }
 
-// MarkLeaving sets Draining in a list for the servers that are known to be
-// leaving.
-func (r *Relay) MarkLeaving(list []fleet.Server) {
+// Leaving reports whether a listed server is known to be leaving, whatever its
+// registration says.
+func (r *Relay) Leaving(sv fleet.Server) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, sv := range list {
-		list[i].Draining = sv.Draining || r.placement.Leaving(sv)
-	}
+	return r.placement.Leaving(sv)
 }
--- a/internal/relay/notice_test.go
+++ b/internal/relay/notice_test.go
@@ -62,9 +62,8 @@
 			is.Equal(len(told.LeavingServers()), tt.want)
 			other.ServersLeave([]fleet.Incarnation{sv.Incarnation()})
 			is.Equal(len(other.LeavingServers()), 0) // each host tells only what it was told by servers
-			list := []fleet.Server{sv, next}
-			other.MarkLeaving(list)
-			is.Equal([]bool{list[0].Draining, list[1].Draining}, []bool{true, false})
+			is.True(other.Leaving(sv))
+			is.True(!other.Leaving(next))
 		})
 	}
 }
