soak: servers that leave by a response, and servers that ask for a pause

Seen: no run of the soak had a server that says only in its responses that it leaves, or that asks for a pause, so it couldn't find requests to them.

The oracle keeps per host and process of a server what the server has told: Drained also covers a request sent 2 s after the host had passed on that the server leaves; the new rule Paused covers more than two requests after 1 s of a pause, without a fault.

Tests changed: TestPlan also goes through seeds from 100 on, as lower seeds don't have the new kinds; it checks the same of them as before. TestOracle has cases for the new rules, TestPlansOfEarlierSeeds is new.

--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -26,6 +26,8 @@
 		{"late grant", 15},
 		// The oracle missed a request that began at a server while it was stopped.
 		{"ended server", 23},
+		// A server that had told a host that it leaves, or wants a pause, got requests.
+		{"leaving and paused servers", 112},
 	}
 	t.Setenv(runAsCommand, "1")
 	for _, tt := range tests {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -87,6 +87,7 @@
 	due := q.version == 0 || c.deployment.configAge(q.version) > applyTimeout.Std()
 	faultFree := c.host.faultFree(faultFreeTime.Std()) && c.deployment.faultFree(faultFreeTime.Std())
 	c.deployment.oracle.requestSent(attempt, q.nonIdempotent)
+	c.deployment.oracle.requestSentVia(c.host.name, attempt)
 	a := conn.Send(ctx, fakes.Request{
 		Host: fakes.HostName, Method: method, Path: "/" + q.route + "/x", AttemptID: attempt, Key: key, Deadline: requestDeadline.Std(),
 	})
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -26,12 +26,14 @@
 	_ = x[StoreLink-15]
 	_ = x[ServerLink-16]
 	_ = x[Configure-17]
-	_ = x[numKinds-18]
+	_ = x[LeaveServer-18]
+	_ = x[PauseServer-19]
+	_ = x[numKinds-20]
 }
 
-const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurekinds"
+const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigureleave-serverpause-serverkinds"
 
-var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 215}
+var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 222, 234, 239}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -24,7 +24,8 @@
 	NoReturn               // a host went back to an older configuration
 	KnownRoute             // a host returned 404 for a route that every configuration has
 	InForce                // a host didn't apply a configuration in time
-	Drained                // a draining server got a new request
+	Drained                // a server that drains or leaves got a new request
+	Paused                 // a host sent requests to a server that had asked it for a pause
 	NotLost                // a host without a fault closed a connection without a response
 	StaysUp                // a host process ended without having been stopped
 	Recovered              // a host didn't serve requests again after the faults
@@ -69,6 +70,7 @@
 	violations    []Violation
 	requests      int
 	served        int
+	notices       notices
 	longestGap    time.Duration            // longest time without a response from a running host
 	lastResponse  map[string]time.Time     // by host
 	faultFree     func(time.Duration) bool // reports whether there was no unplanned fault for this time
@@ -78,7 +80,7 @@
 	return &oracle{
 		faultFree: faultFree,
 		servers:   make(map[*server]bool), runs: make(map[string]int), nonIdempotent: make(map[string]bool),
-		notRun: make(map[string]bool), lastResponse: make(map[string]time.Time),
+		notRun: make(map[string]bool), notices: newNotices(), lastResponse: make(map[string]time.Time),
 	}
 }
 
@@ -114,6 +116,8 @@
 		sv.leases = fakes.RemoveRange(sv.leases, ev.From, ev.To)
 	case fakes.Started:
 		o.runStarted(sv, ev)
+	case fakes.Paused:
+		o.requestPaused(sv, ev)
 	}
 }
 
@@ -146,6 +150,7 @@
 
 func (o *oracle) runStarted(sv *server, ev fakes.Started) {
 	o.runs[ev.AttemptID]++
+	o.checkLeaving(sv, ev.AttemptID)
 	switch {
 	case o.nonIdempotent[ev.AttemptID] && o.runs[ev.AttemptID] > 1:
 		o.addViolation(RunsOnce, "%s is non-idempotent and ran again on %s", ev.AttemptID, sv.id)
@@ -189,6 +194,9 @@
 func (o *oracle) responseReceived(host, attempt string, nonIdempotent bool, a fakes.Response) (served bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if a.Leaving && a.Err == nil {
+		o.notices.serverLeaves(host, attempt)
+	}
 	switch {
 	case a.NotRun() && nonIdempotent:
 		o.notRun[attempt] = true
@@ -218,6 +226,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.lastResponse, host)
+	o.notices.forget(host)
 }
 
 func (o *oracle) report(rule Rule, format string, args ...any) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,8 @@
 	StoreLink                     // link-to-store
 	ServerLink                    // link-to-server
 	Configure                     // configure
+	LeaveServer                   // leave-server
+	PauseServer                   // pause-server
 	numKinds                      // kinds
 )
 
@@ -40,11 +42,13 @@
 func (k Kind) targetsHost() bool { return k <= ReloadHost || k == StoreLink }
 
 // targetsServer reports whether the target of a step is a backend server.
-func (k Kind) targetsServer() bool { return k >= CrashServer && k <= ShedRequests || k == ServerLink }
+func (k Kind) targetsServer() bool {
+	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == LeaveServer || k == PauseServer
+}
 
 // planned reports whether a step is planned work, which must not affect callers.
 func (k Kind) planned() bool {
-	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure
+	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure || k == LeaveServer || k == PauseServer
 }
 
 const (
@@ -69,6 +73,10 @@
 // that apply only without faults are checked with these seeds.
 const plannedOnlyEvery = 4
 
+// allKindsFrom is the first seed whose plan may have steps of all kinds. Lower
+// ones have the kinds, and so the plans, with which some of them have failed.
+const allKindsFrom = 100
+
 // minDrainTime is added to the time for which a server drains, so that it is
 // longer than the time limit for new requests to the server.
 const minDrainTime = 4 * clock.Second
@@ -103,7 +111,7 @@
 			switch s.Kind {
 			case ReloadHost, StoreCompact, Configure:
 				s.Duration = 0
-			case DrainServer:
+			case DrainServer, LeaveServer:
 				s.Duration += minDrainTime
 			}
 			steps = append(steps, s)
@@ -116,7 +124,11 @@
 
 // kindsOf returns the kinds that the steps of a seed may have.
 func kindsOf(seed uint64) (all []Kind) {
-	for k := range numKinds {
+	kinds := numKinds
+	if seed < allKindsFrom {
+		kinds = LeaveServer
+	}
+	for k := range kinds {
 		if k.planned() || seed%plannedOnlyEvery != 0 {
 			all = append(all, k)
 		}
--- a/internal/soak/rule_string.go
+++ b/internal/soak/rule_string.go
@@ -17,14 +17,15 @@
 	_ = x[KnownRoute-6]
 	_ = x[InForce-7]
 	_ = x[Drained-8]
-	_ = x[NotLost-9]
-	_ = x[StaysUp-10]
-	_ = x[Recovered-11]
+	_ = x[Paused-9]
+	_ = x[NotLost-10]
+	_ = x[StaysUp-11]
+	_ = x[Recovered-12]
 }
 
-const _Rule_name = "OwnAnswerRunsOnceTrueNotRunOneOwnerFencesNoReturnKnownRouteInForceDrainedNotLostStaysUpRecovered"
+const _Rule_name = "OwnAnswerRunsOnceTrueNotRunOneOwnerFencesNoReturnKnownRouteInForceDrainedPausedNotLostStaysUpRecovered"
 
-var _Rule_index = [...]uint8{0, 9, 17, 27, 35, 41, 49, 59, 66, 73, 80, 87, 96}
+var _Rule_index = [...]uint8{0, 9, 17, 27, 35, 41, 49, 59, 66, 73, 79, 86, 93, 102}
 
 func (i Rule) String() string {
 	idx := int(i) - 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,7 +21,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[Kind]int)
-	for seed := range uint64(50) {
+	for _, seed := range append(seedsFrom(0), seedsFrom(allKindsFrom)...) {
 		steps := Plan(seed, 3, 6, 12*clock.Second)
 		is.True(reflect.DeepEqual(steps, Plan(seed, 3, 6, 12*clock.Second)))
 		for _, s := range steps {
@@ -38,6 +38,25 @@
 	}
 }
 
+// seedsFrom returns the first seed and the 49 after it.
+func seedsFrom(first uint64) (seeds []uint64) {
+	for i := range uint64(50) {
+		seeds = append(seeds, first+i)
+	}
+	return seeds
+}
+
+// Guards against new kinds of steps that change the plans of the seeds with which
+// faults were found.
+func TestPlansOfEarlierSeeds(t *testing.T) {
+	is := is.New(t)
+	for _, seed := range seedsFrom(0) {
+		for _, s := range Plan(seed, 3, 6, 12*clock.Second) {
+			is.True(s.Kind < LeaveServer)
+		}
+	}
+}
+
 func alwaysFaultFree(time.Duration) bool { return true }
 
 // Guards against an oracle that misses the violation of a rule, or reports one
@@ -114,6 +133,45 @@
 			a.drainingSince = time.Now().Add(-time.Minute)
 			o.observe(a, fakes.Started{AttemptID: "x"})
 		}, []Rule{Drained}},
+		{"request for a server that has told the host that it leaves", func(o *oracle, a, b *server) {
+			o.notices.leaving[hostServer{"h", a}] = time.Now().Add(-time.Minute)
+			o.requestSentVia("h", "x")
+			o.observe(a, fakes.Started{AttemptID: "x"})
+		}, []Rule{Drained}},
+		{"request for a server that has told another host that it leaves", func(o *oracle, a, b *server) {
+			o.notices.leaving[hostServer{"h", a}] = time.Now().Add(-time.Minute)
+			o.requestSentVia("i", "x")
+			o.observe(a, fakes.Started{AttemptID: "x"})
+		}, nil},
+		{"request for a leaving server within the time", func(o *oracle, a, b *server) {
+			o.requestSentVia("h", "x")
+			o.observe(a, fakes.Started{AttemptID: "x"})
+			o.responseReceived("h", "x", false, fakes.Response{Status: 200, Body: "a ran x", Signer: "a", Leaving: true})
+			o.requestSentVia("h", "y")
+			o.observe(a, fakes.Started{AttemptID: "y"})
+		}, nil},
+		{"request for a leaving server after the host was suspended", func(o *oracle, a, b *server) {
+			o.notices.leaving[hostServer{"h", a}] = time.Now().Add(-time.Minute)
+			o.hostPaused("h")
+			o.requestSentVia("h", "x")
+			o.observe(a, fakes.Started{AttemptID: "x"})
+		}, nil},
+		{"requests in a pause", func(o *oracle, a, b *server) {
+			paused := fakes.Paused{AttemptID: "x", Until: time.Now().Add(time.Minute)}
+			o.requestSentVia("h", "x")
+			o.observe(a, paused)
+			o.notices.pauses[hostServer{"h", a}].since = time.Now().Add(-2 * pauseSlack.Std())
+			for range maxInPause + 1 {
+				o.observe(a, paused)
+			}
+		}, []Rule{Paused}},
+		{"requests that were on their way before a pause", func(o *oracle, a, b *server) {
+			paused := fakes.Paused{AttemptID: "x", Until: time.Now().Add(time.Minute)}
+			o.requestSentVia("h", "x")
+			for range maxInPause + 2 {
+				o.observe(a, paused)
+			}
+		}, nil},
 		{"connection closed without a response", func(o *oracle, a, b *server) {
 			o.observe(a, fakes.Started{AttemptID: "x"})
 			o.connectionLost("h", "x", io.EOF)
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -65,6 +65,7 @@
 	case StopHost:
 		return d.hosts[p.step.Target].signal(syscall.SIGTERM)
 	case PauseHost:
+		d.oracle.hostPaused(d.hosts[p.step.Target].name)
 		return d.hosts[p.step.Target].signal(syscall.SIGSTOP)
 	case ReloadHost:
 		return d.hosts[p.step.Target].signal(syscall.SIGHUP)
@@ -74,6 +75,10 @@
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Hang(true) })
 	case DrainServer:
 		d.drainServer(d.backends[p.step.Target])
+	case LeaveServer:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Leave() })
+	case PauseServer:
+		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Pause(p.step.Duration.Std()) })
 	case LoseResponses:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.LoseResponses(p.step.Count) })
 	case MismatchResponses:
@@ -108,12 +113,14 @@
 	case StopHost:
 		return p.restart(d.hosts[p.step.Target])
 	case PauseHost:
-		return d.hosts[p.step.Target].signal(syscall.SIGCONT)
+		err := d.hosts[p.step.Target].signal(syscall.SIGCONT)
+		d.oracle.hostPaused(d.hosts[p.step.Target].name)
+		return err
 	case CrashServer:
 		d.startServer(d.backends[p.step.Target])
 	case HangServer:
 		d.backends[p.step.Target].withServer(func(sv *fakes.Server) { sv.Hang(false) })
-	case DrainServer:
+	case DrainServer, LeaveServer:
 		d.stopServer(d.backends[p.step.Target])
 		d.startServer(d.backends[p.step.Target])
 	case LoseResponses:
