--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -34,6 +34,8 @@
 		{"ended server", 23, small},
 		// A restored store named former owners and an earlier term.
 		{"restored store", 51, medium},
+		// A server that had told a host that it leaves, or wants a pause, got requests.
+		{"leaving and paused servers", 112, small},
 	}
 	t.Setenv(runAsCommand, "1")
 	for _, tt := range tests {
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -26,14 +26,16 @@
 	_ = x[StoreLink-15]
 	_ = x[ServerLink-16]
 	_ = x[Configure-17]
-	_ = x[StoreRestore-18]
-	_ = x[RepeatResponses-19]
-	_ = x[numKinds-20]
+	_ = x[LeaveServer-18]
+	_ = x[PauseServer-19]
+	_ = x[StoreRestore-20]
+	_ = x[RepeatResponses-21]
+	_ = x[numKinds-22]
 }
 
-const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigurestore-restorerepeat-answerskinds"
+const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigureleave-serverpause-serverstore-restorerepeat-answerskinds"
 
-var _Kind_index = [...]uint8{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 223, 237, 242}
+var _Kind_index = [...]uint16{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 222, 234, 247, 261, 266}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
