owner: a grant voids an earlier release of the range

Two servers could hold the same keys.

Cause: a range whose release the server has acknowledged stays with it while an unanswered grant may still be executed. If its address was then reused, and the server was listed again while former assigners might act, it was granted the range anew to raise its fencing token. The range still counted as released, so it was free once the unanswered grant's lease had expired, though the new lease hadn't.

TestGrantAfterRelease failed before (the other server had 65536 keys in place of 32768).

Change: a grant clears the mark of the release.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -294,7 +294,7 @@
 		}
 	}
 	lease := a.cfg.LeaseTime
-	rs.inFlight = true
+	rs.inFlight, rs.released = true, false
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
 	return Grant{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked, LastConn: rs.lastConn}
 }
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -6,6 +6,8 @@
 	"github.com/matryer/is"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // nextGrant advances the time until a grant is due and returns it. Writes
@@ -77,3 +79,48 @@
 	is.True(ok)
 	is.Equal(r.Fence, renewal.Fence)
 }
+
+// Guards against a range that counts as released though its server was granted it
+// again after the release.
+func TestGrantAfterRelease(t *testing.T) {
+	former, other, later := server("a"), server("b"), server("later")
+	later.Addr, later.Born = former.Addr, 2
+	h := newHarness(t, Record{Term: 1}, former, other)
+	setServers := func(servers ...fleet.Server) {
+		h.enqueue(h.assigner.SetServers(h.now, []keys.Service{svc}, servers))
+		h.answerAll("", Done)
+	}
+	h.advance(3*clock.Second, "", Done)
+	var lost Grant
+	for lost.Server != "a" {
+		lost = h.nextGrant()
+		if lost.Server != "a" {
+			h.enqueue(h.assigner.GrantDone(h.now, h.now, lost, Done))
+		}
+	}
+	sent := h.now
+	h.enqueue(h.assigner.GrantDone(h.now, sent, lost, Unknown))
+	draining := former
+	draining.Draining = true
+	setServers(draining, other) // released, but not free before the unanswered grant's lease has expired
+	h.advance(testConfig.LeaseTime/2, "", Done)
+	setServers(other, later) // whether the later server has seen a fence of this term isn't known
+	setServers(draining, other)
+	granted := h.now
+	for h.now < granted.Add(testConfig.LeaseTime) {
+		released := false
+		for _, act := range h.assigner.Tick(h.now) {
+			if _, ok := act.(Release); ok {
+				released = true // and not answered
+				continue
+			}
+			h.enqueue([]Action{act})
+		}
+		h.answerAll("", Done)
+		h.Equal(h.keysPerServer()["b"], 32768)
+		if released {
+			return // the assigner knows that the range isn't free
+		}
+		h.now = h.now.Add(20)
+	}
+}
