owner, front: grants on new connections need a confirmed role

A former assigner that is cut off from the store and the other hosts, but not from the servers, acts until its role lease expires. A server rejects it once it has seen a fence of a later term. A server that restarts has seen none: the former assigner's next grant, on a new connection, gave it keys that the present assigner had moved to another server, or gave them under a fencing token below the one that the former process had had.

Evidence: the new simulation with late registrations, TestOneOwnerLateRegistrations, failed after 170 runs: at 9040 ms server s2 (born 14) got keys 43690-65535 with fence (term 4), s2 (born 1) had had (term 5); also two leases on the same keys.

Change: after a grant that wasn't sent or not answered, and for a server that was missing in the list, a grant on a new connection waits until the role is confirmed for a time after that: by a read of the record, at most every 100 ms, or, without the store, by heartbeats of a majority of the hosts, none of which has tables of a later term. Those may be 1 s old, so they confirm the role for 1 s ago.

The harness of the tests confirms the role when the assigner asks for it, as package front does; no expectation has changed.

--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -276,6 +276,7 @@
 	out := !r.host.storeUp
 	r.host.mu.Unlock()
 	r.assigner.SetStoreOutage(out)
+	r.confirmRole(ctx, now)
 	r.executeAndPublish(ctx, r.assigner.Tick(now))
 	if now.Sub(r.lastResendAt) > resendInterval {
 		r.lastResendAt = now
@@ -328,6 +329,7 @@
 	case ev.err == nil:
 		r.host.noteEpoch(ev.rev.Epoch())
 		r.recordRev, r.confirmedAt = ev.rev, max(r.confirmedAt, ev.startedAt)
+		r.assigner.Confirm(r.confirmedAt)
 		r.executeAndPublish(ctx, r.assigner.WriteDone(now, ev.version))
 	case errors.Is(ev.err, ErrRefused):
 		r.nextWriteAt = now.Add(writeBackoff)
@@ -367,6 +369,7 @@
 		return
 	}
 	r.confirmedAt = max(r.confirmedAt, ev.startedAt)
+	r.assigner.Confirm(r.confirmedAt)
 	if ev.rev.Number() >= r.recordRev.Number() {
 		r.recordRev = ev.rev
 		r.assigner.RecordRead(ev.rec)
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -40,7 +40,7 @@
 			// The record names the server already, and the next term has higher
 			// tokens, so it needn't be written first.
 			if !rs.releasing || !rs.acked {
-				rs.Fence, rs.lastConn, rs.nextCall = a.nextFence(), 0, 0
+				rs.Fence, rs.lastConn, rs.nextCall, rs.confirmAfter = a.nextFence(), 0, 0, now
 			}
 		case Failed, Unknown:
 			if out == Unknown {
@@ -49,6 +49,7 @@
 			if rs.unansweredSince == 0 {
 				rs.unansweredSince = max(now, 1)
 			}
+			rs.confirmAfter = now
 			a.failedAt[rs.Server] = now
 			rs.nextCall = min(rs.nextCall, now.Add(grantRetryDelay))
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -119,6 +119,7 @@
 	recordVersion   uint64      // first version of the record that names this server
 	acked           bool        // the server has acknowledged this fence
 	lastConn        uint64      // see Grant.LastConn
+	confirmAfter    clock.Time  // a grant on a new connection needs a confirmation of the role after this time
 	leaseEnd        clock.Time  // latest time at which the server's lease can be valid
 	lateLeaseEnd    clock.Time  // same, for grants that were never answered
 	unansweredSince clock.Time  // first unanswered grant since the last response; 0: none
@@ -148,6 +149,8 @@
 	firstListAt       clock.Time
 	nextBalance       clock.Time
 	storeOutage       bool
+	confirmedAt       clock.Time // see Confirm
+	unconfirmed       bool       // see NeedsConfirmation
 	formerEnd         clock.Time // until then calls of former assigners may arrive
 	slowPenalty       float64    // exponent of the service time ratio in a server's share; see capacity
 	now               clock.Time
@@ -211,6 +214,15 @@
 	}
 }
 
+// Confirm records that this process was the assigner at a time.
+func (a *Assigner) Confirm(at clock.Time) { a.confirmedAt = max(a.confirmedAt, at) }
+
+// NeedsConfirmation reports whether a grant waits until this process is confirmed
+// to be the assigner. A grant on a new connection may reach a process that has seen
+// no fence of a later term, so it is sent only if there was no later assigner when
+// it became known that a new connection is needed.
+func (a *Assigner) NeedsConfirmation() bool { return a.unconfirmed }
+
 // SetStoreOutage sets whether the store is unreachable. Load isn't balanced during
 // an outage, as no move can be recorded.
 func (a *Assigner) SetStoreOutage(out bool) { a.storeOutage = out }
@@ -248,7 +260,7 @@
 // advance moves each range to its next state and returns the actions that are
 // due.
 func (a *Assigner) advance(now clock.Time) (acts []Action) {
-	a.now = now
+	a.now, a.unconfirmed = now, false
 	for _, s := range a.serviceNames() {
 		a.assignFree(now, s)
 		for _, rs := range a.tables[s] {
@@ -293,6 +305,10 @@
 			return nil
 		}
 	}
+	if rs.lastConn == 0 && rs.confirmAfter > a.confirmedAt {
+		a.unconfirmed = true
+		return nil
+	}
 	lease := a.cfg.LeaseTime
 	rs.inFlight, rs.released = true, false
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -61,10 +61,14 @@
 	}
 }
 
-// advance advances the time and answers the actions that are due.
+// advance advances the time and answers the actions that are due. The role is
+// confirmed when that is needed.
 func (h *harness) advance(d clock.Span, unresponsive keys.Server, out Outcome) {
 	for end := h.now.Add(d); h.now < end; {
 		h.now = h.now.Add(20)
+		if h.assigner.NeedsConfirmation() {
+			h.assigner.Confirm(h.now)
+		}
 		h.enqueue(h.assigner.Tick(h.now))
 		h.answerAll(unresponsive, out)
 	}
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -49,6 +49,9 @@
 			if other, reused := byAddr[rs.Addr]; !ok && reused && other != rs.Server && !a.formerExpired(now) {
 				rs.acked = false
 			}
+			if !ok {
+				rs.confirmAfter = now
+			}
 			if !ok || sv.Draining {
 				rs.startRelease()
 			}
