--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -300,6 +300,7 @@
 		r.assigner.FormerEnded(now)
 	}
 	r.assigner.SetStoreOutage(!r.host.isStoreUp())
+	r.confirmRole(ctx, now)
 	r.executeAndPublish(ctx, r.assigner.Tick(now))
 	if now.Sub(r.lastResendAt) > resendInterval {
 		r.lastResendAt = now
@@ -366,6 +367,7 @@
 	case ev.err == nil:
 		r.host.noteEpoch(ev.rev.Epoch())
 		r.recordRev, r.confirmedAt = ev.rev, max(r.confirmedAt, ev.startedAt)
+		r.assigner.Confirm(r.confirmedAt)
 		r.executeAndPublish(ctx, r.assigner.WriteDone(now, ev.version))
 	case errors.Is(ev.err, ErrRefused):
 		r.nextWriteAt = now.Add(writeBackoff)
@@ -416,6 +418,7 @@
 		return
 	}
 	r.confirmedAt = max(r.confirmedAt, ev.startedAt)
+	r.assigner.Confirm(r.confirmedAt)
 	if !ev.rev.Before(r.recordRev) {
 		r.recordRev = ev.rev
 		r.assigner.RecordRead(ev.rec)
--- a/internal/owner/restore_test.go
+++ b/internal/owner/restore_test.go
@@ -92,6 +92,7 @@
 	is := is.New(t)
 	a := New(testConfig, 1000, Record{Term: 1025, Epoch: 1, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "s0", Addr: "s0:1", Born: 1}}}})
 	g := grants(a.SetServers(1000, []keys.Service{svc}, []fleet.Server{server("s0")}))[0]
+	g.LastConn = 1
 	a.GrantDone(1010, 1000, g, Done)
 	a.Restored(2000, a.Record().Restored(2))
 	g = grants(a.Tick(2000))[0]
