--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -59,6 +59,7 @@
 	Outcome  owner.Outcome
 	Handover string // state for the next owner of a released range
 	Leaving  bool   // the server is about to end
+	LastConn uint64 // number of the last connection that was open when the call was sent; 0: not sent
 }
 
 // Granter grants key ranges to backend servers and has them release the ranges.
