front: a host waited up to 0.8 s before it read a restored store

Cause: after an outage the first watch gets the error that its history is gone. A change that was acknowledged meanwhile was in force that much later, and draining servers got requests for that long. Change: the first such error has everything read at once, whatever failed before; the store has responded. Result: TestReadAgainAfterOutage failed before in both cases and passes, also with the race detector.

--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -93,3 +95,31 @@
 		is.New(t).Equal(ms.newerSnapshotAddr(6, 0, epoch.At(2, 40), false), "")
 	})
 }
+
+// Guards against a host that waits once more before it reads everything again when
+// the store has returned from an outage without its history.
+func TestReadAgainAfterOutage(t *testing.T) {
+	for _, lost := range []error{ErrCompacted, ErrRestored} {
+		t.Run(lost.Error(), func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHost()
+			h.watchFrom = 0
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			results := []error{nil, ErrNoResponse, ErrNoResponse, ErrNoResponse, lost}
+			var respondedAt, readAt time.Time
+			is.NoErr(h.watchStore(ctx, "test", func(_ context.Context, rev epoch.Revision) (epoch.Revision, error) {
+				if len(results) == 0 {
+					is.Equal(rev, epoch.Revision{})
+					readAt = time.Now()
+					cancel()
+					return rev, nil
+				}
+				err := results[0]
+				results, respondedAt = results[1:], time.Now()
+				return epoch.At(1, 5), err
+			}))
+			is.True(readAt.Sub(respondedAt) < minStoreBackoff)
+		})
+	}
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -185,9 +185,10 @@
 		}
 		h.log.Info("watch of the store failed; retrying", zap.String("what", what), zap.Stringer("rev", rev), zap.Error(err))
 		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
+			first := rev != epoch.Revision{}
 			rev = epoch.Revision{}
-			if fails == 0 {
-				fails++
+			if first { // the store has responded, so earlier failures don't count
+				fails = 0
 				continue
 			}
 		}
