--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,9 +68,9 @@
 type phase int
 
 const (
-	registered phase = iota
+	registered phase = iota // it has a registration
 	missing          // its registration disappeared in an outage; the grace period runs
-	gone
+	gone             // it has left; it is remembered for departureRetention
 )
 
 // Incarnation is one process of a server.
