--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,8 +69,8 @@
 
 const (
 	registered phase = iota // it has a registration
-	missing          // its registration disappeared in an outage; the grace period runs
-	gone             // it has left; it is remembered for departureRetention
+	missing                 // its registration disappeared in an outage; the grace period runs
+	gone                    // it has left; it is remembered for departureRetention
 )
 
 // Incarnation is one process of a server.
