--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -192,6 +192,9 @@
 				continue
 			}
 		}
+		if errors.Is(err, ErrMalformed) {
+			rev = epoch.Revision{} // a watch from the same revision gets the same response
+		}
 		// A watch may fail at any time. The next one continues from the same
 		// revision.
 		backoff(ctx, fails)
@@ -214,7 +217,9 @@
 		if err != nil {
 			return next, err
 		}
-		h.applyConfig(cfg)
+		if cfg != nil {
+			h.applyConfig(cfg)
+		}
 		h.markConfigConfirmed(began)
 		return next, nil
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -74,8 +74,8 @@
 func sendID(ctx context.Context, p *Pool, id string) Result {
 	return p.Do(ctx, Request{
 		Method: "GET", Target: "/x?y=1", Host: "h", ID: id,
-		Matches:  func(h http.Header) bool { return h.Get("Id") == id },
-		Rejected: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
+		Matches:    func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Confusable: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
 	})
 }
 
@@ -97,6 +97,9 @@
 		{"truncated", "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9\r\n\r\nabc", ErrConnLost, "", 0},
 		{"truncated chunk", "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", ErrConnLost, "", 0},
 		{"no response", "", ErrConnLost, "", 0},
+		{"switching protocols", "HTTP/1.1 101 Switching Protocols\r\nId: me\r\n\r\nabc", ErrMalformed, "", 0},
+		{"status below 100", "HTTP/1.1 042 Odd\r\nId: me\r\nContent-Length: 0\r\n\r\n", ErrMalformed, "", 0},
+		{"status above 599", "HTTP/1.1 742 Odd\r\nId: me\r\nContent-Length: 0\r\n\r\n", ErrMalformed, "", 0},
 		{"not HTTP", "garbage\r\n\r\n", ErrMalformed, "", 0},
 		{"only a mismatched response until the end of the connection", "HTTP/1.1 200 OK\r\nId: other\r\n\r\nabc", ErrMismatched, "", 1},
 	}
@@ -214,14 +217,14 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	const n = 2 * maxRejections
+	const n = 2 * maxConfusable
 	var responses []string
 	for i := range n {
 		responses = append(responses, rejection(fmt.Sprint(i)))
 	}
 	s := newRawServer(t, responses...)
 	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
-	for i := range maxRejections {
+	for i := range maxConfusable {
 		res := sendID(ctx, p, fmt.Sprint(i))
 		is.NoErr(res.Err)
 		is.Equal(res.Status, http.StatusServiceUnavailable)
@@ -278,7 +281,7 @@
 	s := newRawServer(t, response("me", ""), response("me", ""))
 	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
 	do := func(last uint64) Result {
-		return p.Do(t.Context(), Request{Method: "GET", Target: "/x", Host: "h", Matches: anyResponse, Rejected: neverRejected, LastConn: last})
+		return p.Do(t.Context(), Request{Method: "GET", Target: "/x", Host: "h", Matches: anyResponse, Confusable: noResponse, LastConn: last})
 	}
 	first := do(0)
 	is.NoErr(first.Err)
@@ -294,3 +297,15 @@
 	is.Equal(do(again.LastConn).Err, ErrNoConn) // the idle connection was opened later
 	is.Equal(s.requestCount.Load(), int32(3))
 }
+
+// Guards against more idle connections than a server allows a host.
+func TestMaxIdle(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, response("me", ""), response("me", ""))
+	p := New(Config{Addr: s.listener.Addr().String(), Budget: NewBudget(maxBodyBytes * 2), MaxIdle: 1})
+	is.True(p.Probe())
+	is.True(p.Probe())
+	is.Equal(p.Idle(), 1)
+	is.NoErr(send(p).Err)
+	is.Equal(p.Idle(), 1)
+}
