entry: believe a server's refusal only if it names the attempt

Callers could see "not-run" for a request that its server ran, and the host could send it to a second server: a refusal (shed, draining, stale token) without the attempt's header was taken for that of the request, though a faulty server may have sent it earlier on the kept connection. One with another attempt's id already counted as mismatched.

A refusal that doesn't name the attempt now counts as unknown, with the reason mismatched-answer. Attempts have ids of their own, also at the same server, so a copy never names the attempt. Other responses without the header are delivered as before. Servers that follow docs/operate/requests.md echo it in all responses.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -261,6 +261,9 @@
 	if r.Failure() == proxy.OK {
 		if reason, refused := refusal(r); refused {
 			r.Close()
+			if !r.NamesAttempt() {
+				return unknown(answer.Mismatched)
+			}
 			return result{outcome: answer.NotRun, reason: reason, redirect: reason != answer.Shed}
 		}
 		proxy.DropOwnHeaders(r.Header())
@@ -274,8 +277,8 @@
 	return result{outcome: o, reason: reason, redirect: singleServer && r.Failure() == proxy.DialFailed}
 }
 
-// refusal reports whether a server's response proves that it did not run the
-// request, and returns the reason.
+// refusal reports whether a server's response, if it isn't a copy of an earlier
+// one, proves that it did not run the request, and returns the reason.
 func refusal(r *proxy.Result) (answer.Reason, bool) {
 	reason := r.Header().Get(answer.HeaderReason)
 	switch {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -156,6 +156,7 @@
 	status   int
 	header   http.Header
 	head     []byte
+	named    bool // the response names the attempt
 	complete bool // head is the complete body
 	body     io.ReadCloser
 	length   int64 // of the body in bytes; -1 if unknown
@@ -173,6 +174,10 @@
 // Header returns the header of the response.
 func (r *Result) Header() http.Header { return r.header }
 
+// NamesAttempt reports whether the server has proved that the response belongs to
+// the attempt. Any other one may be a copy of an earlier response.
+func (r *Result) NamesAttempt() bool { return r.named }
+
 // CompleteBody returns the response body if it is complete within the buffer.
 // If not, it returns the first bytes and false.
 func (r *Result) CompleteBody() ([]byte, bool) { return r.head, r.complete }
@@ -237,12 +242,15 @@
 	if err != nil {
 		return &Result{failure: classify(ctx, err, connected), err: fmt.Errorf("proxy.Send: %w", err)}
 	}
-	if a := resp.Header.Get(answer.HeaderAttempt); a != "" && a != r.Attempt {
+	a := resp.Header.Get(answer.HeaderAttempt)
+	if a != "" && a != r.Attempt {
 		// Closing the body before its end closes the connection, too.
 		resp.Body.Close()
 		return &Result{failure: Mismatched, err: fmt.Errorf("proxy.Send: response is for attempt %q, not for %q", a, r.Attempt)}
 	}
-	return readResponse(ctx, resp)
+	res = readResponse(ctx, resp)
+	res.named = a != ""
+	return res
 }
 
 // readResponse reads the first bytes of the body, so that a short response is
