relay: don't pass on an unsigned 503 that isn't said to be unexecuted

Callers take 408, 421, 429 and 503 for the promise that the request has not run. A server says so with a header only; its unsigned 503 without it was passed on as it was, so that a booking that the server had run looked "not run" to the caller (REFUSED).

Such a response without a signature now counts as one that isn't the server's: an idempotent request may be sent again, any other gets 502. A signed response is returned unchanged, as before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -250,7 +250,8 @@
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
-	case res.Header.Get("Content-Encoding") != "", !result.reply.Signed && res.Status < http.StatusBadRequest:
+	case res.Header.Get("Content-Encoding") != "",
+		!result.reply.Signed && (res.Status < http.StatusBadRequest || result.reply.NotRunStatus):
 		result.outcome, result.placement.Failed = mismatched, true
 	default:
 		result.outcome, result.placement.Failed = answered, res.Status >= http.StatusInternalServerError
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -22,6 +22,8 @@
 	ID     string // Meta.ID of the request that the response belongs to
 	Signed bool
 	NotRun bool // the server didn't run the request and never will
+	// NotRunStatus says that a caller takes the status for NotRun.
+	NotRunStatus bool
 }
 
 // Codec reads and writes the HTTP headers of a platform.
