platform, owner: an invalid assignment record isn't an empty one

Cause: the record was accepted if encoding/json accepted it. null, {} and other objects passed as a record of term 0. The assigner gave up the role, and the next one claimed term 1 with an empty table and used the fencing tokens of the first term again: two servers got the same keys.

--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -23,6 +24,9 @@
 // every JSON decoder keeps integers exactly.
 const seqBits = 24
 
+// maxTerm is the highest term of a valid record.
+const maxTerm = 1 << (53 - seqBits)
+
 func newFence(term, seq uint64) Fence { return Fence(term<<seqBits | seq) }
 
 // Record is the state in the store: which process is the assigner, and which
@@ -39,6 +43,14 @@
 	Former []Holder `json:"former,omitempty"`
 }
 
+// Check returns an error if no assigner can have written the record.
+func (r Record) Check() error {
+	if r.Term == 0 || r.Term > maxTerm || r.Seq >= 1<<seqBits {
+		return fmt.Errorf("term %d or sequence %d is out of range", r.Term, r.Seq)
+	}
+	return nil
+}
+
 // Holder is a process that has had the assigner's role.
 type Holder struct {
 	Host        keys.Host `json:"host"`
