front, owner: write the assignment record again over an invalid one

Cause: after another writer has replaced the assignment record by an invalid one, the assigner can't confirm its role, gives it up after 12 s, and no host can claim it: the keys have no owner from then on. Meanwhile no key can move.

Change: the assigner writes its record again, on condition that the invalid one, at a later revision of the same epoch than its last write, is still stored.

Limits: without an assigner at that time the keys stay without owners until the record is removed by hand. If, within the 3 s between two reads, a successor has claimed the role unheard by this assigner and its record was lost as well, the record of the former term comes back; servers that have seen the later term reject its grants, others don't.

--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -348,6 +348,7 @@
 		if r.assigner != nil {
 			r.nextWriteAt = now.Add(writeBackoff)
 			r.assigner.WriteFailed()
+			r.replaceInvalidRecord(ev)
 		}
 		return
 	}
@@ -373,6 +374,17 @@
 	}
 }
 
+// replaceInvalidRecord has the record written again if another writer has replaced
+// it by an invalid one. The write takes effect only while that one is stored.
+func (r *assignerRole) replaceInvalidRecord(ev readDone) {
+	if !errors.Is(ev.err, ErrMalformed) || ev.rev.Epoch() != r.recordRev.Epoch() || ev.rev.Number() <= r.recordRev.Number() {
+		return
+	}
+	r.host.log.Warn("assignment record is invalid; writing it again", zap.Stringer("rev", ev.rev), zap.Error(ev.err))
+	r.recordRev = ev.rev
+	r.assigner.RecordLost()
+}
+
 // executeAndPublish starts the calls for the assigner's actions and publishes
 // changed tables.
 func (r *assignerRole) executeAndPublish(ctx context.Context, acts []owner.Action) {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -42,7 +42,7 @@
 	Servers(ctx context.Context) ([]fleet.Server, epoch.Revision, error)
 	WatchServers(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]ServerEvent, epoch.Revision, error)
 	// Record returns the assignment record. Its revision has no number if there is
-	// none.
+	// none. An invalid one is ErrMalformed, with its revision.
 	Record(ctx context.Context) (owner.Record, epoch.Revision, error)
 	// PutRecord replaces the record if its revision is still rev.
 	PutRecord(ctx context.Context, rec owner.Record, rev epoch.Revision) (epoch.Revision, error)
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -83,3 +83,7 @@
 		a.writtenVersion = a.version
 	}
 }
+
+// RecordLost handles the loss of the stored record, which then is written again
+// before any further change of owner.
+func (a *Assigner) RecordLost() { a.version++ }
