--- /dev/null
+++ b/internal/link/fuzz_test.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// bytesConn is a connection from which some bytes can be read until its end.
+type bytesConn struct {
+	net.Conn
+	reader *bytes.Reader
+}
+
+func (c bytesConn) Read(b []byte) (int, error)  { return c.reader.Read(b) }
+func (c bytesConn) Write(b []byte) (int, error) { return len(b), nil }
+func (c bytesConn) Close() error                { return nil }
+
+// Guards against bytes that make the reading of a response panic, that end the
+// head at another place than net/http does, or that pass as a response if
+// net/http rejects them.
+func FuzzResponse(f *testing.F) {
+	for _, s := range []string{
+		response("me", "abc"), response("other", "abc") + response("me", "abc"), "HTTP/1.1 103 x\r\n\r\n" + response("me", "abc"),
+		"HTTP/1.1 200 OK\r\nId: me\r\n\r\nabc", "HTTP/1.1 200 OK\nId: me\n x\n \nContent-Length: 1\n\nabc", "HTTP/1.1 204 x\r\nId: me\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\nId: me\r\n\r\n3;a=b\r\nabc\r\n0\r\nA: b\r\n\r\nx", "\r\n\r\n", "HTTP/1.1 200\r\r\n\n",
+		"HTTP/1.0 200 OK\r\nId: me\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 101 x\r\nId: me\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		is := is.New(t)
+		budget := NewBudget(8 << 20)
+		p := NewPool("x", budget)
+		var res Result
+		r := Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }}
+		p.exchange(newConn(bytesConn{reader: bytes.NewReader(b)}), r, maxBodyBytes, &res)
+		is.Equal(budget.used, int64(0))
+		if res.Err != nil {
+			is.Equal(len(res.Body), 0)
+			return
+		}
+		// The response that belongs to the request, as net/http reads it.
+		br := bufio.NewReader(bytes.NewReader(b))
+		for {
+			want, err := http.ReadResponse(br, &http.Request{Method: http.MethodGet})
+			is.NoErr(err)
+			body, err := io.ReadAll(want.Body)
+			is.NoErr(err)
+			if want.StatusCode < 200 || want.Header.Get("Id") != "me" {
+				continue
+			}
+			is.Equal(res.Status, want.StatusCode)
+			is.Equal(res.Header, want.Header)
+			is.True(bytes.Equal(res.Body, body))
+			return
+		}
+	})
+}
