--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -44,7 +44,7 @@
 	WatchServers(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]ServerEvent, epoch.Revision, error)
 	// Record returns the assignment record. If none was written in the store's
 	// current epoch, the revision has no number, and the record is the last one of
-	// an earlier epoch, or empty.
+	// an earlier epoch, or empty. An invalid one is ErrMalformed, with its revision.
 	Record(ctx context.Context) (owner.Record, epoch.Revision, error)
 	// PutRecord replaces the record if its revision is still rev, or creates the
 	// record of that epoch if rev has no number.
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -24,6 +25,9 @@
 // every JSON decoder keeps integers exactly.
 const seqBits = 24
 
+// maxTerm is the highest term of a valid record.
+const maxTerm = 1 << (53 - seqBits)
+
 func newFence(term, seq uint64) Fence { return Fence(term<<seqBits | seq) }
 
 func (f Fence) term() uint64 { return uint64(f) >> seqBits }
@@ -51,6 +55,14 @@
 // terms rise, and fences with them.
 const termsPerEpoch = 1024
 
+// Check returns an error if no assigner can have written the record.
+func (r Record) Check() error {
+	if r.Term == 0 || r.Term > maxTerm || r.Seq >= 1<<seqBits {
+		return fmt.Errorf("term %d or sequence %d is out of range", r.Term, r.Seq)
+	}
+	return nil
+}
+
 // Holder is a process that has had the assigner's role.
 type Holder struct {
 	Host        keys.Host `json:"host"`
