front: no grants after the role lease by a suspended host

A host with the role that is suspended past its role lease could send grants before it stepped down.

Cause: only the tick checked the role lease. After a suspension the results of calls, or a claim, could be handled first, and the renewals that had become due were sent.

Change: the check is made where calls are started, and the calls' times are those of the check.

--- a/internal/front/publish.go
+++ b/internal/front/publish.go
@@ -15,8 +15,12 @@
 	version uint64
 }
 
-// publish sends the tables to all hosts if they have changed.
+// publish sends the tables to all hosts if they have changed and this host still
+// has the role.
 func (r *assignerRole) publish() {
+	if r.assigner == nil {
+		return
+	}
 	tables := r.assigner.Tables()
 	if len(tables) == len(r.tables) && len(tables) > 0 && r.tables[0].Term == tables[0].Term {
 		for i := range tables {
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -259,8 +259,7 @@
 		r.stepDown("another host has a higher term")
 		return
 	}
-	if now.Sub(r.confirmedAt) > roleLease {
-		r.stepDown("the store has not confirmed the role within the role lease")
+	if r.stepDownIfExpired(now) {
 		return
 	}
 	if now.Sub(r.confirmStartedAt) > confirmInterval && !r.storeCallPending {
@@ -278,7 +277,7 @@
 	r.assigner.SetStoreOutage(out)
 	r.confirmRole(ctx, now)
 	r.executeAndPublish(ctx, r.assigner.Tick(now))
-	if now.Sub(r.lastResendAt) > resendInterval {
+	if r.assigner != nil && now.Sub(r.lastResendAt) > resendInterval {
 		r.lastResendAt = now
 		r.resendTables(r.host.clock.Now())
 	}
@@ -376,6 +375,14 @@
 	}
 }
 
+// stepDownIfExpired ends the role if the role lease has expired.
+func (r *assignerRole) stepDownIfExpired(now clock.Time) (expired bool) {
+	if expired = now.Sub(r.confirmedAt) > roleLease; expired {
+		r.stepDown("the store has not confirmed the role within the role lease")
+	}
+	return expired
+}
+
 // executeAndPublish starts the calls for the assigner's actions and publishes
 // changed tables.
 func (r *assignerRole) executeAndPublish(ctx context.Context, acts []owner.Action) {
@@ -383,22 +390,28 @@
 	r.publish()
 }
 
+// execute starts the calls for the assigner's actions, unless the role lease has
+// expired: the host may have been suspended since the last tick.
 func (r *assignerRole) execute(ctx context.Context, acts []owner.Action) {
+	now := r.now()
+	if r.stepDownIfExpired(now) {
+		return
+	}
 	for _, act := range acts {
 		switch act := act.(type) {
 		case owner.Grant:
-			c := &grantCall{role: r, grant: act, sentAt: r.now()}
+			c := &grantCall{role: r, grant: act, sentAt: now}
 			go c.run(ctx)
 		case owner.Release:
 			c := &releaseCall{role: r, release: act}
 			go c.run(ctx)
 		case owner.Write:
-			if r.storeCallPending || r.now() < r.nextWriteAt {
+			if r.storeCallPending || now < r.nextWriteAt {
 				r.assigner.WriteFailed()
 				continue
 			}
 			r.storeCallPending = true
-			c := &writeCall{role: r, write: act, rev: r.recordRev, startedAt: r.now()}
+			c := &writeCall{role: r, write: act, rev: r.recordRev, startedAt: now}
 			go c.run(ctx)
 		}
 	}
