owner: a grant in flight when its server restarts may take effect

Two servers could hold the same keys for up to the timeout.

Cause: when a server is listed with a later start, its ranges get a new fencing token, and the outcome of a call in flight under the former token is dropped. If that call went to the later process on a new connection and the process then couldn't be reached, the range was free when the former process's lease had expired.

Evidence: TestGrantInFlightAtRestart failed before: the other server had the keys while the lease of the call in flight could be valid.

Change: the call counts as unanswered.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -127,3 +127,29 @@
 		h.now = h.now.Add(20)
 	}
 }
+
+// Guards against a range that moves while the later process of its server has a
+// lease by a grant that was in flight when its registration arrived.
+func TestGrantInFlightAtRestart(t *testing.T) {
+	h := newHarness(t, Record{Term: 1}, server("a"), server("b"))
+	h.assigner.FormerEnded(h.now)
+	h.advance(3*clock.Second, "", Done)
+	var g Grant
+	for g.Server != "a" {
+		g = h.nextGrant()
+		if g.Server == "b" {
+			h.enqueue(h.assigner.GrantDone(h.now, h.now, g, Done))
+		}
+	}
+	restarted := server("a")
+	restarted.Born = 2
+	sent := h.now
+	h.enqueue(h.assigner.SetServers(h.now, []keys.Service{svc}, []fleet.Server{restarted, server("b")}))
+	leaseEnd := sent.Add(testConfig.Timeout + testConfig.LeaseTime + testConfig.LeaseTime*2/100)
+	for h.now < leaseEnd {
+		h.advance(20, "a", Failed)
+		h.Equal(h.keysPerServer()["b"], 32768)
+	}
+	h.advance(clock.Second, "a", Failed)
+	h.Equal(h.keysPerServer()["b"], 65536)
+}
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -8,6 +8,7 @@
 
 // SetServers sets the keyed services and the complete list of servers.
 func (a *Assigner) SetServers(now clock.Time, services []keys.Service, servers []fleet.Server) []Action {
+	a.now = now
 	if a.firstListAt == 0 && len(servers) > 0 {
 		a.firstListAt = now
 	}
@@ -65,6 +66,11 @@
 // before anything else happens to the range: otherwise a former assigner could
 // renew its lease there.
 func (a *Assigner) serverRestarted(rs *rangeState, sv fleet.Server) {
+	if rs.inFlight {
+		// The outcome won't match the new fence, and the new incarnation may have
+		// received the call.
+		rs.lateLeaseEnd = max(rs.lateLeaseEnd, a.now.Add(a.cfg.Timeout+a.cfg.maxLease(a.cfg.LeaseTime)))
+	}
 	a.version++
 	rs.Born, rs.Fence, rs.Addr = sv.Born, a.nextFence(), sv.Addr
 	rs.recordVersion, rs.acked, rs.released, rs.inFlight, rs.nextCall, rs.unansweredSince, rs.lastConn = a.version, false, false, false, 0, 0, 0
