--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -286,8 +286,7 @@
 		r.stepDown("another host has a higher term")
 		return
 	}
-	if now.Sub(r.confirmedAt) > roleLease {
-		r.stepDown("the store has not confirmed the role within the role lease")
+	if r.stepDownIfExpired(now) {
 		return
 	}
 	if now.Sub(r.confirmStartedAt) > r.confirmPeriod() && !r.storeCallPending {
@@ -302,7 +301,7 @@
 	r.assigner.SetStoreOutage(!r.host.isStoreUp())
 	r.confirmRole(ctx, now)
 	r.executeAndPublish(ctx, r.assigner.Tick(now))
-	if now.Sub(r.lastResendAt) > resendInterval {
+	if r.assigner != nil && now.Sub(r.lastResendAt) > resendInterval {
 		r.lastResendAt = now
 		r.resendTables(r.host.clock.Now())
 	}
@@ -437,6 +436,14 @@
 	r.assigner.RecordLost()
 }
 
+// stepDownIfExpired ends the role if the role lease has expired.
+func (r *assignerRole) stepDownIfExpired(now clock.Time) (expired bool) {
+	if expired = now.Sub(r.confirmedAt) > roleLease; expired {
+		r.stepDown("the store has not confirmed the role within the role lease")
+	}
+	return expired
+}
+
 // executeAndPublish starts the calls for the assigner's actions and publishes
 // changed tables.
 func (r *assignerRole) executeAndPublish(ctx context.Context, acts []owner.Action) {
@@ -444,22 +451,28 @@
 	r.publish()
 }
 
+// execute starts the calls for the assigner's actions, unless the role lease has
+// expired: the host may have been suspended since the last tick.
 func (r *assignerRole) execute(ctx context.Context, acts []owner.Action) {
+	now := r.now()
+	if r.stepDownIfExpired(now) {
+		return
+	}
 	for _, act := range acts {
 		switch act := act.(type) {
 		case owner.Grant:
-			c := &grantCall{role: r, grant: act, sentAt: r.now()}
+			c := &grantCall{role: r, grant: act, sentAt: now}
 			go c.run(ctx)
 		case owner.Release:
 			c := &releaseCall{role: r, release: act}
 			go c.run(ctx)
 		case owner.Write:
-			if r.storeCallPending || r.now() < r.nextWriteAt {
+			if r.storeCallPending || now < r.nextWriteAt {
 				r.assigner.WriteFailed()
 				continue
 			}
 			r.storeCallPending = true
-			c := &writeCall{role: r, write: act, rev: r.recordRev, startedAt: r.now()}
+			c := &writeCall{role: r, write: act, rev: r.recordRev, startedAt: now}
 			go c.run(ctx)
 		}
 	}
