front: keys stay served by a leaving server also if the outage isn't known yet

Seen: TestKeysOfLeavingServerInOutage failed in a run of all tests in platform/ with -race (0 of 6 requests served), after it had passed alone.

Cause: the assigner had the keys released while it took the store for reachable. A watch that began before the outage waits up to 1 s, and until then no call has failed.

Change: a server that says only in responses that it leaves is draining for the assigner once a store call that started after that has confirmed the role; the record is read at once for that. A failed read shows the outage, and the next confirmation follows when the store is back.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -98,7 +98,7 @@
 	r.host.noteEpoch(ev.rev.Epoch())
 	r.recordRev, r.confirmedAt, r.confirmStartedAt = ev.rev, ev.startedAt, now
 	r.claimedRecord, r.formerEnded = ev.rec, false
-	r.leaving = make(map[fleet.Incarnation]bool)
+	r.leavingSince = make(map[fleet.Incarnation]clock.Time)
 	r.tablesVersion, r.requiredVersion, r.tables, r.recentPublications = 0, 0, nil, nil
 	r.electedAt = r.host.clock.Now()
 	r.assigner = owner.New(owner.Config{
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -86,8 +86,8 @@
 	recentPublications []publication // sent less than tableAckTimeout ago
 	requiredVersion    uint64        // tables version that all hosts should have by now
 	resigned           bool
-	storeCallPending   bool                       // a read, write or claim of the record is in flight
-	leaving            map[fleet.Incarnation]bool // servers that the assigner treats as draining though their registrations don't say so
+	storeCallPending   bool                             // a read, write or claim of the record is in flight
+	leavingSince       map[fleet.Incarnation]clock.Time // when the assigner learned of servers that only say in responses that they leave
 	startedAt          clock.Time
 	lastMinorityAt     clock.Time // last time without a majority, on the clock of members
 }
@@ -251,22 +251,42 @@
 	return r.assigner.SetServers(now, cfg.KeyedServices(), r.serverList())
 }
 
-// serverList returns the servers for the assigner. Keys can't move while the store
-// is down, so a server that says that it leaves keeps its keys until the store is
-// back.
+// serverList returns the servers for the assigner. A server that says only in
+// responses that it leaves is draining in it once the store has confirmed the role
+// since: keys can't move while the store is down, and stay served until then.
 func (r *assignerRole) serverList() []fleet.Server {
 	r.host.mu.Lock()
 	list, up := r.host.fleet.List(), r.host.storeUp
 	r.host.mu.Unlock()
 	for i, sv := range list {
-		if up && r.host.relay.Leaving(sv) {
-			r.leaving[sv.Incarnation()] = true
+		if sv.Draining || !r.host.relay.Leaving(sv) {
+			continue
+		}
+		in := sv.Incarnation()
+		if _, known := r.leavingSince[in]; !known {
+			r.leavingSince[in] = r.now()
+		}
+		list[i].Draining = r.confirmedAt >= r.leavingSince[in]
+		if !list[i].Draining && up {
+			r.confirmStartedAt = 0 // read the record at once
 		}
-		list[i].Draining = sv.Draining || r.leaving[sv.Incarnation()]
 	}
 	return list
 }
 
+// confirm records that a call that started at the given time has confirmed the
+// role in the store.
+func (r *assignerRole) confirm(startedAt clock.Time) {
+	before := r.confirmedAt
+	r.confirmedAt = max(before, startedAt)
+	for _, since := range r.leavingSince {
+		if before < since && since <= r.confirmedAt {
+			r.notifyServersChanged()
+			return
+		}
+	}
+}
+
 func (r *assignerRole) tick(ctx context.Context) {
 	now := r.now()
 	if r.assigner == nil {
@@ -345,7 +365,8 @@
 	switch {
 	case ev.err == nil:
 		r.host.noteEpoch(ev.rev.Epoch())
-		r.recordRev, r.confirmedAt = ev.rev, max(r.confirmedAt, ev.startedAt)
+		r.recordRev = ev.rev
+		r.confirm(ev.startedAt)
 		r.executeAndPublish(ctx, r.assigner.WriteDone(now, ev.version))
 	case errors.Is(ev.err, ErrRefused):
 		r.nextWriteAt = now.Add(writeBackoff)
@@ -384,7 +405,7 @@
 		r.stepDown("the store names another assigner")
 		return
 	}
-	r.confirmedAt = max(r.confirmedAt, ev.startedAt)
+	r.confirm(ev.startedAt)
 	if ev.rev.Number() >= r.recordRev.Number() {
 		r.recordRev = ev.rev
 		r.assigner.RecordRead(ev.rec)
