--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -112,7 +112,7 @@
 func (r *assignerRole) startTerm(now clock.Time, rec owner.Record, rev epoch.Revision, confirmedAt clock.Time) {
 	r.recordRev, r.confirmedAt, r.confirmStartedAt = rev, confirmedAt, now
 	r.claimedRecord, r.formerEnded = rec, false
-	r.leaving = make(map[fleet.Incarnation]bool)
+	r.leavingSince = make(map[fleet.Incarnation]clock.Time)
 	r.tablesVersion, r.requiredVersion, r.tables, r.recentPublications = 0, 0, nil, nil
 	r.electedAt = r.host.clock.Now()
 	r.heldTerm.Store(rec.Term)
