--- a/internal/front/restore.go
+++ b/internal/front/restore.go
@@ -36,6 +36,7 @@
 // restored begins the term of a record that keepAfterRestore has written.
 func (r *assignerRole) restored(ctx context.Context, now clock.Time, ev restoreDone) {
 	r.assigner.Restored(now, ev.rec)
+	r.assigner.Confirm(ev.startedAt)
 	r.startTerm(now, ev.rec, ev.rev, ev.startedAt)
 	r.host.log.Info("kept the assigner role after a restore of the store", zap.Uint64("term", ev.rec.Term), zap.Uint64("epoch", ev.rev.Epoch()))
 	r.executeAndPublish(ctx, r.updateServers(now))
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -7,9 +7,9 @@
 //
 // Another host may have claimed the role in the part of the history that was lost.
 // It can have moved only ranges whose servers have acknowledged its fence, so a
-// server that still accepts this assigner's fence is the only one with a lease on
-// the range. The others may be leased to unknown servers until the role lease of
-// that host and a lease time have passed.
+// process that has had this assigner's fence and still accepts it is the only one
+// with a lease on the range. The others may be leased to unknown servers until the
+// role lease of that host and a lease time have passed.
 func (a *Assigner) Restored(now clock.Time, rec Record) {
 	a.record.Term, a.record.Epoch, a.record.Seq = rec.Term, rec.Epoch, rec.Seq
 	a.record.Former, a.record.Unverified = rec.Former, rec.Unverified
@@ -20,11 +20,11 @@
 		for _, rs := range ranges {
 			rs.acked, rs.released, rs.nextCall = false, false, 0
 			rs.leaseEnd = max(rs.leaseEnd, a.unknownLeaseEnd)
-			if rs.Server != "" && rs.recordVersion <= a.writtenVersion {
+			if rs.Server != "" && rs.recordVersion <= a.writtenVersion && rs.lastConn != 0 {
 				rs.recordVersion = 1
 				continue
 			}
-			rs.blockedUntil, rs.recordVersion = a.unknownLeaseEnd, a.version
+			rs.inFlight, rs.blockedUntil, rs.recordVersion = false, a.unknownLeaseEnd, a.version
 			if rs.Server != "" {
 				rs.Fence = a.nextFence()
 			}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,8 @@
 	StoreLink                     // link-to-store
 	ServerLink                    // link-to-server
 	Configure                     // configure
+	LeaveServer                   // leave-server
+	PauseServer                   // pause-server
 	StoreRestore                  // store-restore
 	RepeatResponses               // repeat-answers
 	numKinds                      // kinds
@@ -43,12 +45,12 @@
 
 // targetsServer reports whether the target of a step is a backend server.
 func (k Kind) targetsServer() bool {
-	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == RepeatResponses
+	return k >= CrashServer && k <= ShedRequests || k == ServerLink || k == LeaveServer || k == PauseServer || k == RepeatResponses
 }
 
 // planned reports whether a step is planned work, which must not affect callers.
 func (k Kind) planned() bool {
-	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure
+	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure || k == LeaveServer || k == PauseServer
 }
 
 const (
@@ -77,6 +79,10 @@
 // that apply only without faults are checked with these seeds.
 const plannedOnlyEvery = 4
 
+// allKindsFrom is the first seed whose plan may have steps of all kinds. Lower
+// ones have the kinds, and so the plans, with which some of them have failed.
+const allKindsFrom = 100
+
 // minDrainTime is added to the time for which a server drains, so that it is
 // longer than the time limit for new requests to the server.
 const minDrainTime = 4 * clock.Second
@@ -113,7 +119,7 @@
 			switch s.Kind {
 			case ReloadHost, StoreCompact, Configure:
 				s.Duration = 0
-			case DrainServer:
+			case DrainServer, LeaveServer:
 				s.Duration += minDrainTime
 			}
 			steps = append(steps, s)
@@ -162,7 +168,11 @@
 // kindsOf returns the kinds that the steps of a seed may have, apart from those of
 // planRestores and planRepeats.
 func kindsOf(seed uint64) (all []Kind) {
-	for k := range StoreRestore {
+	kinds := StoreRestore
+	if seed < allKindsFrom {
+		kinds = LeaveServer
+	}
+	for k := range kinds {
 		if k.planned() || seed%plannedOnlyEvery != 0 {
 			all = append(all, k)
 		}
