platform: open a connection only for grants that end former leases

A false acknowledgement does harm only where it ends leases of a former assigner, as only then the assigner stops waiting for them: after a takeover, a restart of the server or the reuse of its address. Change: owner.Grant.EndsFormer marks these grants, and the others use kept connections, like renewals. TestEndsFormer is new.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -85,6 +85,9 @@
 	LeaseTime clock.Span
 	Handover  string // state from the former owner
 	First     bool   // not a renewal
+	// EndsFormer says that the server's leases from former assigners end with the
+	// acknowledgement.
+	EndsFormer bool
 }
 
 // Release makes a server give up its lease on a range of keys.
@@ -287,7 +290,10 @@
 	lease := a.cfg.LeaseTime
 	rs.inFlight = true
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
-	return Grant{Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover, First: !rs.acked}
+	return Grant{
+		Service: s, Server: rs.Server, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease, Handover: rs.handover,
+		First: !rs.acked, EndsFormer: !rs.acked && rs.leaseEnd > now,
+	}
 }
 
 // Record returns the current record.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -253,6 +253,45 @@
 	h.True(len(h.queue) > 0)
 }
 
+// Guards against a grant whose acknowledgement ends leases of a former assigner
+// without being marked, and against marks on the others, which cost a connection.
+func TestEndsFormer(t *testing.T) {
+	rec := Record{Term: 2, Tables: map[keys.Service][]Assignment{svc: {{From: 0, To: MaxKey, Server: "a", Born: 1, Fence: newFence(1, 900)}}}}
+	h := newHarness(t, rec, server("a"))
+	marked := func() (n, all int) {
+		for _, act := range h.queue {
+			if g, ok := act.(Grant); ok {
+				all++
+				if g.EndsFormer {
+					n++
+				}
+			}
+		}
+		return n, all
+	}
+	n, all := marked()
+	h.Equal(n, 1)
+	h.Equal(all, 1)
+	h.answerAll("", Done)
+	h.now = h.now.Add(testConfig.LeaseTime)
+	h.enqueue(h.assigner.Tick(h.now)) // renews the lease
+	n, all = marked()
+	h.Equal(n, 0)
+	h.True(all > 0)
+	h.answerAll("", Done)
+	gone := server("a")
+	gone.Draining = true
+	h.enqueue(h.assigner.SetServers(h.now, []keys.Service{svc}, []fleet.Server{gone, server("b")}))
+	for range 200 { // moves the range
+		h.now = h.now.Add(20)
+		h.enqueue(h.assigner.Tick(h.now))
+		n, _ = marked()
+		h.Equal(n, 0)
+		h.answerAll("", Done)
+	}
+	h.Equal(h.keysPerServer()["b"], 65536)
+}
+
 // A restarted server has no leases: its ranges are granted again at once, with a
 // higher fence.
 func TestServerRestart(t *testing.T) {
