--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,6 +93,9 @@
 	// later one may reach another process at the address than the one that got
 	// Fence before. 0: no process has got it.
 	LastConn uint64
+	// EndsFormer says that the server's leases from former assigners end with the
+	// acknowledgement.
+	EndsFormer bool
 }
 
 // Release makes a server give up its lease on a range of keys.
@@ -329,7 +332,7 @@
 	rs.nextCall = now.Add(a.cfg.LeaseTime / renewalsPerLease)
 	return Grant{
 		Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence, LeaseTime: lease,
-		Handover: rs.handover, First: !rs.acked, LastConn: rs.lastConn,
+		Handover: rs.handover, First: !rs.acked, EndsFormer: !rs.acked && rs.leaseEnd > now, LastConn: rs.lastConn,
 	}
 }
 
