owner, link: renewals after a restore keep their times and wait for a connection

Cause: after a restore all renewals were due at once. A renewal has to use a connection that reaches the same process, and failed as not connected while all of a server's were in use; such a range was blocked until unknown leases had ended. Change: renewals keep their times, and a request that needs an earlier connection waits for one in use.

--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -230,10 +230,11 @@
 	ctx     context.Context
 	pool    *Pool
 	results chan<- Result
+	last    uint64 // Request.LastConn
 }
 
 func (x *sending) run() {
-	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse, Confusable: noResponse})
+	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse, Confusable: noResponse, LastConn: x.last})
 }
 
 // heapBytes returns the bytes of the heap in use.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -65,6 +65,9 @@
 	// written concurrently.
 	maxInlineBytes  = 8 << 10
 	readBufferBytes = 4 << 10
+	// inUsePollInterval is the period in which a request that needs an earlier
+	// connection checks whether one in use is idle again.
+	inUsePollInterval = 2 * time.Millisecond
 	// maxConfusable bounds the confusable responses that are remembered for a
 	// connection. It is closed after them.
 	maxConfusable = 64
@@ -98,7 +101,8 @@
 	Confusable func(status int, h http.Header) bool
 	NewConn    bool // send it on a new connection only
 	// LastConn is the highest number of a connection that may carry the request;
-	// 0 means any, and a new one is opened if none is idle.
+	// 0 means any, and a new one is opened if none is idle. The request waits for one
+	// that is in use.
 	LastConn uint64
 }
 
@@ -144,6 +148,7 @@
 	observe func(status int, h http.Header)
 	mu      sync.Mutex
 	idle    []*conn
+	inUse   map[uint64]bool // numbers of the connections with a request in progress
 	closed  bool
 }
 
@@ -163,7 +168,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = Dialer(dialTimeout).DialContext
 	}
-	return &Pool{cfg: cfg, observe: func(int, http.Header) {}}
+	return &Pool{cfg: cfg, observe: func(int, http.Header) {}, inUse: make(map[uint64]bool)}
 }
 
 // Observe has the head of each response passed to a function, also that of health
@@ -256,6 +261,7 @@
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiry) && c.hasNoInput() {
 			c.probes = 0
+			p.inUse[c.number] = true
 			return c
 		}
 		c.Close()
@@ -263,6 +269,29 @@
 	return nil
 }
 
+// setInUse records whether a connection has a request in progress.
+func (p *Pool) setInUse(c *conn, inUse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if inUse {
+		p.inUse[c.number] = true
+		return
+	}
+	delete(p.inUse, c.number)
+}
+
+// hasInUse reports whether a connection up to a number has a request in progress.
+func (p *Pool) hasInUse(last uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for number := range p.inUse {
+		if number <= last {
+			return true
+		}
+	}
+	return false
+}
+
 // hasNoInput reports whether an idle connection has nothing to read: neither the
 // server's close nor bytes that belong to no request.
 func (c *conn) hasNoInput() bool {
@@ -321,11 +350,15 @@
 	if !r.NewConn {
 		c = p.takeIdle(time.Now(), r)
 	}
-	if c == nil {
-		if r.LastConn != 0 {
+	for c == nil && r.LastConn != 0 {
+		if ctx.Err() != nil || !p.hasInUse(r.LastConn) {
 			res.Err = ErrNoConn
 			return res
 		}
+		time.Sleep(inUsePollInterval)
+		c = p.takeIdle(time.Now(), r)
+	}
+	if c == nil {
 		nc, err := p.cfg.Dial(ctx, "tcp", p.cfg.Addr)
 		if err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
@@ -333,7 +366,9 @@
 		}
 		c = newConn(nc)
 		res.NewConn = true
+		p.setInUse(c, true)
 	}
+	defer p.setInUse(c, false)
 	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(c, r, maxBodyBytes, &res)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -309,3 +310,23 @@
 	is.NoErr(send(p).Err)
 	is.Equal(p.Idle(), 1)
 }
+
+// Guards against a request that isn't sent because the earlier connections that may
+// carry it are all in use.
+func TestLastConnInUse(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
+	defer s.Close()
+	p := NewPool(s.Listener.Addr().String(), NewBudget(maxBodyBytes*2))
+	req := Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse, Confusable: noResponse}
+	req.LastConn = p.Do(t.Context(), req).LastConn
+	other := make(chan Result, 1)
+	x := &sending{ctx: t.Context(), pool: p, results: other, last: req.LastConn}
+	go x.run()
+	res := p.Do(t.Context(), req)
+	is.NoErr(res.Err)
+	is.True(!res.NewConn)
+	res = <-other
+	is.NoErr(res.Err)
+	is.True(!res.NewConn)
+}
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -18,7 +18,7 @@
 	a.version++
 	for _, ranges := range a.tables {
 		for _, rs := range ranges {
-			rs.acked, rs.released, rs.nextCall = false, false, 0
+			rs.acked, rs.released = false, false
 			rs.leaseEnd = max(rs.leaseEnd, a.unknownLeaseEnd)
 			if rs.Server != "" && rs.recordVersion <= a.writtenVersion && rs.lastConn != 0 {
 				rs.recordVersion = 1
--- a/internal/owner/restore_test.go
+++ b/internal/owner/restore_test.go
@@ -103,3 +103,16 @@
 	a.GrantDone(2020, 2010, next, Done)
 	is.True(a.tables[svc][0].acked)
 }
+
+// Guards against renewals that are all sent at once after a restore, and find no
+// connection that shows that they reach the same process.
+func TestRestoredKeepsRenewalTimes(t *testing.T) {
+	is := is.New(t)
+	a := New(testConfig, 1000, Record{Term: 1025, Epoch: 1, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "s0", Addr: "s0:1", Born: 1}}}})
+	g := grants(a.SetServers(1000, []keys.Service{svc}, []fleet.Server{server("s0")}))[0]
+	g.LastConn = 1
+	a.GrantDone(1010, 1000, g, Done)
+	a.Restored(1100, a.Record().Restored(2))
+	is.Equal(len(grants(a.Tick(1100))), 0)
+	is.Equal(len(grants(a.Tick(clock.Time(1000).Add(testConfig.LeaseTime/renewalsPerLease)))), 1)
+}
