--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -243,6 +243,23 @@
 	return m.HeapAlloc
 }
 
+// Guards against a response that comes too slowly and holds its request past its
+// deadline.
+func TestSlowResponse(t *testing.T) {
+	for _, prefix := range []string{"", "HTT", "HTTP/1.1 200 OK\r\nId:", "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9\r\n\r\nabc"} {
+		is := is.New(t)
+		s := newEndlessServer(t, prefix, "x", 1)
+		s.pause = 3 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		res := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes)).Do(ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse})
+		is.True(errors.Is(res.Err, ErrConnLost))
+		is.True(res.Sent)
+		is.True(time.Since(began) < 700*time.Millisecond)
+	}
+}
+
 // Guards against an idle connection that receives bytes until it expires: they
 // count as memory of the process.
 func TestInputWhileIdle(t *testing.T) {
