--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -142,8 +142,9 @@
 }
 
 // Sweep closes the idle connections that have expired or have input, which may go
-// on without end. The one that was used last is kept open with health requests to the given path, at most maxProbes in a row, as
-// they cost less than a new connection.
+// on without end. The one that was used last is kept open with health requests to
+// the given path, at most maxProbes in a row, as they cost less than a new
+// connection.
 func (p *Pool) Sweep(ctx context.Context, now time.Time, healthPath string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
