link: a response that waits for memory ends with its deadline

Cause: a response that needs room in the budget waited, without regard to its deadline, until the responses that were given up had released theirs: 50 to 116 ms at a time in a trial of TestEndlessResponses under -race (load 15 on 8 cores), several times for one request. One request there took 1,505 ms with a route timeout of 1 s (the test's bound is 1,500 ms).

Change: the end of the context gives up the hold of a response, which ends its wait.

Result: TestWaitForMemory waited without end before the change and passes now. TestEndlessResponses still failed in 2 of 3 runs under -race at load 24, for another reason, which isn't traced yet.

--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,13 +26,13 @@
 	errGivenUp     = errors.New("response given up: the responses in progress exceed the limit for their memory")
 )
 
-// readBody reads the body of a response. Its errors wrap ErrConnLost or
-// ErrMalformed.
-func readBody(resp *http.Response, maxBytes int64, h *hold) (b []byte, err error) {
+// readBody reads the body of a response until ctx ends. Its errors wrap ErrConnLost
+// or ErrMalformed.
+func readBody(ctx context.Context, resp *http.Response, maxBytes int64, h *hold) (b []byte, err error) {
 	defer func() {
 		switch {
 		case err == nil:
-		case errors.Is(err, errBodyTooLong), errors.Is(err, errGivenUp):
+		case errors.Is(err, errBodyTooLong), errors.Is(err, errGivenUp) && ctx.Err() == nil:
 			err = fmt.Errorf("%w: %w", ErrMalformed, err)
 		default:
 			err = fmt.Errorf("%w: %w", ErrConnLost, err)
--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -1,6 +1,9 @@
 package link
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Budget bounds the memory of the response bodies that are being read, on all
 // connections that share it. When they exceed it, the longest one of the server
@@ -28,17 +31,37 @@
 	pool    *Pool
 	bytes   int64
 	givenUp bool
-	giveUp  func() // ends the reading; it must not block
+	endRead func()      // ends the reading; it must not block
+	stop    func() bool // stops the wait for the end of the context
 }
 
-func (b *Budget) newHold(p *Pool, giveUp func()) *hold {
-	h := &hold{budget: b, pool: p, giveUp: giveUp}
+// newHold returns the hold of a response. The response is given up when ctx ends.
+func (b *Budget) newHold(ctx context.Context, p *Pool, endRead func()) *hold {
+	h := &hold{budget: b, pool: p, endRead: endRead}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.holds[h] = struct{}{}
+	h.stop = context.AfterFunc(ctx, h.cancel)
 	return h
 }
 
+// cancel gives up the response, unless it is complete.
+func (h *hold) cancel() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if _, ok := h.budget.holds[h]; ok && !h.givenUp {
+		h.giveUp()
+	}
+}
+
+// giveUp gives up the response. The budget's mu is held.
+func (h *hold) giveUp() {
+	h.givenUp = true
+	h.budget.leaving += h.bytes
+	h.endRead()
+	h.budget.released.Broadcast()
+}
+
 // add adds a number of bytes, which may be negative. It waits until responses that
 // were given up have released theirs. It reports whether the response may go on.
 func (h *hold) add(n int64) bool {
@@ -81,14 +104,12 @@
 			longest = h
 		}
 	}
-	longest.givenUp = true
-	b.leaving += longest.bytes
 	longest.giveUp()
-	b.released.Broadcast()
 }
 
 // close releases the bytes.
 func (h *hold) close() {
+	h.stop()
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -260,6 +260,27 @@
 	}
 }
 
+// Guards against a response that waits, past its deadline, for the memory of one
+// that was given up and isn't released yet.
+func TestWaitForMemory(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	p := NewPool("a", b)
+	leaving := b.newHold(t.Context(), p, func() {})
+	is.True(leaving.add(80))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	ended := make(chan struct{})
+	waiting := b.newHold(ctx, NewPool("b", b), func() { close(ended) })
+	is.True(!waiting.add(60)) // gives up the other one, and waits
+	is.True(leaving.givenUp)
+	<-ended
+	waiting.close()
+	leaving.close()
+	is.Equal(b.used, int64(0))
+	is.Equal(b.leaving, int64(0))
+}
+
 // Guards against an idle connection that receives bytes until it expires: they
 // count as memory of the process.
 func TestInputWhileIdle(t *testing.T) {
--- a/internal/link/fuzz_test.go
+++ b/internal/link/fuzz_test.go
@@ -39,7 +39,7 @@
 		p := NewPool("x", budget)
 		var res Result
 		r := Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "me" }}
-		p.exchange(newConn(bytesConn{reader: bytes.NewReader(b)}), r, maxBodyBytes, &res)
+		p.exchange(t.Context(), newConn(bytesConn{reader: bytes.NewReader(b)}), r, maxBodyBytes, &res)
 		is.Equal(budget.used, int64(0))
 		if res.Err != nil {
 			is.Equal(len(res.Body), 0)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -182,7 +182,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, maxProbeBodyBytes, &res)
+	reusable := pr.pool.exchange(ctx, pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.addr, Matches: anyResponse}, maxProbeBodyBytes, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -274,7 +274,7 @@
 		res.NewConn = true
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	reusable := p.exchange(c, r, maxBodyBytes, &res)
+	reusable := p.exchange(ctx, c, r, maxBodyBytes, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
@@ -285,7 +285,7 @@
 
 // exchange sends a request on a connection and reads its response with a body of
 // at most maxBytes. It reports whether the connection can be reused.
-func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
+func (p *Pool) exchange(ctx context.Context, c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
@@ -302,9 +302,9 @@
 		return false
 	}
 	// The body isn't closed: that would read it to its end.
-	h := p.budget.newHold(p, func() { c.Close() })
+	h := p.budget.newHold(ctx, p, func() { c.Close() })
 	defer h.close()
-	body, err := readBody(resp, maxBytes, h)
+	body, err := readBody(ctx, resp, maxBytes, h)
 	if err != nil {
 		res.Err = err
 		return false
