--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -195,8 +195,9 @@
 }
 
 // Sweep closes the idle connections that have expired or have input, which may go
-// on without end. The one that was used last is kept open with health requests to the given path, at most maxProbes in a row, as
-// they cost less than a new connection.
+// on without end. The one that was used last is kept open with health requests to
+// the given path, at most maxProbes in a row, as they cost less than a new
+// connection.
 func (p *Pool) Sweep(ctx context.Context, now time.Time, healthPath string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,7 +235,7 @@
 	}
 	var res Result
 	stop := context.AfterFunc(ctx, func() { pr.conn.Close() })
-	reusable := pr.pool.exchange(pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.cfg.Addr, Matches: anyResponse, Confusable: noResponse}, maxProbeBodyBytes, &res)
+	reusable := pr.pool.exchange(ctx, pr.conn, Request{Method: http.MethodGet, Target: pr.path, Host: pr.pool.cfg.Addr, Matches: anyResponse, Confusable: noResponse}, maxProbeBodyBytes, &res)
 	if !stop() || !reusable || res.Status != http.StatusOK || pr.conn.reader.Buffered() > 0 {
 		pr.conn.Close()
 		return
@@ -371,7 +372,7 @@
 	defer p.setInUse(c, false)
 	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	reusable := p.exchange(c, r, maxBodyBytes, &res)
+	reusable := p.exchange(ctx, c, r, maxBodyBytes, &res)
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
@@ -382,7 +383,7 @@
 
 // exchange sends a request on a connection and reads its response with a body of
 // at most maxBytes. It reports whether the connection can be reused.
-func (p *Pool) exchange(c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
+func (p *Pool) exchange(ctx context.Context, c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
@@ -400,9 +401,9 @@
 	}
 	p.observe(resp.StatusCode, resp.Header)
 	// The body isn't closed: that would read it to its end.
-	h := p.cfg.Budget.newHold(p, func() { c.Close() })
+	h := p.cfg.Budget.newHold(ctx, p, func() { c.Close() })
 	defer h.close()
-	body, err := readBody(resp, maxBytes, h)
+	body, err := readBody(ctx, resp, maxBytes, h)
 	if err != nil {
 		res.Err = err
 		return false
