place: forget what servers that have left said about themselves

Cause: a host kept one entry for each server that had said it leaves or wants a pause, until it restarted. Change: the entry of a server that isn't listed is removed five minutes after its effect has ended. Result: TestNoticesAreForgotten failed before (without the bound it doesn't build) and passes; internal/place passes.

--- a/internal/place/notice.go
+++ b/internal/place/notice.go
@@ -17,6 +17,20 @@
 	pausedUntil clock.Time
 }
 
+// noticeRetention is how long the notice of a server is kept after its effect, while
+// the server isn't listed. It is longer than the age of a copy that the store may be
+// restored from.
+const noticeRetention = 5 * 60 * clock.Second
+
+// forgetNotices removes the notices of servers that are no longer listed.
+func (s *State) forgetNotices(now clock.Time) {
+	for id, n := range s.notices {
+		if s.servers[id] == nil && now.Sub(max(n.leavesAt, n.pausedUntil)) > noticeRetention {
+			delete(s.notices, id)
+		}
+	}
+}
+
 // applies reports whether a listed server is the process that gave the notice,
 // or an earlier one.
 func (n notice) applies(sv fleet.Server) bool { return sv.Born <= n.born }
--- a/internal/place/notice_test.go
+++ b/internal/place/notice_test.go
@@ -203,3 +203,17 @@
 		})
 	}
 }
+
+// Guards against memory that grows with each server that has left.
+func TestNoticesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := New("north", oneIdleConn)
+	s.SetServers(0, servers(1))
+	s.SetLeaving(0, servers(1)[0].Incarnation(), 1800)
+	s.SetServers(clock.Time(1800).Add(noticeRetention), nil)
+	is.Equal(len(s.notices), 1)
+	s.SetServers(clock.Time(1801).Add(noticeRetention), servers(1))
+	is.Equal(len(s.notices), 1) // listed
+	s.SetServers(clock.Time(1801).Add(noticeRetention), nil)
+	is.Equal(len(s.notices), 0)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -185,6 +185,7 @@
 		s.order = append(s.order, sv.ID)
 	}
 	s.groupServers()
+	s.forgetNotices(now)
 	for h, p := range s.peers {
 		s.addPeerLoad(h, p)
 	}
