front: a stopping host that still has the role counts as one that may act

After a restore of the store the assigner ends its wait once no known host can have the role. A host that says it is leaving was counted as such even while its heartbeats had the role's term: it sets leaving before it resigns, and the resignation can time out after a second. Keys could then move before that host's leases had expired.

Found by reading. TestNoneActsWhileHostStops failed before in the case "leaving, still with the role".

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -326,12 +326,12 @@
 }
 
 // noneActs reports whether each other known host has sent a heartbeat without the
-// assigner's role after the given time, or is leaving.
+// assigner's role after the given time, or has given the role up and is leaving.
 func (ms *members) noneActs(after clock.Time) bool {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, m := range ms.all {
-		if !m.leaving && (m.lastHeartbeat <= after || m.roleTerm > 0) {
+		if m.roleTerm > 0 || !m.leaving && m.lastHeartbeat <= after {
 			return false
 		}
 	}
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -96,3 +96,29 @@
 	restarted.Incarnation = 2
 	is.True(seed.handleHeartbeat(30, restarted)) // a new process
 }
+
+// Guards against a stopping host that still has the assigner's role but counts as
+// one that can't act, so that keys move before its leases have expired.
+func TestNoneActsWhileHostStops(t *testing.T) {
+	tests := []struct {
+		name string
+		last mesh.Heartbeat
+		at   clock.Time
+		want bool
+	}{
+		{"without the role", mesh.Heartbeat{}, 20, true},
+		{"without the role, before", mesh.Heartbeat{}, 5, false},
+		{"with the role", mesh.Heartbeat{Term: 3}, 20, false},
+		{"leaving, role given up", mesh.Heartbeat{Leaving: true}, 5, true},
+		{"leaving, still with the role", mesh.Heartbeat{Leaving: true, Term: 3}, 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "self", IP: "127.0.0.1"})
+			tt.last.From, tt.last.Incarnation, tt.last.IP = "a", 1, "127.0.0.2"
+			ms.handleHeartbeat(tt.at, &tt.last)
+			is.Equal(ms.noneActs(10), tt.want)
+		})
+	}
+}
