front: pause after a restored store has refused the record

The pause was set to the start of the next confirmation three seconds apart, but after a restore that period is writeBackoff. So the read, and with it the write, was repeated at the next tick for as long as the store refused it, and refused calls are billed.

TestRefusedWriteAfterRestore failed before.

--- a/internal/front/restore.go
+++ b/internal/front/restore.go
@@ -27,7 +27,7 @@
 	r.assigner.WriteFailed()
 	if ev.err != nil {
 		r.host.log.Info("cannot keep the assigner role in the restored store; reading the record", zap.Error(ev.err))
-		r.nextWriteAt, r.confirmStartedAt = now.Add(writeBackoff), now.Add(writeBackoff-confirmInterval)
+		r.nextWriteAt, r.confirmStartedAt = now.Add(writeBackoff), now // see confirmPeriod
 		return
 	}
 	r.restored(ctx, now, ev)
