owner: test that a server restarted after a restore gets no grant at once

No test in owner, front, fleet or epoch failed without the block of the range in GrantDone (Unconnected) or in serverRestarted. Each case of the new test fails without its block.

--- a/internal/owner/restore_test.go
+++ b/internal/owner/restore_test.go
@@ -103,3 +103,50 @@
 	a.GrantDone(2020, 2010, next, Done)
 	is.True(a.tables[svc][0].acked)
 }
+
+// Guards against a grant after a restore to a later process of a server: the former
+// one can have lost the range to another server in the lost part.
+func TestRestoredServerRestarted(t *testing.T) {
+	restarted := server("s0")
+	restarted.Born = 2
+	for _, tt := range []struct {
+		name    string
+		restart func(a *Assigner, now clock.Time, renewal Grant) []Action
+	}{
+		{"connection closed", func(a *Assigner, now clock.Time, renewal Grant) []Action {
+			return a.GrantDone(now, now, renewal, Unconnected)
+		}},
+		{"registered again", func(a *Assigner, now clock.Time, _ Grant) []Action {
+			return a.SetServers(now, []keys.Service{svc}, []fleet.Server{restarted})
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(testConfig, 1000, Record{Term: 1025, Epoch: 1, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "s0", Addr: "s0:1", Born: 1}}}})
+			g := grants(a.SetServers(1000, []keys.Service{svc}, []fleet.Server{server("s0")}))[0]
+			g.LastConn = 1
+			a.GrantDone(1010, 1000, g, Done)
+			now := clock.Time(2000)
+			a.Restored(now, a.Record().Restored(2))
+			renewal := grants(a.Tick(now))[0]
+			a.WriteFailed()
+			acts := tt.restart(a, now, renewal)
+			granted := false
+			for !granted && now < 60000 {
+				now = now.Add(20)
+				a.Confirm(now)
+				acts = append(acts, a.Tick(now)...)
+				for ; len(acts) > 0; acts = acts[1:] {
+					switch act := acts[0].(type) {
+					case Write:
+						acts = append(acts, a.WriteDone(now, act.Version)...)
+					case Grant:
+						granted = true
+					}
+				}
+			}
+			is.True(granted)
+			is.True(now.Sub(2000) > testConfig.RoleLease+testConfig.LeaseTime)
+		})
+	}
+}
