--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -236,11 +236,12 @@
 	x.results <- x.pool.Do(x.ctx, Request{Method: "GET", Target: "/", Host: "h", Matches: anyResponse})
 }
 
-// heapBytes returns the bytes of the heap in use.
+// heapBytes returns the bytes of the heap in use. Unlike runtime.ReadMemStats it
+// doesn't stop the goroutines.
 func heapBytes() uint64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64()
 }
 
 // Guards against a response that comes too slowly and holds its request past its
