front, owner: a late claim's first grants need a confirmed role

A claim's response can be handled long after the claim took effect: the store responds within 2 s, and the host can be suspended for up to the role lease. Meanwhile a later assigner can have fenced a server, moved its keys, and the server's next process can be back at the address without a fencing token. The first grants of the earlier claim were sent to it without a confirmation of the role, as only failed calls and gaps in the list required one. Two servers could have the keys.

A claim that is handled within assignerTimeout isn't delayed.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -100,6 +100,9 @@
 	r.assigner = owner.New(owner.Config{
 		LeaseTime: min(leaseTime, r.host.cfg.Settings.MaxLeaseTime), Timeout: grantTimeout, RoleLease: roleLease,
 	}, now, ev.rec)
+	if now.Sub(ev.startedAt) > assignerTimeout {
+		r.assigner.RequireConfirmation(now) // another host may have claimed the role since
+	}
 	r.startTerm(now, ev.rec, ev.rev, ev.startedAt)
 	r.host.log.Info("claimed the assigner role", zap.Uint64("term", ev.rec.Term),
 		zap.String("former", string(ev.prior.Holder)), zap.Uint64("formerTerm", ev.prior.Term), zap.Uint64("epoch", ev.rev.Epoch()), zap.Bool("unverified", ev.rec.Unverified))
--- /dev/null
+++ b/internal/front/claim_test.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Guards against first grants by a host that handles its claim's response late: a
+// later assigner may have moved the keys, and the server may have restarted since.
+func TestNoGrantAfterLateClaim(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		age     clock.Span
+		granted bool
+	}{
+		{"at once", 0, true},
+		{"after a suspension", 5 * clock.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := &countingGranter{grants: make(chan owner.Grant, 4)}
+			st := &recordStore{reads: make(chan struct{}, 4)}
+			h := New(Config{Settings: Settings{Host: "self", MaxLeaseTime: leaseTime}, Store: st, Granter: g, Log: zap.NewNop()})
+			h.relay.SetConfig(intent.New(intent.Document{Services: []intent.Service{{Name: "ledger", Keyed: true}}}))
+			h.fleet.Put(fleet.Server{ID: "a", Service: "ledger", Addr: "a:1", Slots: 2, Born: 1})
+			now := h.role.now()
+			h.role.handleClaim(t.Context(), now, claimDone{startedAt: now.Add(-tt.age), rev: epoch.At(1, 5), rec: owner.Record{
+				Term: 2, Epoch: 1, Tables: map[keys.Service][]owner.Assignment{"ledger": {{To: owner.MaxKey, Server: "a", Addr: "a:1", Born: 1}}},
+			}})
+			select {
+			case <-g.grants:
+				is.True(tt.granted)
+			case <-time.After(200 * time.Millisecond):
+				is.True(!tt.granted)
+			}
+			if !tt.granted {
+				is.True(h.role.assigner.NeedsConfirmation())
+			}
+		})
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -234,6 +234,16 @@
 // it became known that a new connection is needed.
 func (a *Assigner) NeedsConfirmation() bool { return a.unconfirmed }
 
+// RequireConfirmation has grants on new connections wait until this process is
+// confirmed to have been the assigner at a time.
+func (a *Assigner) RequireConfirmation(at clock.Time) {
+	for _, ranges := range a.tables {
+		for _, rs := range ranges {
+			rs.confirmAfter = at
+		}
+	}
+}
+
 // SetStoreOutage sets whether the store is unreachable. Load isn't balanced during
 // an outage, as no move can be recorded.
 func (a *Assigner) SetStoreOutage(out bool) { a.storeOutage = out }
