--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -153,3 +153,17 @@
 	h.advance(clock.Second, "a", Failed)
 	h.Equal(h.keysPerServer()["b"], 65536)
 }
+
+// Guards against a grant without a confirmed role to a server that was missing from
+// the list: another process may have started at its address.
+func TestGrantAfterGapInList(t *testing.T) {
+	is := is.New(t)
+	now := clock.Time(1000)
+	a := New(testConfig, now, Record{Term: 2, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "a", Addr: "a:1", Born: 1}}}})
+	a.SetServers(now, []keys.Service{svc}, []fleet.Server{server("b")})
+	now = now.Add(20)
+	is.Equal(len(grants(a.SetServers(now, []keys.Service{svc}, []fleet.Server{server("a"), server("b")}))), 0)
+	is.True(a.NeedsConfirmation())
+	a.Confirm(now)
+	is.Equal(len(grants(a.Tick(now))), 1)
+}
