--- a/internal/owner/restore_test.go
+++ b/internal/owner/restore_test.go
@@ -150,3 +150,22 @@
 		})
 	}
 }
+
+// Guards against a record that counts as verified while a host whose claim was lost
+// can still grant a range: the next assigner wouldn't wait for that host.
+func TestRestoredVerifiedAfterFences(t *testing.T) {
+	is := is.New(t)
+	a := New(testConfig, 1000, Record{Term: 1025, Epoch: 1, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "s0", Addr: "s0:1", Born: 1}}}})
+	g := grants(a.SetServers(1000, []keys.Service{svc}, []fleet.Server{server("s0")}))[0]
+	g.LastConn = 1
+	a.GrantDone(1010, 1000, g, Done)
+	a.Restored(2000, a.Record().Restored(2))
+	g = grants(a.Tick(2000))[0]
+	is.True(a.Record().Unverified)
+	g = grants(a.GrantDone(2010, 2000, g, Done))[0]
+	a.Tick(2020)
+	is.True(a.Record().Unverified)
+	a.GrantDone(2030, 2010, g, Done)
+	a.Tick(2040)
+	is.True(!a.Record().Unverified)
+}
