owner, front: tests of calls in flight at a restore and of unknown former holders

No test in owner, front, fleet or epoch failed when a renewal sent before a restore counted as acknowledged after it, or when an empty list of former holders counted as proof after a restore. The new tests fail then.

--- a/internal/front/restore_test.go
+++ b/internal/front/restore_test.go
@@ -46,3 +46,24 @@
 	is.True(st.writes.Load() > 0)
 	is.True(st.writes.Load() <= int64(d/writeBackoff)+1)
 }
+
+// Guards against an assigner that takes a record without former holders as proof,
+// after a restore, that no other host can have the role.
+func TestFormerAssignersAfterRestore(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		unverified bool
+		want       bool
+	}{
+		{"no restore", false, true},
+		{"after a restore", true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := New(Config{Settings: Settings{Host: "self"}, Log: zap.NewNop()})
+			h.members.all["silent"] = &member{name: "silent"}
+			h.role.claimedRecord = owner.Record{Term: 2, Holder: "self", Unverified: tt.unverified}
+			is.Equal(h.role.allFormerEnded(), tt.want)
+		})
+	}
+}
--- a/internal/owner/restore_test.go
+++ b/internal/owner/restore_test.go
@@ -169,3 +169,16 @@
 	a.Tick(2040)
 	is.True(!a.Record().Unverified)
 }
+
+// Guards against a renewal sent before a restore that counts as proof that no other
+// host has granted the range.
+func TestRenewalInFlightAtRestore(t *testing.T) {
+	is := is.New(t)
+	a := New(testConfig, 1000, Record{Term: 1025, Epoch: 1, Tables: map[keys.Service][]Assignment{svc: {{To: MaxKey, Server: "s0", Addr: "s0:1", Born: 1}}}})
+	g := grants(a.SetServers(1000, []keys.Service{svc}, []fleet.Server{server("s0")}))[0]
+	g.LastConn = 1
+	a.GrantDone(1010, 1000, g, Done)
+	g = grants(a.Tick(2500))[0]
+	a.Restored(2600, a.Record().Restored(2))
+	is.Equal(grants(a.GrantDone(2610, 2500, g, Done))[0].Fence, g.Fence)
+}
