--- a/internal/front/restore_test.go
+++ b/internal/front/restore_test.go
@@ -67,3 +67,20 @@
 		})
 	}
 }
+
+// Guards against an assigner that steps down because the response to its write of
+// the record in a new epoch was lost.
+func TestLostResponseAfterRestore(t *testing.T) {
+	is := is.New(t)
+	h := New(Config{Settings: Settings{Host: "self"}, Log: zap.NewNop()})
+	r := h.role
+	r.assigner = owner.New(owner.Config{LeaseTime: leaseTime, Timeout: grantTimeout, RoleLease: roleLease}, r.now(), owner.Record{
+		Term: 2, Holder: "self", Incarnation: h.incarnation, Epoch: 1,
+	})
+	r.recordRev, r.confirmedAt = epoch.At(1, 5), r.now()
+	written := r.assigner.Record().Restored(2)
+	r.nextWriteAt = r.now().Add(roleLease)
+	r.handleRead(t.Context(), r.now(), readDone{rec: written, rev: epoch.At(2, 7), startedAt: r.now()})
+	is.True(r.assigner != nil)
+	is.Equal(r.term(), written.Term)
+}
