relay: a pause that a server asked for ended up to a millisecond early

Callers saw nothing; the server got requests that it had asked not to get. The host was told of 3,758 ms at 31,573.09 ms and sent at 35,331.08, as its clock counts whole milliseconds; the keyed requests that waited for the end left together, and more than two arrived before it. Change: ten milliseconds are added to a pause.

--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -36,6 +36,8 @@
 		{"restored store", 51, medium},
 		// A server that had told a host that it leaves, or wants a pause, got requests.
 		{"leaving and paused servers", 112, small},
+		// Requests that waited for the end of a pause arrived a millisecond before it.
+		{"end of a pause", 200, small},
 	}
 	t.Setenv(runAsCommand, "1")
 	for _, tt := range tests {
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -14,6 +14,10 @@
 // its last requests.
 const leaveMargin = 200 * clock.Millisecond
 
+// pauseMargin is added to a pause: this host's clock counts whole milliseconds, and
+// the requests that wait for the end are sent together.
+const pauseMargin = 10 * clock.Millisecond
+
 // newPool returns the pool for a process of a server.
 func (r *Relay) newPool(sv fleet.Server) *pool {
 	p := &pool{Pool: link.NewPool(sv.Addr, r.responses), server: sv}
@@ -35,7 +39,7 @@
 func (r *Relay) pause(in fleet.Incarnation, d clock.Span) {
 	r.mu.Lock()
 	now := r.cfg.Clock.Now()
-	first := r.placement.Pause(now, in, now.Add(d))
+	first := r.placement.Pause(now, in, now.Add(d+pauseMargin))
 	r.mu.Unlock()
 	if first {
 		r.cfg.Log.Info("server asked for a pause", zap.String("server", string(in.ID)), zap.Int64("ms", int64(d)))
--- a/internal/relay/notice_test.go
+++ b/internal/relay/notice_test.go
@@ -67,3 +67,14 @@
 		})
 	}
 }
+
+// Guards against requests that arrive in the last millisecond of a pause.
+func TestPauseLastsUntilItsEnd(t *testing.T) {
+	is := is.New(t)
+	sv := fleet.Server{ID: "s", Service: "catalogue", Addr: "127.0.0.1:1", Born: 5}
+	r := newRelay()
+	r.SetServers([]fleet.Server{sv})
+	before := r.cfg.Clock.Now()
+	r.applyNotices(sv.Incarnation(), Reply{Pause: 2000})
+	is.True(r.placement.Paused(before.Add(2001), sv))
+}
