place, relay, fleet: work per heartbeat without walks over servers and hosts

Cause: with 295 hosts and 900 servers each heartbeat cost a walk over all servers (LocalLoad), over all registrations (Registry.Expire) and a new map of connection limits (SetHosts), and each score of a server a sum over the hosts that report it.

Change: the load of the other hosts is a running sum per server, the servers with own requests are a set, Expire returns before the next end of a phase, and limits are passed on when the number of hosts or the configuration changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,6 +87,7 @@
 	holdTime clock.Span
 	epoch    uint64 // of the store
 	entries  map[keys.Server]*entry
+	nextEnd  clock.Time // no phase or holding back ends before; 0: none has an end
 }
 
 // NewRegistry returns an empty Registry. holdTime is the time after which a store
@@ -118,6 +119,7 @@
 	case e.phase == registered:
 		e.phase, e.until = missing, now.Add(registrationGrace)
 	}
+	r.scheduleEnd(e)
 }
 
 // Replace sets the complete list of servers that are registered in an epoch of the
@@ -140,6 +142,7 @@
 			e.heldUntil = now.Add(r.holdTime)
 			held = append(held, sv.ID)
 		}
+		r.scheduleEnd(e)
 	}
 	for id := range r.entries {
 		if !listed[id] {
@@ -161,6 +164,10 @@
 // Expire ends grace periods and the holding back of registrations, and reports
 // whether the servers have changed.
 func (r *Registry) Expire(now clock.Time) (changed bool) {
+	if r.nextEnd == 0 || now.Before(r.nextEnd) {
+		return false
+	}
+	r.nextEnd = 0
 	for id, e := range r.entries {
 		switch {
 		case e.heldUntil != 0 && !now.Before(e.heldUntil):
@@ -171,11 +178,23 @@
 			changed = true
 		case e.phase == gone && e.heldUntil == 0 && !now.Before(e.until):
 			delete(r.entries, id)
+			continue
 		}
+		r.scheduleEnd(e)
 	}
 	return changed
 }
 
+// scheduleEnd has Expire look at an entry once its phase, or the holding back of
+// its registration, ends.
+func (r *Registry) scheduleEnd(e *entry) {
+	for _, at := range []clock.Time{e.until, e.heldUntil} {
+		if at != 0 && (r.nextEnd == 0 || at.Before(r.nextEnd)) {
+			r.nextEnd = at
+		}
+	}
+}
+
 // List returns all servers in the order of their IDs.
 func (r *Registry) List() []Server {
 	return r.collect(func(e *entry) (Server, bool) { return e.server, e.phase != gone })
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -133,7 +133,8 @@
 type State struct {
 	dc        keys.DataCentre
 	servers   map[keys.Server]*server
-	order     []keys.Server // as in the last list
+	order     []keys.Server    // as in the last list
+	busy      map[*server]bool // listed servers with requests of this host in flight
 	serversOf map[keys.Service][]*server
 	leavingOf map[keys.Service][]*server
 	notices   map[keys.Server]notice
@@ -153,7 +154,7 @@
 // number of idle connections of the host to a server.
 func New(dc keys.DataCentre, idleConns func(keys.Server) int) *State {
 	return &State{
-		dc: dc, idleConns: idleConns, servers: make(map[keys.Server]*server), serversOf: make(map[keys.Service][]*server),
+		dc: dc, idleConns: idleConns, servers: make(map[keys.Server]*server), busy: make(map[*server]bool), serversOf: make(map[keys.Service][]*server),
 		leavingOf: make(map[keys.Service][]*server), notices: make(map[keys.Server]notice),
 		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
@@ -171,6 +172,7 @@
 	old := s.servers
 	s.servers = make(map[keys.Server]*server, len(list))
 	s.order = s.order[:0]
+	clear(s.busy)
 	for _, sv := range list {
 		x := old[sv.ID]
 		if x == nil || x.Born != sv.Born || x.Addr != sv.Addr {
@@ -178,16 +180,19 @@
 			if x != nil {
 				inFlight = x.localInFlight
 			}
-			x = &server{localInFlight: inFlight, peerInFlight: make(map[keys.Host]int), serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
+			x = &server{localInFlight: inFlight, serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
+		}
+		x.Server, x.notice, x.peerInFlight = sv, s.noticeOf(sv), 0
+		if x.localInFlight > 0 {
+			s.busy[x] = true
 		}
-		x.Server, x.notice = sv, s.noticeOf(sv)
 		s.servers[sv.ID] = x
 		s.order = append(s.order, sv.ID)
 	}
 	s.groupServers()
 	s.forgetNotices(now)
-	for h, p := range s.peers {
-		s.addPeerLoad(h, p)
+	for _, p := range s.peers {
+		s.addPeerLoad(p)
 	}
 	return s.dispatchAll(now)
 }
@@ -201,37 +206,40 @@
 // SetPeerLoad replaces the load report of another host: its requests in flight
 // at each server, and its queued requests for each service.
 func (s *State) SetPeerLoad(now clock.Time, h keys.Host, inFlight map[keys.Server]int, queued map[keys.Service]int) []Action {
-	p := s.peers[h]
-	if p != nil {
-		for id := range p.inFlight {
-			if sv := s.servers[id]; sv != nil {
-				delete(sv.peerInFlight, h)
-			}
-		}
+	if p := s.peers[h]; p != nil {
+		s.removePeerLoad(p)
 	}
-	p = &peer{reportedAt: now, inFlight: inFlight, queued: queued}
+	p := &peer{reportedAt: now, inFlight: inFlight, queued: queued}
 	s.peers[h] = p
-	s.addPeerLoad(h, p)
+	s.addPeerLoad(p)
 	return s.dispatchAll(now)
 }
 
-func (s *State) addPeerLoad(h keys.Host, p *peer) {
+// addPeerLoad adds a load report to the servers that it names.
+func (s *State) addPeerLoad(p *peer) {
 	for id, n := range p.inFlight {
 		if sv := s.servers[id]; sv != nil && n > 0 {
-			sv.peerInFlight[h] = n
+			sv.peerInFlight += n
 			sv.explored = true
 		}
 	}
 }
 
+// removePeerLoad takes back what addPeerLoad added.
+func (s *State) removePeerLoad(p *peer) {
+	for id, n := range p.inFlight {
+		if sv := s.servers[id]; sv != nil && n > 0 {
+			sv.peerInFlight -= n
+		}
+	}
+}
+
 // LocalLoad returns this host's requests in flight at each server, and its
 // queued requests for each service. Zeros are left out.
 func (s *State) LocalLoad() (inFlight map[keys.Server]int, queued map[keys.Service]int) {
-	inFlight, queued = make(map[keys.Server]int), make(map[keys.Service]int)
-	for id, sv := range s.servers {
-		if sv.localInFlight > 0 {
-			inFlight[id] = sv.localInFlight
-		}
+	inFlight, queued = make(map[keys.Server]int, len(s.busy)), make(map[keys.Service]int)
+	for sv := range s.busy {
+		inFlight[sv.ID] = sv.localInFlight
 	}
 	for name, x := range s.services {
 		if len(x.queue) > 0 {
@@ -241,6 +249,19 @@
 	return inFlight, queued
 }
 
+// begin counts a request that this host sends to a server.
+func (s *State) begin(sv *server) {
+	sv.localInFlight++
+	s.busy[sv] = true
+}
+
+// end takes back what begin counted.
+func (s *State) end(sv *server) {
+	if sv.localInFlight = max(sv.localInFlight-1, 0); sv.localInFlight == 0 {
+		delete(s.busy, sv)
+	}
+}
+
 // Submit adds a request. The actions may start or refuse it at once, and start
 // other requests.
 func (s *State) Submit(now clock.Time, r Request) []Action {
@@ -264,7 +285,7 @@
 	if sv == nil {
 		return nil
 	}
-	sv.localInFlight = max(sv.localInFlight-1, 0)
+	s.end(sv)
 	switch {
 	case res.Cancelled:
 	case res.ConnFailed:
@@ -348,7 +369,7 @@
 			left = append(left, r)
 			continue
 		}
-		sv.localInFlight++
+		s.begin(sv)
 		sv.explored = true
 		acts = append(acts, Start{ID: r.ID, Server: sv.Server})
 	}
@@ -363,11 +384,7 @@
 func (s *State) Tick(now clock.Time) (acts []Action) {
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
-			for id := range p.inFlight {
-				if sv := s.servers[id]; sv != nil {
-					delete(sv.peerInFlight, h)
-				}
-			}
+			s.removePeerLoad(p)
 			delete(s.peers, h)
 		}
 	}
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -38,7 +38,7 @@
 type server struct {
 	fleet.Server
 	localInFlight    int
-	peerInFlight     map[keys.Host]int
+	peerInFlight     int     // sum of the load reports of the other hosts
 	serviceTimeRatio float64 // moving average of service time / mean of the route
 	failureRate      float64 // moving average of failed requests, 0 to 1
 	connFailures     int     // consecutive connection failures
@@ -64,13 +64,7 @@
 }
 
 // load returns the number of requests of all hosts in flight at a server.
-func (sv *server) load() int {
-	n := sv.localInFlight
-	for _, c := range sv.peerInFlight {
-		n += c
-	}
-	return n
-}
+func (sv *server) load() int { return sv.localInFlight + sv.peerInFlight }
 
 // score estimates the time that a request would take at a server, in units of
 // a mean request of the service. ok is false if the server has no room.
--- a/internal/place/server_test.go
+++ b/internal/place/server_test.go
@@ -84,3 +84,43 @@
 	}
 	is.Equal(explorations, 1)
 }
+
+// The load of the other hosts is a running sum, so that its cost doesn't grow with
+// the number of hosts. It must stay the sum of the last reports, whatever order
+// lists of servers, reports and their expiry come in.
+func TestSumOfPeerLoads(t *testing.T) {
+	is := is.New(t)
+	s := newState(3)
+	s.SetPeerLoad(0, "a", map[keys.Server]int{"s0": 2, "s1": 1}, nil)
+	s.SetPeerLoad(0, "b", map[keys.Server]int{"s0": 3, "new": 4}, nil)
+	is.Equal(s.servers["s0"].load(), 5)
+	s.SetServers(10, append(servers(2), fleet.Server{ID: "new", Service: svc, Addr: "new", DC: "north", Slots: 2, Born: 1}))
+	is.Equal(s.servers["s0"].load(), 5)
+	is.Equal(s.servers["new"].load(), 4) // reported before it was listed
+	s.SetPeerLoad(20, "a", map[keys.Server]int{"s1": 7}, nil)
+	is.Equal(s.servers["s0"].load(), 3)
+	is.Equal(s.servers["s1"].load(), 7)
+	s.Tick(clock.Time(peerMaxAge) + 1) // the report of b expires
+	is.Equal(s.servers["s0"].load(), 0)
+	is.Equal(s.servers["new"].load(), 0)
+	is.Equal(s.servers["s1"].load(), 7)
+}
+
+// A host reports exactly the servers at which it has requests in flight, also
+// after a server has restarted.
+func TestLocalLoad(t *testing.T) {
+	is := is.New(t)
+	s := newState(2)
+	s.Submit(0, newRequest(1, 0))
+	s.Submit(0, newRequest(2, 0))
+	inFlight, _ := s.LocalLoad()
+	is.Equal(inFlight, map[keys.Server]int{"s0": 1, "s1": 1})
+	restarted := servers(2)
+	restarted[0].Born = 2
+	s.SetServers(10, restarted)
+	inFlight, _ = s.LocalLoad()
+	is.Equal(inFlight, map[keys.Server]int{"s0": 1, "s1": 1}) // the calls haven't returned yet
+	s.Done(20, "s0", Result{Cancelled: true})
+	inFlight, _ = s.LocalLoad()
+	is.Equal(inFlight, map[keys.Server]int{"s1": 1})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,7 +130,12 @@
 }
 
 // SetConfig replaces the configuration.
-func (r *Relay) SetConfig(c *intent.Config) { r.activeConfig.Store(c) }
+func (r *Relay) SetConfig(c *intent.Config) {
+	r.activeConfig.Store(c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limitConns()
+}
 
 // Config returns the configuration, or nil if there is none yet.
 func (r *Relay) Config() *intent.Config { return r.activeConfig.Load() }
@@ -201,14 +206,23 @@
 func (r *Relay) SetHosts(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if n == r.hostCount {
+		return
+	}
 	r.hostCount = n
+	r.limitConns()
+}
+
+// limitConns passes the number of hosts and the limits of connections to
+// placement. r.mu is held.
+func (r *Relay) limitConns() {
 	conns := make(map[keys.Service]int)
 	if c := r.activeConfig.Load(); c != nil {
 		for _, s := range c.Document().Services {
 			conns[s.Name] = s.Conns
 		}
 	}
-	r.placement.SetHosts(n, conns)
+	r.placement.SetHosts(r.hostCount, conns)
 }
 
 // LocalLoad returns this host's requests in flight at each server, and its queued
