front: heartbeats whose number doesn't grow with the hosts

Cause: all hosts sent each other their load.

Change: the hosts of a data centre of more than 32 form groups of at most 16 that exchange their load. Other hosts get a heartbeat without load every 25 ms per host. The assigner, the watchers and the first four hosts of a data centre stay informed as before, so takeovers don't wait for distant heartbeats. A heartbeat says when the next one follows; hosts of earlier versions say and know nothing of it and get them as before.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -17,8 +19,14 @@
 	// minHeartbeatInterval is the shortest time between two heartbeats. It
 	// bounds the number of datagrams under load.
 	minHeartbeatInterval = 8 * time.Millisecond
-	// reportInterval is the period of reports to the assigner.
-	reportInterval = 250 * time.Millisecond
+	// minReportInterval is the shortest period of reports to the assigner.
+	// reportIntervalPerHost is that period for each known host, so that the assigner
+	// receives no more of them in larger deployments.
+	minReportInterval     = 250 * time.Millisecond
+	reportIntervalPerHost = 2500 * time.Microsecond
+	// reachInterval is the period in which a host determines its reach and its
+	// group.
+	reachInterval = 50 * time.Millisecond
 	// minGossipInterval is the shortest period of heartbeats that list other
 	// hosts. gossipIntervalPerHost is that period for each known host.
 	minGossipInterval     = time.Second
@@ -26,6 +34,9 @@
 	// suspectInterval is the period in which a host sends the list of requests
 	// that may crash servers.
 	suspectInterval = time.Second
+	// maxSuspectTargets is how many hosts it sends the list to. They pass it on, so
+	// that all hosts have it after a few periods.
+	maxSuspectTargets = 24
 	// discoverInterval is the period in which a host without enough live hosts
 	// reads the hosts' addresses from the store.
 	discoverInterval = 3 * time.Second
@@ -35,7 +46,8 @@
 // once after a change.
 func (h *Host) sendHeartbeats(ctx context.Context) error {
 	var seq uint64
-	var lastReport, lastGossip, lastSuspects time.Time
+	var lastReport, lastGossip, lastSuspects, lastReach time.Time
+	var reach mesh.Reach
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,11 +56,16 @@
 		case <-time.After(maxHeartbeatInterval):
 		}
 		seq++
+		if time.Since(lastReach) >= reachInterval {
+			lastReach = time.Now()
+			reach = h.currentReach()
+			h.updateGroup()
+		}
 		gossip := time.Since(lastGossip) >= h.members.gossipInterval()
-		if h.sendHeartbeat(seq, gossip) && gossip {
+		if h.sendHeartbeat(seq, reach, gossip) && gossip {
 			lastGossip = time.Now()
 		}
-		if time.Since(lastReport) >= reportInterval {
+		if time.Since(lastReport) >= h.members.reportInterval() {
 			lastReport = time.Now()
 			h.sendReport()
 		}
@@ -73,44 +90,89 @@
 
 // sendHeartbeat sends a heartbeat to the hosts that are due for one. It reports
 // whether there were any.
-func (h *Host) sendHeartbeat(seq uint64, gossip bool) bool {
+func (h *Host) sendHeartbeat(seq uint64, reach mesh.Reach, gossip bool) bool {
 	now := h.clock.Now()
+	batches := h.members.heartbeatTargets(now, reach)
+	if len(batches) == 0 {
+		return false
+	}
+	b := h.heartbeat(now, seq, reach, gossip)
+	inFlight, queued := h.relay.LocalLoad()
+	for _, t := range batches {
+		b.Interval, b.NoLoad = t.interval, t.relation != near
+		b.InFlight, b.Queued = nil, nil
+		if !b.NoLoad {
+			b.InFlight, b.Queued = hashServers(inFlight), queued
+		}
+		h.send(t.ips, mesh.Message{Heartbeat: &b})
+	}
+	return true
+}
+
+// heartbeat returns what this host's heartbeats tell to all hosts.
+func (h *Host) heartbeat(now clock.Time, seq uint64, reach mesh.Reach, gossip bool) (b mesh.Heartbeat) {
 	s := h.cfg.Settings
-	b := mesh.Heartbeat{From: s.Host, Incarnation: h.incarnation, Seq: seq, IP: s.IP, DC: s.DC, Cores: s.Cores, Leaving: h.leaving.Load(), Term: h.role.term()}
+	b = mesh.Heartbeat{From: s.Host, Incarnation: h.incarnation, Seq: seq, IP: s.IP, DC: s.DC, Cores: s.Cores, Leaving: h.leaving.Load(), Term: h.role.term(), Reach: reach}
 	var servers epoch.Revision
 	b.ConfigVersion, servers, b.ConfirmationAge = h.snapshotVersions(now)
 	b.ServersRev, b.ServersEpoch = servers.Number(), servers.Epoch()
-	// Other hosts take over if the assigner, or a host that watches the store,
-	// sends no heartbeats.
-	priority := b.Term > 0 || b.ConfirmationAge >= 0 && h.shouldWatch()
-	to := h.members.heartbeatTargets(now, priority)
-	if len(to) == 0 {
-		return false
-	}
-	var inFlight map[keys.Server]int
-	inFlight, b.Queued = h.relay.LocalLoad()
-	b.InFlight = make(map[mesh.ServerHash]int, len(inFlight))
-	for id, n := range inFlight {
-		b.InFlight[mesh.HashServer(id)] = n
-	}
 	b.LeavingServers = h.relay.LeavingServers()
 	h.members.mu.Lock()
+	defer h.members.mu.Unlock()
 	if gossip {
 		b.Members = h.members.gossipSample(now)
 	}
 	b.TablesTerm, b.TablesVersion = h.members.oldestTableVersion()
-	h.relay.SetHosts(len(h.members.all) + 1)
-	h.members.mu.Unlock()
-	h.send(to, mesh.Message{Heartbeat: &b})
-	return true
+	return b
+}
+
+// hashServers returns requests in flight as heartbeats report them.
+func hashServers(inFlight map[keys.Server]int) map[mesh.ServerHash]int {
+	out := make(map[mesh.ServerHash]int, len(inFlight))
+	for id, n := range inFlight {
+		out[mesh.HashServer(id)] = n
+	}
+	return out
 }
 
-// sendSuspects sends the list of requests that may crash servers to the other
-// hosts.
+// currentReach returns how far this host's heartbeats have to be frequent. Other
+// hosts take over if the assigner, or a host that watches the store, sends none.
+func (h *Host) currentReach() mesh.Reach {
+	now := h.clock.Now()
+	_, _, age := h.snapshotVersions(now)
+	return h.members.reachOf(now, h.role.term() > 0 || age >= 0 && h.shouldWatch())
+}
+
+// sendSuspects sends the list of requests that may crash servers to other hosts.
+// They pass it on.
 func (h *Host) sendSuspects() {
 	if list := h.relay.Suspects(); len(list) > 0 {
-		h.send(h.members.activeAddrs(h.clock.Now()), mesh.Message{Suspects: list})
+		h.send(sample(h.members.activeAddrs(h.clock.Now()), maxSuspectTargets), mesh.Message{Suspects: list})
+	}
+}
+
+// sample returns a random selection of addresses.
+func sample(ips []string, n int) []string {
+	if len(ips) > n {
+		rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
+		ips = ips[:n]
 	}
+	return ips
+}
+
+// updateGroup passes the number of hosts and this host's group to the relay, and
+// logs a change of the group.
+func (h *Host) updateGroup() {
+	h.relay.SetHosts(h.members.count())
+	g := h.members.currentGroup()
+	if g.number == h.group.number && g.count == h.group.count && len(g.hosts) == len(h.group.hosts) {
+		return
+	}
+	if g.split() || h.group.split() {
+		h.log.Info("hosts that exchange their load have changed: a host of the data centre has joined or left",
+			zap.Int("group", g.number), zap.Int("groups", g.count), zap.Int("hosts", len(g.hosts)), zap.Int("before", len(h.group.hosts)))
+	}
+	h.group = g
 }
 
 func (h *Host) send(ips []string, msg mesh.Message) {
@@ -153,12 +215,7 @@
 
 func (h *Host) handleMessage(msg mesh.Message) {
 	if b := msg.Heartbeat; b != nil {
-		if now := h.clock.Now(); h.members.handleHeartbeat(now, b) && h.members.sendsMemberList(now) {
-			h.send([]string{b.IP}, mesh.Message{Members: h.members.active(now)})
-		}
-		h.relay.ServersLeave(b.LeavingServers)
-		h.relay.SetPeerLoad(b.From, h.resolveHashes(b.InFlight), b.Queued)
-		h.checkSnapshots()
+		h.handleHeartbeat(b)
 	}
 	if len(msg.Members) > 0 {
 		h.members.addAll(h.clock.Now(), msg.Members)
@@ -175,6 +232,19 @@
 	}
 }
 
+// handleHeartbeat applies a heartbeat of another host.
+func (h *Host) handleHeartbeat(b *mesh.Heartbeat) {
+	now := h.clock.Now()
+	if h.members.handleHeartbeat(now, b) && h.members.sendsMemberList(now) {
+		h.send([]string{b.IP}, mesh.Message{Members: h.members.active(now)})
+	}
+	h.relay.ServersLeave(b.LeavingServers)
+	if !b.NoLoad {
+		h.relay.SetPeerLoad(b.From, h.resolveHashes(b.InFlight), b.Queued)
+	}
+	h.checkSnapshot(now, b.From)
+}
+
 // resolveHashes replaces server hashes by server names. It leaves out unknown
 // servers.
 func (h *Host) resolveHashes(inFlight map[mesh.ServerHash]int) map[keys.Server]int {
--- a/internal/front/heartbeat_test.go
+++ b/internal/front/heartbeat_test.go
@@ -5,7 +5,10 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -34,3 +37,45 @@
 	is.NoErr(err)
 	is.True(len(data) < 400)
 }
+
+// BenchmarkHeartbeat handles a heartbeat, from its bytes on. The time and the
+// allocations must not grow with the number of hosts.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{12, 100, 1000, 4000} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			h := New(Config{Settings: Settings{Host: "self", IP: "10.0.0.1", DC: "north"}, Log: zap.NewNop()})
+			var list []fleet.Server
+			for i := range 900 {
+				list = append(list, fleet.Server{ID: keys.Server(fmt.Sprintf("s%d", i)), Service: "ledger", Addr: fmt.Sprint(i), Slots: 2})
+			}
+			h.replaceServers(list, epoch.At(1, 1), false)
+			msgs := make([][]byte, n)
+			for i := range msgs {
+				hb := &mesh.Heartbeat{
+					From: keys.Host(fmt.Sprintf("host-%d", i)), Incarnation: 1, IP: fmt.Sprintf("10.1.%d.%d", i/250, i%250), DC: "north",
+					ServersRev: 1, ServersEpoch: 1, Interval: 450, InFlight: make(map[mesh.ServerHash]int),
+				}
+				for s := range 6 {
+					hb.InFlight[mesh.HashServer(list[(7*i+s)%len(list)].ID)] = 1
+				}
+				msgs[i], _ = mesh.Encode(mesh.Message{Heartbeat: hb})
+			}
+			handle := func(i int) {
+				msg, err := mesh.Decode(msgs[i%n])
+				if err != nil {
+					b.Fatal(err)
+				}
+				h.handleMessage(msg)
+			}
+			for i := range n {
+				handle(i)
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				handle(i)
+				i++
+			}
+		})
+	}
+}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -15,31 +15,17 @@
 )
 
 const (
-	// aliveTimeout is how long a host counts as alive after its last heartbeat.
-	aliveTimeout = 1000 * clock.Millisecond
+	// aliveTimeout is how long a host counts as alive after its last heartbeat, if
+	// it sends several in that time. missedHeartbeats is the same in promised
+	// intervals for hosts that send fewer.
+	aliveTimeout     = 1000 * clock.Millisecond
+	missedHeartbeats = 2.5
 	// inactiveTimeout is how long after its last heartbeat a host counts as
 	// inactive: it gets heartbeats at a lower rate and no other messages.
 	inactiveTimeout = 3 * clock.Second
 	// removeTimeout is the time without a heartbeat after which a host is
 	// removed. It bounds how long a failed host uses up part of the retry budget.
 	removeTimeout = 60 * clock.Second
-	// minRemoteInterval is the shortest time between two heartbeats to a host in
-	// another data centre.
-	minRemoteInterval = 190 * clock.Millisecond
-	// localIntervalPerHost and remoteIntervalPerHost are the times between two
-	// heartbeats to a host in the same or in another data centre, per host of the
-	// same or of the other data centres. They grow up to maxLocalInterval and
-	// maxRemoteInterval, which must stay below aliveTimeout.
-	localIntervalPerHost  = 3 * clock.Millisecond
-	remoteIntervalPerHost = 25 * clock.Millisecond
-	maxLocalInterval      = 150 * clock.Millisecond
-	maxRemoteInterval     = 450 * clock.Millisecond
-	// maxPriorityInterval is the longest time between two heartbeats of a
-	// priority host (see heartbeatTargets) to a host in its data centre.
-	maxPriorityInterval = 75 * clock.Millisecond
-	// maxWatchingDCs is the number of data centres with a host that watches the
-	// store. The second one continues while the first is partitioned.
-	maxWatchingDCs = 2
 	// maxGossipMembers is how many other hosts a heartbeat lists.
 	maxGossipMembers = 8
 )
@@ -64,6 +50,29 @@
 	fetchAfter      clock.Time     // earliest next fetch of its snapshot, after a failed one
 	cores           float64
 	confirmationAge clock.Span // at its last heartbeat; negative: the store has never confirmed its state
+	interval        clock.Span // longest time until its next heartbeat, as it promised; 0: an earlier version
+	reach           mesh.Reach
+	dueAt           clock.Time // next heartbeat to it
+	sentAs          relation   // of the last heartbeat to it
+	index           int        // in members.due
+}
+
+// lastsFor returns how long the host counts as alive after a heartbeat.
+func (m *member) lastsFor() clock.Span {
+	if m.interval <= maxRemoteInterval {
+		return aliveTimeout
+	}
+	return max(aliveTimeout, clock.Span(missedHeartbeats*float64(m.interval)))
+}
+
+// alive reports whether the host's next heartbeat isn't overdue.
+func (m *member) alive(now clock.Time) bool {
+	return m.lastHeartbeat != 0 && now.Sub(m.lastHeartbeat) <= m.lastsFor()
+}
+
+// active reports whether the host gets messages other than heartbeats.
+func (m *member) active(now clock.Time) bool {
+	return m.lastHeartbeat != 0 && now.Sub(m.lastHeartbeat) < max(inactiveTimeout, m.lastsFor())
 }
 
 // members are the known other hosts, and the tables of key owners that were
@@ -76,6 +85,13 @@
 	mu    sync.Mutex
 	seeds []string
 	all   map[keys.Host]*member
+	addrs map[string]int // number of members at an address
+	due   dueHeap        // all members by the time of the next heartbeat to them
+	reach mesh.Reach     // of this host
+
+	local        int   // other hosts in this data centre
+	group        group // of this host
+	groupChanged bool  // the hosts of the data centre have changed
 
 	tables         map[keys.Service]owner.Table
 	assigner       keys.Host  // host whose heartbeat had the highest term
@@ -85,7 +101,7 @@
 }
 
 func newMembers(s Settings) *members {
-	return &members{self: s.Host, dc: s.DC, ip: s.IP, cores: s.Cores, seeds: s.Seeds, all: make(map[keys.Host]*member), tables: make(map[keys.Service]owner.Table)}
+	return &members{self: s.Host, dc: s.DC, ip: s.IP, cores: s.Cores, seeds: s.Seeds, all: make(map[keys.Host]*member), addrs: make(map[string]int), groupChanged: true, tables: make(map[keys.Service]owner.Table)}
 }
 
 // add adds a host that another host or the store lists. ms.mu is held.
@@ -95,11 +111,11 @@
 	}
 	m := ms.all[name]
 	if m == nil {
-		ms.all[name] = &member{name: name, ip: ip, dc: dc, lastSeen: now, confirmationAge: -1}
+		ms.insert(now, &member{name: name, ip: ip, dc: dc, lastSeen: now, confirmationAge: -1})
 		return
 	}
-	if now.Sub(m.lastHeartbeat) > inactiveTimeout {
-		m.ip = ip // it may have been replaced at another address
+	if !m.active(now) {
+		ms.setIP(m, ip) // it may have been replaced at another address
 	}
 }
 
@@ -113,16 +129,22 @@
 	}
 	m := ms.all[b.From]
 	if m == nil {
-		m = &member{name: b.From}
-		ms.all[b.From] = m
+		m = &member{name: b.From, dc: b.DC}
+		ms.insert(now, m)
 	}
-	if b.Incarnation < m.incarnation && now.Sub(m.lastHeartbeat) < aliveTimeout {
+	if b.Incarnation < m.incarnation && now.Sub(m.lastHeartbeat) < m.lastsFor() {
 		return false // late, from a previous process; after a longer gap its wall clock may have been set back instead
 	}
 	first = m.incarnation != b.Incarnation
-	m.ip, m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving = b.IP, b.Incarnation, now, now, b.Leaving
+	ms.groupChanged = ms.groupChanged || m.dc != b.DC || m.leaving != b.Leaving
+	sooner := b.Reach > m.reach || !m.active(now)
+	ms.setIP(m, b.IP)
+	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
 	m.roleTerm, m.tablesTerm, m.tablesVersion = b.Term, b.TablesTerm, b.TablesVersion
 	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
+	if sooner {
+		ms.scheduleAt(m, m.lastSent.Add(ms.interval(m)))
+	}
 	for _, o := range b.Members {
 		ms.add(now, o.Host, o.IP, o.DC)
 	}
@@ -186,57 +208,10 @@
 	return term, version
 }
 
-// heartbeatTargets returns the addresses that are due for a heartbeat. Hosts in
-// other data centres get fewer, as traffic between data centres is expensive and
-// most requests stay in their own. Both rates fall with the number of hosts, so
-// that the number of datagrams per host doesn't grow with it. Priority hosts,
-// whose missing heartbeats make other hosts take over, keep a higher rate.
-func (ms *members) heartbeatTargets(now clock.Time, priority bool) (ips []string) {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	local := 0 // other hosts in this data centre
-	for _, m := range ms.all {
-		if m.dc == ms.dc {
-			local++
-		}
-	}
-	localInterval := min(localIntervalPerHost*clock.Span(local), maxLocalInterval)
-	remoteInterval := min(max(minRemoteInterval, remoteIntervalPerHost*clock.Span(len(ms.all)-local)), maxRemoteInterval)
-	if priority {
-		localInterval, remoteInterval = min(localInterval, maxPriorityInterval), minRemoteInterval
-	}
-	known := make(map[string]bool, len(ms.all))
-	for name, m := range ms.all {
-		if now.Sub(m.lastSeen) > removeTimeout {
-			delete(ms.all, name)
-			continue
-		}
-		known[m.ip] = true
-		interval := localInterval
-		if m.dc != ms.dc {
-			interval = remoteInterval
-		}
-		if now.Sub(m.lastHeartbeat) > inactiveTimeout {
-			interval = clock.Second
-		}
-		if m.lastSent != 0 && now.Sub(m.lastSent) < interval {
-			continue
-		}
-		m.lastSent = now
-		ips = append(ips, m.ip)
-	}
-	for _, ip := range ms.seeds {
-		if !known[ip] && ip != ms.ip {
-			ips = append(ips, ip)
-		}
-	}
-	return ips
-}
-
 // activeLocked is active with ms.mu held.
 func (ms *members) activeLocked(now clock.Time) (out []mesh.Member) {
 	for _, m := range ms.all {
-		if now.Sub(m.lastHeartbeat) < inactiveTimeout && m.lastHeartbeat != 0 {
+		if m.active(now) {
 			out = append(out, mesh.Member{Host: m.name, IP: m.ip, DC: m.dc})
 		}
 	}
@@ -255,49 +230,12 @@
 	return out
 }
 
-// precedes reports whether another host has precedence over this one as assigner
-// or watcher. Hosts with more cores come first, as some have little processor
-// time; the name decides between equal ones.
-func (ms *members) precedes(m *member) bool {
-	return cmp.Or(cmp.Compare(m.cores, ms.cores), cmp.Compare(ms.self, m.name)) > 0
-}
-
-// membership is the state of the known hosts, for decisions about roles. Hosts
-// that are leaving don't count.
-type membership struct {
-	rank     int  // number of live hosts with precedence over this one
-	majority bool // more than half of the known hosts are alive
-	alive    int  // including this host
-	known    int  // including this host
-}
-
-func (ms *members) membership(now clock.Time) (s membership) {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	s.alive, s.known = 1, 1
-	for _, m := range ms.all {
-		if m.leaving {
-			continue
-		}
-		s.known++
-		if m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) > aliveTimeout {
-			continue
-		}
-		s.alive++
-		if ms.precedes(m) {
-			s.rank++
-		}
-	}
-	s.majority = 2*s.alive > s.known
-	return s
-}
-
 // activeAddrs returns the addresses of the hosts that aren't inactive.
 func (ms *members) activeAddrs(now clock.Time) (ips []string) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, m := range ms.all {
-		if m.lastHeartbeat != 0 && now.Sub(m.lastHeartbeat) < inactiveTimeout {
+		if m.active(now) {
 			ips = append(ips, m.ip)
 		}
 	}
@@ -394,7 +332,7 @@
 	defer ms.mu.Unlock()
 	for _, m := range ms.all {
 		current := m.tablesTerm > term || m.tablesTerm == term && m.tablesVersion >= max(version, 1)
-		if current || m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) >= inactiveTimeout || m.tablesSentAt != 0 && now.Sub(m.tablesSentAt) < tableAckTimeout {
+		if current || !m.active(now) || m.tablesSentAt != 0 && now.Sub(m.tablesSentAt) < tableAckTimeout {
 			continue
 		}
 		m.tablesSentAt = now
@@ -403,17 +341,16 @@
 	return ips
 }
 
-// isFirstInDC reports whether no live host of the same data centre has precedence
-// over this one.
-func (ms *members) isFirstInDC(now clock.Time) bool {
+// count returns the number of known hosts, including this one.
+func (ms *members) count() int {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	for _, m := range ms.all {
-		if m.lastHeartbeat != 0 && now.Sub(m.lastHeartbeat) <= aliveTimeout && !m.leaving && m.dc == ms.dc && ms.precedes(m) {
-			return false
-		}
-	}
-	return true
+	return len(ms.all) + 1
+}
+
+// reportInterval returns the time between two reports to the assigner.
+func (ms *members) reportInterval() time.Duration {
+	return max(minReportInterval, time.Duration(ms.count())*reportIntervalPerHost)
 }
 
 // gossipInterval returns the time between two heartbeats that list other hosts.
@@ -425,35 +362,17 @@
 	return max(minGossipInterval, time.Duration(len(ms.all))*gossipIntervalPerHost)
 }
 
-// watchState reports whether this host is a watcher, one of the hosts that watch
-// the store: the first live host of each of the first maxWatchingDCs data
-// centres. age is the lowest confirmation age of another live host, or -1 if
-// none has one.
-func (ms *members) watchState(now clock.Time) (watcher bool, age clock.Span) {
+// hasNewer reports whether the host has a newer snapshot than the given versions.
+func (m *member) hasNewer(config uint64, servers epoch.Revision) bool {
+	return m.configVersion > config || servers.Before(peerRevision(m.serversRev.Epoch(), m.serversRev.Number(), servers))
+}
+
+// sentNewer reports whether a host's last heartbeat told of a newer snapshot.
+func (ms *members) sentNewer(now clock.Time, name keys.Host, config uint64, servers epoch.Revision) bool {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	watcher, age = true, -1
-	before := make(map[keys.DataCentre]bool)
-	for _, m := range ms.all {
-		if m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) > aliveTimeout {
-			continue
-		}
-		if !m.leaving {
-			if m.dc == ms.dc && ms.precedes(m) {
-				watcher = false
-			}
-			if m.dc < ms.dc {
-				before[m.dc] = true
-			}
-		}
-		if m.confirmationAge < 0 {
-			continue
-		}
-		if a := m.confirmationAge + now.Sub(m.lastHeartbeat); age < 0 || a < age {
-			age = a
-		}
-	}
-	return watcher && len(before) < maxWatchingDCs, age
+	m := ms.all[name]
+	return m != nil && now >= m.fetchAfter && m.hasNewer(config, servers)
 }
 
 // newerSnapshotAddr returns the address of a live host with a newer snapshot,
@@ -462,10 +381,10 @@
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, m := range ms.all {
-		if m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) > aliveTimeout || local && m.dc != ms.dc || now < m.fetchAfter {
+		if !m.alive(now) || local && m.dc != ms.dc || now < m.fetchAfter {
 			continue
 		}
-		if m.configVersion > config || servers.Before(peerRevision(m.serversRev.Epoch(), m.serversRev.Number(), servers)) {
+		if m.hasNewer(config, servers) {
 			ip = m.ip
 			if m.dc == ms.dc {
 				return ip
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -90,7 +90,11 @@
 		last.addAll(10, seed.active(10))
 	}
 	is.Equal(len(last.all), n-1) // all but itself
-	is.Equal(len(last.heartbeatTargets(10, false)), n)
+	sent := 0
+	for _, b := range last.heartbeatTargets(10, mesh.ReachGroup) {
+		sent += len(b.ips)
+	}
+	is.Equal(sent, n)
 	is.True(!seed.handleHeartbeat(20, heartbeat(1))) // not the first of its process
 	restarted := heartbeat(1)
 	restarted.Incarnation = 2
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -12,10 +12,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/link"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 const (
@@ -93,10 +95,10 @@
 	}
 }
 
-// checkSnapshots wakes fetchSnapshots if another host has a newer snapshot.
-func (h *Host) checkSnapshots() {
-	config, servers, _ := h.snapshotVersions(h.clock.Now())
-	if h.members.newerSnapshotAddr(h.clock.Now(), config, servers, false) == "" {
+// checkSnapshot wakes fetchSnapshots if a host's heartbeat told of a newer snapshot.
+func (h *Host) checkSnapshot(now clock.Time, from keys.Host) {
+	config, servers, _ := h.snapshotVersions(now)
+	if !h.members.sentNewer(now, from, config, servers) {
 		return
 	}
 	select {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -64,8 +64,24 @@
 	// LeavingServers are the servers that have told it that they are leaving,
 	// until their registrations say so.
 	LeavingServers []fleet.Incarnation `cbor:"20,keyasint,omitempty"`
+	// Interval is the longest time until its next heartbeat to the receiver. It is 0
+	// from hosts of earlier versions, which expect several heartbeats a second.
+	Interval clock.Span `cbor:"21,keyasint,omitempty"`
+	Reach    Reach      `cbor:"22,keyasint,omitempty"`
+	NoLoad   bool       `cbor:"23,keyasint,omitempty"` // InFlight and Queued aren't sent to the receiver
 }
 
+// Reach says which hosts exchange frequent heartbeats with a host, besides those of
+// its group.
+type Reach int
+
+// Reaches of a host.
+const (
+	ReachGroup Reach = iota // none
+	ReachDC                 // the hosts of its data centre, and those with ReachDC in others
+	ReachAll                // all hosts
+)
+
 // ServerHash stands for a server in heartbeats, which would otherwise consist
 // mostly of server names. If two servers have the same hash, the load of one is
 // counted at the other.
@@ -122,6 +138,14 @@
 	return b, nil
 }
 
+// Decode decodes a message.
+func Decode(b []byte) (msg Message, err error) {
+	if err = cbor.Unmarshal(b, &msg); err != nil {
+		return Message{}, fmt.Errorf("mesh: decode message of %d bytes: %w", len(b), err)
+	}
+	return msg, nil
+}
+
 // Send sends encoded bytes to a host.
 func (c *Conn) Send(ip string, b []byte) error {
 	addr, err := netip.ParseAddr(ip)
@@ -148,9 +172,9 @@
 		if err != nil {
 			return fmt.Errorf("mesh: receive: %w", err)
 		}
-		var msg Message
-		if err := cbor.Unmarshal(buf[:n], &msg); err != nil {
-			malformed(fmt.Errorf("mesh: decode message of %d bytes: %w", n, err))
+		msg, err := Decode(buf[:n])
+		if err != nil {
+			malformed(err)
 			continue
 		}
 		handle(msg)
