front: hosts fetch the changes of the list of servers in place of the whole list

Cause: after each change every host fetched, decoded and applied the whole list from a host of its data centre: with 900 servers and 295 hosts about 90 KB each.

Hosts of earlier versions, of another epoch or too far behind get the whole list as before.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -85,6 +85,7 @@
 	storeUp       bool
 	storeEpoch    uint64 // latest known epoch of the store
 	sync          syncState
+	changes       changeLog
 
 	serverByHash      atomic.Pointer[map[mesh.ServerHash]keys.Server] // of the servers in the list
 	watchFrom         clock.Time                                      // when the store may first be watched, see maxStartupWatchDelay
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -22,6 +22,9 @@
 
 const (
 	snapshotPath = "/view"
+	// changesParam is in the query if the fetching host takes changes in place of
+	// the whole list of servers. Hosts of earlier versions don't.
+	changesParam = "changes"
 	// snapshotTimeout bounds the fetch of a snapshot. After it, the host fetches
 	// from another one.
 	snapshotTimeout  = 400 * time.Millisecond
@@ -43,6 +46,21 @@
 	ServersRev uint64           `cbor:"4,keyasint,omitempty"` // number of the store revision of Servers
 	Outage     bool             `cbor:"5,keyasint,omitempty"` // a call to the store has failed recently
 	Epoch      uint64           `cbor:"6,keyasint,omitempty"` // epoch of ServersRev; 0 from hosts of earlier versions
+	// Changes means that Servers has only the servers that have changed since the
+	// revision of the fetching host, and Removed those that are gone.
+	Changes bool          `cbor:"7,keyasint,omitempty"`
+	Removed []keys.Server `cbor:"8,keyasint,omitempty"`
+}
+
+// events returns the changes of a snapshot with Changes.
+func (s snapshot) events() (evs []ServerEvent) {
+	for _, sv := range s.Servers {
+		evs = append(evs, ServerEvent{ID: sv.ID, Server: sv})
+	}
+	for _, id := range s.Removed {
+		evs = append(evs, ServerEvent{ID: id, Removed: true})
+	}
+	return evs
 }
 
 // peerRevision returns a revision that another host reports. Hosts of earlier
@@ -81,7 +99,13 @@
 		s.Config = &doc
 	}
 	if rev := h.sync.serversRev; h.serversLoaded && peerRevision(storeEpoch, number, rev).Before(rev) {
-		s.Servers, s.ServersRev, s.Epoch = h.fleet.Registered(), rev.Number(), rev.Epoch()
+		s.ServersRev, s.Epoch = rev.Number(), rev.Epoch()
+		if r.URL.Query().Has(changesParam) {
+			s.Servers, s.Removed, s.Changes = h.changes.since(epoch.At(storeEpoch, number))
+		}
+		if !s.Changes {
+			s.Servers = h.fleet.Registered()
+		}
 	}
 	s.Outage = h.suspectOutage(h.clock.Now(), 0)
 	h.mu.Unlock()
@@ -153,7 +177,7 @@
 			err = fmt.Errorf("front: fetch snapshot from %s: %w", addr, err)
 		}
 	}()
-	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d&epoch=%d", addr, snapshotPath, config, servers.Number(), servers.Epoch())
+	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d&epoch=%d&%s=1", addr, snapshotPath, config, servers.Number(), servers.Epoch(), changesParam)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -177,7 +201,10 @@
 	if s.Config != nil {
 		h.applyConfig(intent.New(*s.Config))
 	}
-	if s.ServersRev > 0 {
+	switch {
+	case s.Changes:
+		h.applyChanges(s.events(), epoch.At(s.Epoch, s.ServersRev), s.Outage)
+	case s.ServersRev > 0:
 		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), s.Outage)
 	}
 	return nil
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -266,11 +266,10 @@
 		return next, err
 	}
 	if len(evs) > 0 {
-		h.applyServerEvents(evs, next)
+		h.applyChanges(evs, next, false)
 	}
 	h.markServersConfirmed(h.clock.Now())
 	if len(evs) > 0 {
-		h.publishServers()
 		sleep(ctx, serverChangePause)
 	}
 	return next, nil
@@ -312,18 +311,30 @@
 	}
 	h.serversLoaded = true
 	h.sync.serversRev = rev
+	h.changes.reset()
 	h.mu.Unlock()
 	h.publishServers()
 	h.triggerHeartbeat()
 }
 
-// applyServerEvents applies the events of a watch.
-func (h *Host) applyServerEvents(evs []ServerEvent, rev epoch.Revision) {
+// applyChanges applies changes of the list of servers up to a revision. outage is as
+// in replaceServers.
+func (h *Host) applyChanges(evs []ServerEvent, rev epoch.Revision, outage bool) {
+	if h.applyServerEvents(evs, rev, outage) {
+		h.publishServers()
+		h.triggerHeartbeat()
+	}
+}
+
+// applyServerEvents is applyChanges without telling others. It reports whether the
+// changes were newer than the list.
+func (h *Host) applyServerEvents(evs []ServerEvent, rev epoch.Revision, outage bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.sync.serversRev.Before(rev) {
-		return // a newer list was fetched from another host
+		return false // a newer list was fetched from another host
 	}
+	h.changes.add(change{from: h.sync.serversRev, to: rev, events: evs})
 	h.sync.serversRev = rev
 	now := h.clock.Now()
 	lost := 0
@@ -332,7 +343,7 @@
 			lost++
 		}
 	}
-	outage := h.suspectOutage(now, lost)
+	outage = outage || h.suspectOutage(now, lost)
 	for _, ev := range evs {
 		if ev.Removed {
 			h.fleet.Remove(now, ev.ID, outage)
@@ -347,7 +358,7 @@
 				zap.Bool("draining", sv.Draining), zap.Int64("born", sv.Born))
 		}
 	}
-	h.triggerHeartbeat()
+	return true
 }
 
 // suspectOutage reports whether registrations that are removed now may have
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -39,7 +39,7 @@
 	}
 	event := func(rev epoch.Revision, id keys.Server) func(h *Host) {
 		return func(h *Host) {
-			h.applyServerEvents([]ServerEvent{{ID: id, Server: fleet.Server{ID: id}}}, rev)
+			h.applyServerEvents([]ServerEvent{{ID: id, Server: fleet.Server{ID: id}}}, rev, false)
 		}
 	}
 	tests := []struct {
