mesh, front: drop and count messages that no host can have sent

Cause: a datagram was applied if its bytes could be decoded, whatever it said and wherever it came from.

Change: loads, counts, intervals and addresses are checked; a heartbeat must come from the address that it gives, other messages from a known host or a seed. Dropped ones are counted by reason and logged once a second at most. Datagrams and bytes are counted by kind and direction.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -186,6 +187,7 @@
 		h.log.Error("cannot encode message to other hosts", zap.Error(err))
 		return
 	}
+	h.metrics.mesh.CountSent(msg.Kind(), len(data), len(ips))
 	for _, ip := range ips {
 		if err := h.mesh.Send(ip, data); err != nil {
 			h.log.Debug("cannot send message to another host", zap.Error(err))
@@ -208,11 +210,46 @@
 
 // receive handles the messages of other hosts.
 func (h *Host) receive(ctx context.Context) error {
-	return h.mesh.Run(ctx, h.handleMessage, h.logDecodeError)
+	return h.mesh.Run(ctx, h.handlePacket, h.logDecodeError)
 }
 
-func (h *Host) logDecodeError(err error) {
-	h.log.Warn("dropping malformed message of another host", zap.Error(err))
+// handlePacket handles a message if it comes from where it says, and from a host
+// that is known unless it says who the sender is.
+func (h *Host) handlePacket(p mesh.Packet) {
+	msg, ip := p.Message, p.From.String()
+	h.metrics.mesh.CountReceived(msg.Kind(), p.Bytes)
+	switch b := msg.Heartbeat; {
+	case b != nil && b.IP != ip:
+		h.logDropped(mesh.Foreign, fmt.Errorf("heartbeat of %s at %s comes from %s", b.From, b.IP, ip))
+	case b == nil && !h.members.isAddr(ip):
+		h.logDropped(mesh.Foreign, fmt.Errorf("%s from %s, which is no known host", msg.Kind(), ip))
+	default:
+		h.handleMessage(msg)
+	}
+}
+
+// dropLogInterval is the shortest time between two log lines about dropped
+// messages.
+const dropLogInterval = time.Second
+
+func (h *Host) logDecodeError(err error) { h.logDropped(mesh.Malformed, err) }
+
+// logDropped counts a dropped message and logs it at a bounded rate. It is called by
+// the goroutine that receives messages.
+func (h *Host) logDropped(why mesh.Drop, err error) {
+	h.metrics.mesh.CountDropped(why)
+	h.dropped.count++
+	if time.Since(h.dropped.loggedAt) < dropLogInterval {
+		return
+	}
+	h.log.Warn("dropping messages", zap.Stringer("why", why), zap.Int("count", h.dropped.count), zap.NamedError("last", err))
+	h.dropped = droppedMessages{loggedAt: time.Now()}
+}
+
+// droppedMessages are the messages that were dropped since the last log line.
+type droppedMessages struct {
+	loggedAt time.Time
+	count    int
 }
 
 func (h *Host) handleMessage(msg mesh.Message) {
--- a/internal/front/heartbeat_test.go
+++ b/internal/front/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,3 +80,32 @@
 		})
 	}
 }
+
+// Guards against messages of senders that are no hosts, and of hosts that give the
+// address of another one: load, suspects or tables of a stranger would count.
+func TestForeignMessages(t *testing.T) {
+	tests := []struct {
+		name string
+		from string
+		msg  mesh.Message
+		want bool // handled
+	}{
+		{"heartbeat", "127.0.0.2", mesh.Message{Heartbeat: &mesh.Heartbeat{From: "b", Incarnation: 1, IP: "127.0.0.2"}}, true},
+		{"heartbeat with another address", "127.0.0.9", mesh.Message{Heartbeat: &mesh.Heartbeat{From: "b", Incarnation: 1, IP: "127.0.0.2"}}, false},
+		{"hosts from a seed", "127.0.0.3", mesh.Message{Members: []mesh.Member{{Host: "b", IP: "127.0.0.2"}}}, true},
+		{"hosts from a known host", "127.0.0.4", mesh.Message{Members: []mesh.Member{{Host: "b", IP: "127.0.0.2"}}}, true},
+		{"hosts from a stranger", "127.0.0.9", mesh.Message{Members: []mesh.Member{{Host: "b", IP: "127.0.0.2"}}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := New(Config{Settings: Settings{Host: "a", IP: "127.0.0.1", Seeds: []string{"127.0.0.3"}}, Log: zap.NewNop()})
+			var err error
+			h.mesh, err = mesh.Listen("127.0.0.1", 0)
+			is.NoErr(err)
+			h.handleMessage(mesh.Message{Members: []mesh.Member{{Host: "known", IP: "127.0.0.4"}}})
+			h.handlePacket(mesh.Packet{Message: tt.msg, From: netip.MustParseAddr(tt.from)})
+			is.Equal(h.members.isKnown("b"), tt.want)
+		})
+	}
+}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -75,6 +75,7 @@
 	mesh        *mesh.Conn
 	members     *members
 	role        *assignerRole
+	dropped     droppedMessages
 	group       group // as the relay has it; of the goroutine that sends heartbeats
 
 	mu            sync.Mutex
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -8,10 +8,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/mesh"
 )
 
 // hostMetrics are the metrics of a host that aren't about requests.
 type hostMetrics struct {
+	mesh         *mesh.Metrics
 	storeCalls   *prometheus.CounterVec
 	assignerTerm prometheus.Gauge
 	storeEpoch   prometheus.Gauge
@@ -31,6 +34,7 @@
 			Name: "laburnummux_key_calls_total", Help: "Grants and releases by outcome.",
 		}, []string{"call", "outcome"}),
 	}
+	m.mesh = mesh.NewMetrics(reg)
 	reg.MustRegister(m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -296,6 +296,13 @@
 	return ms.assignerTerm
 }
 
+// isAddr reports whether an address is that of a known host or of a seed.
+func (ms *members) isAddr(ip string) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.addrs[ip] > 0 || slices.Contains(ms.seeds, ip)
+}
+
 func (ms *members) isKnown(name keys.Host) bool {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	c, err := mesh.Listen(ip, port)
-//	go c.Run(ctx, func(msg mesh.Message) { ... }, func(err error) { ... })
+//	go c.Run(ctx, func(p mesh.Packet) { ... }, func(err error) { ... })
 //	b, err := mesh.Encode(mesh.Message{Heartbeat: &heartbeat})
 //	err = c.Send(ip, b)
 package mesh
@@ -138,11 +138,14 @@
 	return b, nil
 }
 
-// Decode decodes a message.
+// Decode decodes a message. It returns an error for one that no host can have sent.
 func Decode(b []byte) (msg Message, err error) {
 	if err = cbor.Unmarshal(b, &msg); err != nil {
 		return Message{}, fmt.Errorf("mesh: decode message of %d bytes: %w", len(b), err)
 	}
+	if err = msg.check(); err != nil {
+		return Message{}, err
+	}
 	return msg, nil
 }
 
@@ -158,14 +161,21 @@
 	return nil
 }
 
+// Packet is a received message with its sender.
+type Packet struct {
+	Message Message
+	From    netip.Addr
+	Bytes   int
+}
+
 // Run calls handle for received messages until ctx ends, and malformed for
 // datagrams that can't be decoded.
-func (c *Conn) Run(ctx context.Context, handle func(Message), malformed func(error)) error {
+func (c *Conn) Run(ctx context.Context, handle func(Packet), malformed func(error)) error {
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxMessageBytes)
 	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -177,6 +187,6 @@
 			malformed(err)
 			continue
 		}
-		handle(msg)
+		handle(Packet{Message: msg, From: from.Addr().Unmap(), Bytes: n})
 	}
 }
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,97 @@
+package mesh
+
+import (
+	"math"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/internal/retry"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+func heartbeat(change func(b *Heartbeat)) Message {
+	b := &Heartbeat{From: "a", Incarnation: 1, IP: "10.0.0.1", Interval: 450, InFlight: map[ServerHash]int{7: 2}}
+	change(b)
+	return Message{Heartbeat: b}
+}
+
+// Guards against messages that no host can have sent: they could make a server seem
+// idle or full, or keep a host alive for ever.
+func TestInvalidMessages(t *testing.T) {
+	tests := []struct {
+		name string
+		msg  any
+		ok   bool
+	}{
+		{"heartbeat", heartbeat(func(*Heartbeat) {}), true},
+		{"heartbeat of an earlier version", map[int]any{1: map[int]any{1: "a", 2: 5, 3: 1, 4: "10.0.0.1", 15: -1}}, true},
+		{"parts of a later version", map[int]any{1: map[int]any{1: "a", 2: 5, 4: "10.0.0.1", 15: -1, 99: "x"}, 98: 1}, true},
+		{"only parts of a later version", map[int]any{98: 1}, false},
+		{"nothing", Message{}, false},
+		{"no host", heartbeat(func(b *Heartbeat) { b.From = "" }), false},
+		{"no address", heartbeat(func(b *Heartbeat) { b.IP = "" }), false},
+		{"load below zero", heartbeat(func(b *Heartbeat) { b.InFlight[7] = -1 }), false},
+		{"load that can't be", heartbeat(func(b *Heartbeat) { b.InFlight[7] = maxInFlight + 1 }), false},
+		{"queue below zero", heartbeat(func(b *Heartbeat) { b.Queued = map[keys.Service]int{"ledger": -4} }), false},
+		{"interval below zero", heartbeat(func(b *Heartbeat) { b.Interval = -1 }), false},
+		{"interval for ever", heartbeat(func(b *Heartbeat) { b.Interval = math.MaxInt64 }), false},
+		{"unknown reach", heartbeat(func(b *Heartbeat) { b.Reach = ReachAll + 1 }), false},
+		{"cores", heartbeat(func(b *Heartbeat) { b.Cores = math.NaN() }), false},
+		{"listed host without address", heartbeat(func(b *Heartbeat) { b.Members = []Member{{Host: "b"}} }), false},
+		{"too many hosts", Message{Members: make([]Member, maxMembers+1)}, false},
+		{"hosts", Message{Members: []Member{{Host: "b", IP: "10.0.0.2"}}}, true},
+		{"report", Message{Report: &Report{From: "a"}}, true},
+		{"report without a host", Message{Report: &Report{}}, false},
+		{"service time", Message{Report: &Report{From: "a", ServiceTimes: []owner.ServiceTime{{N: 1, Ratio: math.Inf(1)}}}}, false},
+		{"load of a key", Message{Report: &Report{From: "a", KeyLoads: map[keys.Service][]owner.KeyLoad{"ledger": {{Time: -1}}}}}, false},
+		{"suspects", Message{Suspects: []retry.SuspectRecord{{}}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, err := cbor.Marshal(tt.msg)
+			is.NoErr(err)
+			_, err = Decode(b)
+			is.Equal(err == nil, tt.ok)
+		})
+	}
+}
+
+// A datagram that was cut short anywhere is dropped.
+func TestCutMessages(t *testing.T) {
+	is := is.New(t)
+	b, err := Encode(heartbeat(func(b *Heartbeat) { b.Members = []Member{{Host: "b", IP: "10.0.0.2", DC: "north"}} }))
+	is.NoErr(err)
+	for n := range b {
+		_, err := Decode(b[:n])
+		is.True(err != nil)
+	}
+}
+
+// FuzzDecode decodes arbitrary datagrams. One that is accepted keeps its meaning
+// when it is sent on.
+func FuzzDecode(f *testing.F) {
+	for _, msg := range []Message{heartbeat(func(*Heartbeat) {}), {Members: []Member{{Host: "b", IP: "10.0.0.2"}}}, {Report: &Report{From: "a"}}} {
+		b, err := Encode(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		msg, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := Encode(msg)
+		if err != nil {
+			return // too large for a datagram
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("%v, after %+v", err, msg)
+		}
+	})
+}
