front: one walk over the hosts for the rank and the watches, changes of servers in groups

Change: the rank in the data centre and the latest confirmation come from one walk that is at most 40 ms old, over a slice; a host looks twice less often whether it should watch, and whether it should claim the role 20 in place of 50 times a second; after fetching a change it waits 100 ms for others, as a watcher does.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -93,6 +93,9 @@
 	group        group // of this host
 	groupChanged bool  // the hosts of the data centre have changed
 
+	lastStanding standing
+	standingAt   clock.Time // when it was determined
+
 	tables         map[keys.Service]owner.Table
 	assigner       keys.Host  // host whose heartbeat had the highest term
 	maxTerm        uint64     // highest term of a heartbeat or table
--- a/internal/front/rank.go
+++ b/internal/front/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/mesh"
@@ -59,22 +60,9 @@
 	return s
 }
 
-// rankInDC returns the number of live hosts of the same data centre with precedence
-// over this one.
-func (ms *members) rankInDC(now clock.Time) (rank int) {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	for _, m := range ms.all {
-		if m.dc == ms.dc && !m.leaving && m.alive(now) && ms.precedes(m) {
-			rank++
-		}
-	}
-	return rank
-}
-
 // isFirstInDC reports whether no live host of the same data centre has precedence
 // over this one.
-func (ms *members) isFirstInDC(now clock.Time) bool { return ms.rankInDC(now) == 0 }
+func (ms *members) isFirstInDC(now clock.Time) bool { return ms.standing(now).rankInDC == 0 }
 
 // reachOf returns how far this host's heartbeats have to be frequent. priority means
 // that other hosts take over if it sends none.
@@ -82,39 +70,72 @@
 	switch {
 	case priority:
 		return mesh.ReachAll
-	case ms.rankInDC(now) < standbyHosts:
+	case ms.standing(now).rankInDC < standbyHosts:
 		return mesh.ReachDC
 	}
 	return mesh.ReachGroup
 }
 
-// watchState reports whether this host is a watcher, one of the hosts that watch
-// the store: the first live host of each of the first maxWatchingDCs data
-// centres. age is the lowest confirmation age of another live host, or -1 if
-// none has one.
-func (ms *members) watchState(now clock.Time) (watcher bool, age clock.Span) {
+// standing is the rank of this host, and the state of the store as the other live
+// hosts know it.
+type standing struct {
+	rankInDC    int        // number of live hosts of the data centre with precedence over this one
+	dcsBefore   int        // data centres before this one that have a live host
+	confirmed   bool       // the store has confirmed the state of another live host
+	confirmedAt clock.Time // latest such confirmation
+}
+
+// maxStandingAge is how long a standing is used before it is determined anew. It is
+// needed several times in each period of the loops that ask for it.
+const maxStandingAge = 40 * clock.Millisecond
+
+// standing returns the current standing of this host. It walks over all members at
+// most once per maxStandingAge.
+func (ms *members) standing(now clock.Time) standing {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	watcher, age = true, -1
-	before := make(map[keys.DataCentre]bool)
-	for _, m := range ms.all {
+	if ms.standingAt != 0 && now.Sub(ms.standingAt) < maxStandingAge && !now.Before(ms.standingAt) {
+		return ms.lastStanding
+	}
+	ms.standingAt, ms.lastStanding = now, ms.determineStanding(now)
+	return ms.lastStanding
+}
+
+func (ms *members) determineStanding(now clock.Time) (s standing) {
+	var before []keys.DataCentre
+	for _, m := range ms.due {
 		if !m.alive(now) {
 			continue
 		}
-		if !m.leaving {
-			if m.dc == ms.dc && ms.precedes(m) {
-				watcher = false
-			}
-			if m.dc < ms.dc {
-				before[m.dc] = true
+		switch {
+		case m.leaving:
+		case m.dc == ms.dc:
+			if ms.precedes(m) {
+				s.rankInDC++
 			}
+		case m.dc < ms.dc && !slices.Contains(before, m.dc):
+			before = append(before, m.dc)
 		}
 		if m.confirmationAge < 0 {
 			continue
 		}
-		if a := m.confirmationAge + now.Sub(m.lastHeartbeat); age < 0 || a < age {
-			age = a
+		if at := m.lastHeartbeat.Add(-m.confirmationAge); !s.confirmed || at > s.confirmedAt {
+			s.confirmed, s.confirmedAt = true, at
 		}
 	}
-	return watcher && len(before) < maxWatchingDCs, age
+	s.dcsBefore = len(before)
+	return s
+}
+
+// watchState reports whether this host is a watcher, one of the hosts that watch
+// the store: the first live host of each of the first maxWatchingDCs data
+// centres. age is the lowest confirmation age of another live host, or -1 if
+// none has one.
+func (ms *members) watchState(now clock.Time) (watcher bool, age clock.Span) {
+	s := ms.standing(now)
+	age = -1
+	if s.confirmed {
+		age = now.Sub(s.confirmedAt)
+	}
+	return s.rankInDC == 0 && s.dcsBefore < maxWatchingDCs, age
 }
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// tickInterval is the period of the assigner's decisions.
-	tickInterval = 20 * time.Millisecond
+	// tickInterval is the period of the assigner's decisions, idleTickInterval that
+	// of the check whether the role has to be claimed.
+	tickInterval     = 20 * time.Millisecond
+	idleTickInterval = 50 * time.Millisecond
 	// leaseTime is the time for which keys are granted. It bounds how long the
 	// keys of a failed server have no owner.
 	leaseTime = 2500 * clock.Millisecond
@@ -200,6 +202,11 @@
 			r.handleEvent(ctx, ev)
 		case <-t.C:
 			r.tick(ctx)
+			if r.assigner == nil {
+				t.Reset(idleTickInterval)
+			} else {
+				t.Reset(tickInterval)
+			}
 		}
 	}
 }
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -166,7 +166,9 @@
 		if err := h.fetchSnapshot(ctx, client, net.JoinHostPort(ip, port), config, servers); err != nil {
 			h.log.Info("cannot fetch snapshot from another host; avoiding that host for 1 s", zap.Error(err))
 			h.members.markUnreachable(h.clock.Now(), ip)
+			continue
 		}
+		sleep(ctx, serverChangePause) // changes often come in groups, and each is applied to the whole list
 	}
 }
 
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -35,7 +35,7 @@
 	maxStartupWatchDelay = 400 * clock.Millisecond
 	// shouldWatchInterval is the period in which a host that doesn't watch the
 	// store checks whether it should.
-	shouldWatchInterval = 50 * time.Millisecond
+	shouldWatchInterval = 100 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
