place, relay: the load that a hot key's owner tells counts where it isn't reported

Cause: with groups a host knows only its group's requests at the owner of a key, so it went on sending to an owner whose queue was full, and refused without saying when to come back.

Change: the load in the owner's last response counts for the expected wait for 500 ms, in data centres with groups; a keyed request that its owner rejects gets a Retry-After of the time in which the owner serves what it has.

--- a/internal/place/groups_test.go
+++ b/internal/place/groups_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -354,3 +355,38 @@
 		})
 	}
 }
+
+// Guards against requests for the keys of a hot owner that are sent though it has
+// just said that it can't serve them in time: each takes a retry from the budget, and
+// its caller hears too late, or not at all, when to come back.
+func TestToldLoadOfOwner(t *testing.T) {
+	tests := []struct {
+		name    string
+		shares  int
+		load    int        // of the owner, in its last response
+		age     clock.Span // of that response
+		refused bool
+	}{
+		{"queue that takes too long", 2, 10, 100, true},
+		{"short queue", 2, 4, 100, false},
+		{"too old", 2, 10, toldLoadAge, false},
+		{"load of all hosts is known", 1, 10, 100, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New("north", oneIdleConn)
+			s.SetShare(0, Share{Count: tt.shares, Hosts: 2})
+			s.SetServers(0, servers(2))
+			s.SetTable(0, owner.Table{Service: svc, Term: 1, Spans: []owner.Range{{From: 0, To: owner.MaxKey, Server: "s0"}}})
+			s.Done(100, "s0", Result{Duration: 100, RouteMean: 100, Load: tt.load, HasLoad: true})
+			r := newRequest(1, clock.Time(100).Add(tt.age))
+			r.Keyed = true
+			acts := s.Submit(r.Arrived, r)
+			is.Equal(len(refusals(acts)) == 1, tt.refused)
+			if tt.refused {
+				is.True(refusals(acts)[0].RetryAfter >= 300) // eight requests of 100 ms in two slots
+			}
+		})
+	}
+}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -59,15 +59,16 @@
 // expectedWait estimates how long a request at a position of the queue has to
 // wait: the number of requests ahead of it, here and in proportion on the other
 // hosts, divided by the rate at which the servers that may run it free slots. The
-// rest of a pause that its owner has asked for is added.
+// rest of a pause that its owner has asked for is added, and what its owner has said
+// to have queued.
 func (s *State) expectedWait(now clock.Time, x *service, r *Request, at int) clock.Span {
-	ahead, group, pause := at, s.pool(now, r.Service), clock.Span(0)
+	ahead, group, pause, waiting := at, s.pool(now, r.Service), clock.Span(0), 0
 	if r.Keyed {
 		sv := s.ownerOf(r)
 		if sv == nil {
 			return 0 // unknown how long the key will have no owner
 		}
-		ahead, group, pause = s.aheadFor(x, sv, at), []*server{sv}, sv.pauseLeft(now)
+		ahead, group, pause, waiting = s.aheadFor(x, sv, at), []*server{sv}, sv.pauseLeft(now), s.toldWaiting(now, sv)
 	}
 	slots := 0.0
 	for _, sv := range group {
@@ -76,10 +77,10 @@
 		}
 		slots += float64(sv.Slots) / max(sv.serviceTimeRatio, 0.1)
 	}
-	if slots == 0 || ahead == 0 {
+	if slots == 0 || ahead+waiting == 0 {
 		return pause
 	}
-	all := ahead
+	all := ahead + waiting
 	for _, p := range s.peers {
 		all += p.queued[r.Service] * ahead / max(len(x.queue), 1)
 	}
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -15,8 +15,8 @@
 	// overflowInFlight is the most requests that a host has in flight at a server
 	// outside its share.
 	overflowInFlight = 1
-	// toldLoadAge is how long a host goes by the load in a response of a server
-	// outside its share.
+	// toldLoadAge is how long a host goes by the load in a server's response, if the
+	// load reports of the group don't tell it.
 	toldLoadAge = 500 * clock.Millisecond
 )
 
@@ -93,7 +93,22 @@
 	return remote
 }
 
+// toldLately reports whether a server's load in its last response is still of use.
+func (sv *server) toldLately(now clock.Time) bool {
+	return sv.toldLoadAt != 0 && now.Sub(sv.toldLoadAt) < toldLoadAge
+}
+
 // toldFull reports whether a server has said lately that all its slots were busy.
 func (sv *server) toldFull(now clock.Time) bool {
-	return sv.toldLoad >= sv.Slots && sv.toldLoadAt != 0 && now.Sub(sv.toldLoadAt) < toldLoadAge
+	return sv.toldLately(now) && sv.toldLoad >= sv.Slots
+}
+
+// toldWaiting returns how many requests the owner of a key has lately said to have
+// queued, beyond those that this host knows of. It is 0 if all hosts of the data
+// centre tell each other their load.
+func (s *State) toldWaiting(now clock.Time, sv *server) int {
+	if s.share.Count <= 1 || !sv.toldLately(now) {
+		return 0
+	}
+	return max(sv.toldLoad-max(sv.load(), sv.Slots), 0)
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -285,7 +285,7 @@
 		if c.mayHaveRun {
 			return c.finish(caller.Response{Status: http.StatusBadGateway}, reasonRejected), true
 		}
-		return c.refuse(reasonRejected, c.pause(result.reply)), true
+		return c.refuse(reasonRejected, max(c.pause(result.reply), c.timeToServe(sv, result.reply))), true
 	}
 	c.mayHaveRun = true
 	if idempotent && c.takeRetry() {
@@ -303,6 +303,17 @@
 	return 0
 }
 
+// timeToServe estimates when the owner of the request's key, which is full, will
+// have served what it has, or 0 if it hasn't told its load.
+func (c *call) timeToServe(sv fleet.Server, reply Reply) clock.Span {
+	if svc, _ := c.cfg.Service(c.service); !svc.Keyed || !c.meta.HasKey || !reply.HasLoad {
+		return 0
+	}
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	return c.relay.routeMean(c.route.Name) * clock.Span(reply.Load) / clock.Span(max(sv.Slots, 1))
+}
+
 // takeRetry takes a retry from the budget, and reports whether the request may be
 // sent once more.
 func (c *call) takeRetry() bool {
