front, link: a stopping host and routes without a timeout; heads that break off

Cause: the longest timeout of the routes, by which a stopping host decides until when it accepts requests, left out routes without one. Requests on them were sent to servers until the end of the grace period and cut off (reports of operators).

Change: such a route counts as lasting for the grace period, so that the host refuses new requests from its half on. A response that breaks off in its head was an error everywhere already; a test now shows it for each place and framing.

--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/intent"
 )
 
 const (
@@ -28,10 +30,8 @@
 	h.callers.Drain()
 	h.triggerHeartbeat()
 	time.Sleep(deregistrationDelay)
-	grace, longest := h.cfg.Settings.GracePeriod.Std(), time.Duration(0)
-	if c := h.relay.Config(); c != nil {
-		longest = c.MaxTimeout().Std()
-	}
+	grace := h.cfg.Settings.GracePeriod.Std()
+	longest := longestRequest(h.relay.Config(), grace)
 	end := began.Add(grace - exitReserve)
 	refuse := began.Add(refuseAfter(grace, longest))
 	for h.callers.ConnCount() > 0 && time.Now().Before(end) {
@@ -54,6 +54,19 @@
 	return nil
 }
 
+// longestRequest returns how long a request may last, but no more than the grace
+// period.
+func longestRequest(c *intent.Config, grace time.Duration) time.Duration {
+	if c == nil {
+		return 0 // it refuses all requests
+	}
+	d, unlimited := c.MaxTimeout()
+	if unlimited {
+		return grace
+	}
+	return min(d.Std(), grace)
+}
+
 // refuseAfter returns how long a stopping host accepts new requests. Later ones
 // might not get a response before the process ends. Requests on connections that
 // are still open are accepted for half of the grace period in any case.
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -124,12 +124,14 @@
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return c.routeCount }
 
-// MaxTimeout returns the longest timeout of all routes.
-func (c *Config) MaxTimeout() (d clock.Span) {
+// MaxTimeout returns the longest timeout of all routes. unlimited means that a route
+// has none: its requests last as long as their callers wait.
+func (c *Config) MaxTimeout() (d clock.Span, unlimited bool) {
 	for _, rt := range c.doc.Routes {
 		d = max(d, rt.Timeout)
+		unlimited = unlimited || rt.Timeout == 0
 	}
-	return d
+	return d, unlimited
 }
 
 func (c *Config) Service(name keys.Service) (Service, bool) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// Guards against a response whose head breaks off and that passes as a success with
+// an empty or short body, wherever it breaks off and however the body is framed.
+func TestCutHead(t *testing.T) {
+	tests := []struct{ name, framing, body string }{
+		{"length", "Content-Length: 12\r\n", "abcdefghijkl"},
+		{"chunked", "Transfer-Encoding: chunked\r\n", "c\r\nabcdefghijkl\r\n0\r\n\r\n"},
+		{"until the end of the connection", "", "abcdefghijkl"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			head := "HTTP/1.1 200 OK\r\nId: me\r\n" + tt.framing + "\r\n"
+			for n := range head {
+				s := newRawServer(t, head[:n])
+				res := send(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
+				is.True(errors.Is(res.Err, ErrConnLost) || errors.Is(res.Err, ErrMalformed))
+				is.Equal(len(res.Body), 0)
+				is.True(res.Sent) // it may have run
+			}
+			s := newRawServer(t, head+tt.body)
+			is.NoErr(send(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))).Err)
+		})
+	}
+}
+
 // Guards against the reuse of a connection with bytes after a complete response,
 // which belong to no request.
 func TestExtraBytes(t *testing.T) {
