front: fewer calls to the store and fewer distant heartbeats with many hosts

Each host registered itself, and read the assignment record at its start and whenever no assigner was heard.

Change: the first four hosts of each data centre, which stand by for roles, register and read at once; others read after 2 s without an assigner. Distant hosts get a heartbeat every 50 ms per host, in place of 25.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -22,6 +22,9 @@
 	if name != "" && mono.Sub(seen) < assignerTimeout {
 		return
 	}
+	if !r.host.members.isStandby(mono) && min(mono.Sub(seen), now.Sub(r.startedAt)) < recordReadInterval {
+		return // one that stands by claims the role, and sends the tables
+	}
 	if r.recordReadAt == 0 || now.Sub(r.recordReadAt) > recordReadInterval {
 		r.recordReadAt, r.storeCallPending = now, true
 		c := &readCall{role: r, startedAt: now}
--- a/internal/front/claim_test.go
+++ b/internal/front/claim_test.go
@@ -49,3 +49,31 @@
 		})
 	}
 }
+
+// Guards against calls to the store that grow with the number of hosts: at a start,
+// and whenever the assigner ended, each of 295 hosts read its record, and each
+// registered itself. The first hosts of each data centre are enough.
+func TestFewHostsStandBy(t *testing.T) {
+	is := is.New(t)
+	f := newFleetSim(150, 5)
+	f.run(2 * clock.Second)
+	standby := 0
+	for _, h := range f.hosts {
+		if h.isStandby(f.now) {
+			standby++
+		}
+	}
+	is.Equal(standby, 5*standbyHosts)
+	for _, h := range f.hosts[:30] {
+		h.down = true // all that stood by, and more
+	}
+	f.run(aliveTimeout + 100)
+	for _, h := range f.hosts[30:35] {
+		is.True(h.isStandby(f.now)) // the next ones
+	}
+	small := newFleetSim(12, 3)
+	small.run(clock.Second)
+	for _, h := range small.hosts {
+		is.True(h.isStandby(small.now)) // all, where they are few
+	}
+}
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -39,6 +39,9 @@
 	// maxSuspectTargets is how many hosts it sends the list to. They pass it on, so
 	// that all hosts have it after a few periods.
 	maxSuspectTargets = 24
+	// registrationDelay is how long a new process waits for heartbeats of other hosts,
+	// which tell whether it has to register.
+	registrationDelay = 300 * time.Millisecond
 	// discoverInterval is the period in which a host without enough live hosts
 	// reads the hosts' addresses from the store.
 	discoverInterval = 3 * time.Second
@@ -300,13 +303,16 @@
 	return out
 }
 
-// join registers this host in the store, again after a restore of the store, and
-// reads the other hosts' addresses there while too few of them are alive: the seeds
-// in the settings may be stale.
+// join registers this host in the store if it stands by for roles, again after a
+// restore of the store, and reads the other hosts' addresses there while too few of
+// them are alive: the seeds in the settings may be stale. A host that finds one of the
+// registered hosts learns of the others from it.
 func (h *Host) join(ctx context.Context) error {
 	registered, registeredIn := false, uint64(0)
+	sleep(ctx, registrationDelay)
 	for {
-		if !registered || h.knownEpoch() > registeredIn {
+		mayAct := h.members.isStandby(h.clock.Now()) || h.role.term() > 0
+		if mayAct && (!registered || h.knownEpoch() > registeredIn) {
 			storeEpoch, err := h.cfg.Store.PutHost(ctx, h.cfg.Settings.Host, h.cfg.Settings.IP)
 			h.recordStoreResult(err)
 			if err == nil {
--- a/internal/front/rank.go
+++ b/internal/front/rank.go
@@ -13,9 +13,11 @@
 // store. The second one continues while the first is partitioned.
 const maxWatchingDCs = 2
 
-// standbyHosts is how many hosts of a data centre, in the order of precedence, send
-// each other and the hosts of their data centre frequent heartbeats. If the first
-// ones end together, the next one and the others know it within aliveTimeout.
+// standbyHosts is how many hosts of a data centre, in the order of precedence, stand
+// by for roles. They send each other and the hosts of their data centre frequent
+// heartbeats, so that if the first ones end together, the next one and the others
+// know it within aliveTimeout; they read the record first, and are registered in the
+// store.
 const standbyHosts = 4
 
 // precedes reports whether another host has precedence over this one as assigner
@@ -64,13 +66,18 @@
 // over this one.
 func (ms *members) isFirstInDC(now clock.Time) bool { return ms.standing(now).rankInDC == 0 }
 
+// isStandby reports whether this host is among the first of its data centre.
+func (ms *members) isStandby(now clock.Time) bool {
+	return ms.standing(now).rankInDC < standbyHosts
+}
+
 // reachOf returns how far this host's heartbeats have to be frequent. priority means
 // that other hosts take over if it sends none.
 func (ms *members) reachOf(now clock.Time, priority bool) mesh.Reach {
 	switch {
 	case priority:
 		return mesh.ReachAll
-	case ms.standing(now).rankInDC < standbyHosts:
+	case ms.isStandby(now):
 		return mesh.ReachDC
 	}
 	return mesh.ReachGroup
--- a/internal/front/schedule.go
+++ b/internal/front/schedule.go
@@ -29,7 +29,7 @@
 	// distantIntervalPerHost is the time between two heartbeats to a host of
 	// another group, per such host. It bounds their number whatever the number of
 	// hosts: they only say who is there.
-	distantIntervalPerHost = 25 * clock.Millisecond
+	distantIntervalPerHost = 50 * clock.Millisecond
 )
 
 // dueHeap orders members by the time of the next heartbeat to them.
