front: only hosts that stand by for roles call the store at a start and in an outage

Change: hosts other than the first four of their data centre read the store only if no confirmation is younger than 1.5 of the bound; a new process waits for 80 ms at least, in which it hears from others.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -108,7 +108,7 @@
 	}
 	h := &Host{
 		cfg: cfg, clock: clock.System(), incarnation: time.Now().UnixMilli(), log: cfg.Log, settings: cfg.Settings,
-		fleet: fleet.NewRegistry(restoredHoldIntervals * cfg.Settings.RegistrationInterval), watchFrom: clock.Time(rand.N(maxStartupWatchDelay)), heartbeatDue: make(chan struct{}, 1), snapshotAvailable: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
+		fleet: fleet.NewRegistry(restoredHoldIntervals * cfg.Settings.RegistrationInterval), watchFrom: clock.Time(minStartupWatchDelay + rand.N(maxStartupWatchDelay-minStartupWatchDelay)), heartbeatDue: make(chan struct{}, 1), snapshotAvailable: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
 	}
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -25,13 +25,17 @@
 	// stale: a host watches the store itself if no other host reports a fresher
 	// one. The rest of the bound is left for its call.
 	staleFraction = 0.675
+	// othersStaleFraction is the same for hosts that don't stand by for roles. In an
+	// outage of the store each of hundreds would call it otherwise.
+	othersStaleFraction = 1.5
 	// serverChangePause is the pause after changes of servers. Registrations
 	// often change in groups, and every response of a watch is a billed call.
 	serverChangePause = 100 * time.Millisecond
-	// maxStartupWatchDelay is the longest time for which a new process waits for
-	// other hosts' snapshots before it watches the store. Each host draws a
-	// random delay below it, so that after a failure of all hosts the first few
-	// read the store at once and the others fetch their snapshots.
+	// minStartupWatchDelay and maxStartupWatchDelay bound the time for which a new
+	// process waits for other hosts' heartbeats and snapshots before it watches the
+	// store. Each host draws a random delay, so that after a failure of all hosts the
+	// first few read the store early and the others fetch their snapshots.
+	minStartupWatchDelay = 80 * clock.Millisecond
 	maxStartupWatchDelay = 400 * clock.Millisecond
 	// shouldWatchInterval is the period in which a host that doesn't watch the
 	// store checks whether it should.
@@ -90,11 +94,21 @@
 // snapshot.
 func (h *Host) shouldWatch() bool {
 	now := h.clock.Now()
-	watcher, age := h.members.watchState(now)
 	if now < h.watchFrom {
 		return false
 	}
-	return watcher || age < 0 || age > h.changeDeadline(staleFraction)
+	watcher, age := h.members.watchState(now)
+	if watcher {
+		return true
+	}
+	limit := h.changeDeadline(staleFraction)
+	if !h.members.isStandby(now) {
+		limit = h.changeDeadline(othersStaleFraction)
+	}
+	if age < 0 { // no other host has a snapshot
+		return h.members.isStandby(now) || now.Sub(h.watchFrom) > limit
+	}
+	return age > limit
 }
 
 // changeDeadline returns a fraction of the time within which changes of the
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/mesh"
@@ -123,3 +125,41 @@
 		})
 	}
 }
+
+// Guards against an outage of the store, or a start, in which every host calls the
+// store: the hosts that stand by do, and the others only if those can't tell them.
+func TestWhoWatches(t *testing.T) {
+	tests := []struct {
+		name    string
+		before  int        // live hosts of the data centre with precedence
+		age     clock.Span // confirmation age of the first of them; negative: none
+		waited  clock.Span // since this host could first have watched
+		watches bool
+	}{
+		{"first", 0, -1, 1, true},
+		{"standby, fresh", 2, 500, 5000, false},
+		{"standby, stale", 2, 1500, 5000, true},
+		{"standby at the start", 2, -1, 1, true},
+		{"other, stale", standbyHosts, 1500, 5000, false},
+		{"other, all others fail", standbyHosts, 3100, 5000, true},
+		{"other at the start", standbyHosts, -1, 1, false},
+		{"other, nobody has a snapshot", standbyHosts, -1, 3100, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := New(Config{Settings: Settings{Host: "z", IP: "127.0.0.1", DC: "north", DrainTimeout: 2000, ApplyTimeout: 2000}, Log: zap.NewNop()})
+			time.Sleep(2 * time.Millisecond) // the clock starts at 0, which stands for no heartbeat
+			now := h.clock.Now()
+			h.watchFrom = now.Add(-tt.waited)
+			for i := range tt.before {
+				b := mesh.Heartbeat{From: keys.Host(fmt.Sprintf("a%d", i)), IP: fmt.Sprintf("127.0.1.%d", i), DC: "north", ConfirmationAge: -1}
+				if i == 0 {
+					b.ConfirmationAge = tt.age
+				}
+				h.members.handleHeartbeat(now, &b)
+			}
+			is.Equal(h.shouldWatch(), tt.watches)
+		})
+	}
+}
