--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -150,6 +150,8 @@
 	idle    []*conn
 	inUse   map[uint64]bool // numbers of the connections with a request in progress
 	closed  bool
+	// rejectedAt is when the server last closed a new connection without a response.
+	rejectedAt time.Time
 }
 
 // Config configures a Pool.
@@ -360,12 +362,11 @@
 		c = p.takeIdle(time.Now(), r)
 	}
 	if c == nil {
-		nc, err := p.cfg.Dial(ctx, "tcp", p.cfg.Addr)
-		if err != nil {
+		var err error
+		if c, err = p.dial(ctx); err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
 		}
-		c = newConn(nc)
 		res.NewConn = true
 		p.setInUse(c, true)
 	}
@@ -373,6 +374,9 @@
 	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(ctx, c, r, maxBodyBytes, &res)
+	if res.NewConn && errors.Is(res.Err, ErrConnLost) && ctx.Err() == nil {
+		p.noteRejection(time.Now())
+	}
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -117,6 +117,57 @@
 	}
 }
 
+// rejecter is a server that accepts connections and closes the first ones at once, as
+// one with too many connections does. It responds on the others. The first close
+// comes after a request was sent.
+type rejecter struct {
+	listener net.Listener
+	rejects  int
+}
+
+func (s *rejecter) run() {
+	for n := 0; ; n++ {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if n == 0 {
+			time.Sleep(20 * time.Millisecond) // the request is under way
+		}
+		if n < s.rejects {
+			c.(*net.TCPConn).SetLinger(0) // reset
+			c.Close()
+			continue
+		}
+		rs := &rawServer{listener: s.listener, responses: []string{response("me", "abc")}}
+		go rs.loop(c)
+	}
+}
+
+// Guards against requests that are lost one after the other on new connections to a
+// server that has too many: callers were told 502, which says nothing, for requests
+// that had reached no server. After the first one they count as not sent.
+func TestRejectedConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	s := &rejecter{listener: l, rejects: 4}
+	go s.run()
+	p := NewPool(l.Addr().String(), NewBudget(maxBodyBytes*2))
+	first := send(p)
+	is.True(errors.Is(first.Err, ErrConnLost))
+	is.True(first.Sent) // it can't be known
+	for range 3 {
+		res := send(p)
+		is.True(errors.Is(res.Err, ErrDial))
+		is.True(!res.Sent)
+	}
+	res := send(p)
+	is.NoErr(res.Err)
+	is.Equal(string(res.Body), "abc")
+}
+
 // Guards against a response whose head breaks off and that passes as a success with
 // an empty or short body, wherever it breaks off and however the body is framed.
 func TestCutHead(t *testing.T) {
