--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -39,20 +38,27 @@
 	// maxSuspectTargets is how many hosts it sends the list to. They pass it on, so
 	// that all hosts have it after a few periods.
 	maxSuspectTargets = 24
-	// registrationDelay is how long a new process waits for heartbeats of other hosts,
-	// which tell whether it has to register.
-	registrationDelay = 300 * time.Millisecond
-	// discoverInterval is the period in which a host without enough live hosts
-	// reads the hosts' addresses from the store.
-	discoverInterval = 3 * time.Second
 )
 
+// timer tells when a period has passed.
+type timer struct{ last time.Time }
+
+// due reports whether the period has passed since it was last due.
+func (t *timer) due(period time.Duration) bool {
+	if time.Since(t.last) < period {
+		return false
+	}
+	t.last = time.Now()
+	return true
+}
+
 // sendHeartbeats sends heartbeats and reports periodically, and a heartbeat at
 // once after a change.
 func (h *Host) sendHeartbeats(ctx context.Context) error {
+	var report, suspects, standing timer
 	var seq uint64
-	var lastReport, lastGossip, lastSuspects, lastReach time.Time
 	var reach mesh.Reach
+	var gossipAt time.Time // of the last heartbeat that lists other hosts
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,22 +66,19 @@
 		case <-h.heartbeatDue:
 		case <-time.After(maxHeartbeatInterval):
 		}
-		seq++
-		if time.Since(lastReach) >= reachInterval {
-			lastReach = time.Now()
+		if standing.due(reachInterval) {
 			reach = h.currentReach()
 			h.updateGroup()
 		}
-		gossip := time.Since(lastGossip) >= h.members.gossipInterval()
+		seq++
+		gossip := time.Since(gossipAt) >= h.members.gossipInterval()
 		if h.sendHeartbeat(seq, reach, gossip) && gossip {
-			lastGossip = time.Now()
+			gossipAt = time.Now()
 		}
-		if time.Since(lastReport) >= h.members.reportInterval() {
-			lastReport = time.Now()
+		if report.due(h.members.reportInterval()) {
 			h.sendReport()
 		}
-		if time.Since(lastSuspects) >= suspectInterval {
-			lastSuspects = time.Now()
+		if suspects.due(suspectInterval) {
 			h.sendSuspects()
 		}
 		h.expireServers()
@@ -210,138 +213,3 @@
 		h.send([]string{ip}, mesh.Message{Report: &rep})
 	}
 }
-
-// receive handles the messages of other hosts.
-func (h *Host) receive(ctx context.Context) error {
-	return h.mesh.Run(ctx, h.handlePacket, h.logDecodeError)
-}
-
-// handlePacket handles a message if it comes from where it says, and from a host
-// that is known unless it says who the sender is.
-func (h *Host) handlePacket(p mesh.Packet) {
-	msg, ip := p.Message, p.From.String()
-	h.metrics.mesh.CountReceived(msg.Kind(), p.Bytes)
-	switch b := msg.Heartbeat; {
-	case b != nil && b.IP != ip:
-		h.logDropped(mesh.Foreign, fmt.Errorf("heartbeat of %s at %s comes from %s", b.From, b.IP, ip))
-	case b == nil && !h.members.isAddr(ip):
-		h.logDropped(mesh.Foreign, fmt.Errorf("%s from %s, which is no known host", msg.Kind(), ip))
-	default:
-		h.handleMessage(msg)
-	}
-}
-
-// dropLogInterval is the shortest time between two log lines about dropped
-// messages.
-const dropLogInterval = time.Second
-
-func (h *Host) logDecodeError(err error) { h.logDropped(mesh.Malformed, err) }
-
-// logDropped counts a dropped message and logs it at a bounded rate. It is called by
-// the goroutine that receives messages.
-func (h *Host) logDropped(why mesh.Drop, err error) {
-	h.metrics.mesh.CountDropped(why)
-	h.dropped.count++
-	if time.Since(h.dropped.loggedAt) < dropLogInterval {
-		return
-	}
-	h.log.Warn("dropping messages", zap.Stringer("why", why), zap.Int("count", h.dropped.count), zap.NamedError("last", err))
-	h.dropped = droppedMessages{loggedAt: time.Now()}
-}
-
-// droppedMessages are the messages that were dropped since the last log line.
-type droppedMessages struct {
-	loggedAt time.Time
-	count    int
-}
-
-func (h *Host) handleMessage(msg mesh.Message) {
-	if b := msg.Heartbeat; b != nil {
-		h.handleHeartbeat(b)
-	}
-	if len(msg.Members) > 0 {
-		h.members.addAll(h.clock.Now(), msg.Members)
-		h.triggerHeartbeat() // adds this host to the member lists of the listed hosts
-	}
-	if len(msg.Suspects) > 0 {
-		h.relay.ImportSuspects(msg.Suspects)
-	}
-	if msg.Report != nil {
-		h.role.addReport(msg.Report)
-	}
-	if len(msg.Tables) > 0 {
-		h.applyTables(msg.Tables)
-	}
-}
-
-// handleHeartbeat applies a heartbeat of another host.
-func (h *Host) handleHeartbeat(b *mesh.Heartbeat) {
-	now := h.clock.Now()
-	if h.members.handleHeartbeat(now, b) && h.members.sendsMemberList(now) {
-		h.send([]string{b.IP}, mesh.Message{Members: h.members.active(now)})
-	}
-	h.relay.ServersLeave(b.LeavingServers)
-	if !b.NoLoad {
-		h.relay.SetPeerLoad(b.From, h.resolveHashes(b.InFlight), b.Queued)
-	}
-	h.checkSnapshot(now, b.From)
-}
-
-// resolveHashes replaces server hashes by server names. It leaves out unknown
-// servers.
-func (h *Host) resolveHashes(inFlight map[mesh.ServerHash]int) map[keys.Server]int {
-	byHash := h.serverByHash.Load()
-	if byHash == nil {
-		return nil
-	}
-	out := make(map[keys.Server]int, len(inFlight))
-	for hash, n := range inFlight {
-		if id, ok := (*byHash)[hash]; ok {
-			out[id] = n
-		}
-	}
-	return out
-}
-
-// join registers this host in the store if it stands by for roles, again after a
-// restore of the store, and reads the other hosts' addresses there while too few of
-// them are alive: the seeds in the settings may be stale. A host that finds one of the
-// registered hosts learns of the others from it.
-func (h *Host) join(ctx context.Context) error {
-	registered, registeredIn := false, uint64(0)
-	sleep(ctx, registrationDelay)
-	for {
-		mayAct := h.members.isStandby(h.clock.Now()) || h.role.term() > 0
-		if mayAct && (!registered || h.knownEpoch() > registeredIn) {
-			storeEpoch, err := h.cfg.Store.PutHost(ctx, h.cfg.Settings.Host, h.cfg.Settings.IP)
-			h.recordStoreResult(err)
-			if err == nil {
-				h.noteEpoch(storeEpoch)
-				registered, registeredIn = true, storeEpoch
-			}
-		}
-		if ms := h.members.membership(h.clock.Now()); ms.alive < 2 || !ms.majority {
-			h.discoverHosts(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(discoverInterval):
-		}
-	}
-}
-
-// discoverHosts adds the hosts that are registered in the store.
-func (h *Host) discoverHosts(ctx context.Context) {
-	ips, err := h.cfg.Store.Hosts(ctx)
-	h.recordStoreResult(err)
-	if err != nil {
-		return
-	}
-	h.members.mu.Lock()
-	defer h.members.mu.Unlock()
-	now := h.clock.Now()
-	for name, ip := range ips {
-		h.members.add(now, name, ip, "")
-	}
-}
