--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -96,10 +96,20 @@
 	}
 }
 
+// versions are those of a snapshot.
+type versions struct {
+	config  uint64
+	servers epoch.Revision
+}
+
 // sendHeartbeat sends a heartbeat to the hosts that are due for one. It reports
 // whether there were any.
 func (h *Host) sendHeartbeat(seq uint64, reach mesh.Reach, gossip bool) bool {
 	now := h.clock.Now()
+	if config, servers, _ := h.snapshotVersions(now); config != h.announced.config || servers != h.announced.servers {
+		h.announced = versions{config: config, servers: servers}
+		h.members.announce(now)
+	}
 	batches := h.members.heartbeatTargets(now, reach)
 	if len(batches) == 0 {
 		return false
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -76,7 +76,8 @@
 	members     *members
 	role        *assignerRole
 	dropped     droppedMessages
-	group       group // as the relay has it; of the goroutine that sends heartbeats
+	announced   versions // in the last heartbeat; of the goroutine that sends heartbeats
+	group       group    // as the relay has it; of the goroutine that sends heartbeats
 
 	mu            sync.Mutex
 	settings      Settings
--- a/internal/front/schedule.go
+++ b/internal/front/schedule.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// announce has the hosts of this data centre that this host informs told at once of a
+// newer snapshot. Hosts that all hosts are told by are frequent enough.
+func (ms *members) announce(now clock.Time) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.reach != mesh.ReachDC {
+		return
+	}
+	for _, m := range ms.all {
+		if m.dc == ms.dc && m.active(now) && ms.relationTo(m) == informed {
+			ms.scheduleAt(m, now)
+		}
+	}
+}
+
 // relation is what a host needs to know of another one.
 type relation int
 
--- a/internal/front/schedule_test.go
+++ b/internal/front/schedule_test.go
@@ -210,3 +210,27 @@
 		}
 	}
 }
+
+// Guards against a data centre that learns of a newer snapshot only with the next
+// regular heartbeat of its first host.
+func TestAnnounceSnapshot(t *testing.T) {
+	is := is.New(t)
+	f := newFleetSim(150, 5)
+	f.run(3 * clock.Second)
+	head := f.hosts[4] // the first of its data centre, which has no watcher
+	is.Equal(head.reach, mesh.ReachDC)
+	head.heartbeatTargets(f.now, head.next) // what is due anyway
+	head.announce(f.now)
+	told := make(map[string]bool)
+	for _, b := range head.heartbeatTargets(f.now, head.next) {
+		for _, ip := range b.ips {
+			told[ip] = true
+		}
+	}
+	for _, h := range f.hosts {
+		if h.dc == head.dc && h != head && !head.group.has(h.self) {
+			is.True(told[h.ip])
+		}
+		is.True(h.dc == head.dc || !told[h.ip])
+	}
+}
