front: number of groups in powers of two; restarts with the clock set back

Cause: by reading. The number of groups followed each eighth host, so planned restarts of hosts one by one could change all shares twice each; and a process that starts with its clock set back was ignored by distant hosts for 2.5 of their long intervals.

Change: the number of groups doubles; a heartbeat with a lower incarnation is late only within 1 s, as before groups.

Result: TestGroups, TestRestartWithClockSetBack (fails without the change).

--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -33,12 +33,13 @@
 
 // groupOf returns the group of a host among the hosts of its data centre. The order
 // is that of the names, so that all hosts come to the same groups, and a host that
-// joins or leaves changes the group of few others.
+// joins or leaves changes the group of few others. The number of groups doubles, so
+// that it seldom changes, and shares are halved then.
 func groupOf(self keys.Host, dc []keys.Host) (g group) {
 	slices.SortFunc(dc, func(a, b keys.Host) int { return cmp.Compare(a, b) })
 	g.count = 1
-	if len(dc) > maxUngroupedHosts {
-		g.count = (len(dc) + groupSize - 1) / groupSize
+	for len(dc) > maxUngroupedHosts && len(dc) > g.count*groupSize {
+		g.count *= 2
 	}
 	own, _ := slices.BinarySearch(dc, self)
 	g.number = own * g.count / len(dc)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -135,7 +135,7 @@
 		m = &member{name: b.From, dc: b.DC}
 		ms.insert(now, m)
 	}
-	if b.Incarnation < m.incarnation && now.Sub(m.lastHeartbeat) < m.lastsFor() {
+	if b.Incarnation < m.incarnation && now.Sub(m.lastHeartbeat) < aliveTimeout {
 		return false // late, from a previous process; after a longer gap its wall clock may have been set back instead
 	}
 	first = m.incarnation != b.Incarnation
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -126,3 +126,25 @@
 		})
 	}
 }
+
+// Guards against a host that restarts with its clock set back and is ignored by the
+// distant hosts until its former process counts as ended. A late heartbeat of that
+// process is still ignored.
+func TestRestartWithClockSetBack(t *testing.T) {
+	tests := []struct {
+		name  string
+		after clock.Span // since the last heartbeat of the former process
+		want  bool       // the new one is taken
+	}{
+		{"late heartbeat", 100, false},
+		{"new process", aliveTimeout + 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "a", IP: "127.0.0.1"})
+			ms.handleHeartbeat(10, &mesh.Heartbeat{From: "b", Incarnation: 9, IP: "127.0.0.2", Interval: 14_000})
+			is.Equal(ms.handleHeartbeat(clock.Time(10).Add(tt.after), &mesh.Heartbeat{From: "b", Incarnation: 5, IP: "127.0.0.2"}), tt.want)
+		})
+	}
+}
