--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -150,8 +150,6 @@
 	idle    []*conn
 	inUse   map[uint64]bool // numbers of the connections with a request in progress
 	closed  bool
-	// rejectedAt is when the server last closed a new connection without a response.
-	rejectedAt time.Time
 }
 
 // Config configures a Pool.
@@ -374,9 +372,6 @@
 	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(ctx, c, r, maxBodyBytes, &res)
-	if res.NewConn && errors.Is(res.Err, ErrConnLost) && ctx.Err() == nil {
-		p.noteRejection(time.Now())
-	}
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
 		c.Close()
 		return res
