--- a/internal/front/schedule.go
+++ b/internal/front/schedule.go
@@ -25,7 +25,7 @@
 	maxPriorityInterval = 75 * clock.Millisecond
 	// groupIntervalPerHost is the time between two heartbeats to a host of the
 	// same group, per host of the group, if the data centre has several groups.
-	groupIntervalPerHost = 6 * clock.Millisecond
+	groupIntervalPerHost = 10 * clock.Millisecond
 	// distantIntervalPerHost is the time between two heartbeats to a host of
 	// another group, per such host. It bounds their number whatever the number of
 	// hosts: they only say who is there.
--- a/internal/place/groups_test.go
+++ b/internal/place/groups_test.go
@@ -255,8 +255,8 @@
 		cfg  dcConfig
 	}{
 		{"all to all", dcConfig{groups: 1}},
-		{"groups", dcConfig{groups: 8, interval: 40, share: true}},
-		{"groups without shares", dcConfig{groups: 8, interval: 40}},
+		{"groups", dcConfig{groups: 8, interval: 70, share: true}},
+		{"groups without shares", dcConfig{groups: 8, interval: 70}},
 		{"load in responses, two choices", dcConfig{choices: 2}},
 		{"load in responses, four choices", dcConfig{choices: 4}},
 		{"one queue", dcConfig{oneQueue: true}},
