link, relay: the wait on a new connection isn't a part of the server's time

The time of a request included the wait for a close, so the server that got the second request on a new connection seemed slower than the other and got none at low load.

Change: the result of a request has the wait, and placement gets the rest.

--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -19,20 +19,22 @@
 
 // dial opens a connection. It waits about as long as a full server needs to close it:
 // a request on it would be lost, and it would be unknown whether it has run.
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
+// waited is the time of that wait.
+func (p *Pool) dial(ctx context.Context) (c *conn, waited time.Duration, err error) {
 	began := time.Now()
 	nc, err := p.cfg.Dial(ctx, "tcp", p.cfg.Addr)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	c := newConn(nc)
+	c = newConn(nc)
+	opened := time.Now()
 	select {
 	case <-ctx.Done():
-	case <-time.After(min(max(2*time.Since(began), minCloseWait), maxCloseWait)):
+	case <-time.After(min(max(2*opened.Sub(began), minCloseWait), maxCloseWait)):
 	}
 	if ctx.Err() == nil && c.hasNoInput() {
-		return c, nil
+		return c, time.Since(opened), nil
 	}
 	c.Close()
-	return nil, cmp.Or(ctx.Err(), errRejected)
+	return nil, time.Since(opened), cmp.Or(ctx.Err(), errRejected)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -114,6 +114,8 @@
 	Header  http.Header
 	Body    []byte
 	NewConn bool // a new connection was opened
+	// Waited is how long the new connection was left unused, see Pool.dial.
+	Waited time.Duration
 	// LastConn is the number of the last connection that was open when the request
 	// was sent. Connections up to this one reach the process that responded or
 	// earlier ones at its address.
@@ -361,7 +363,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx); err != nil {
+		if c, res.Waited, err = p.dial(ctx); err != nil {
 			res.Err = fmt.Errorf("%w: %w", ErrDial, err)
 			return res
 		}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -168,6 +168,19 @@
 	is.Equal(string(res.Body), "abc")
 }
 
+// Guards against the wait for a close that counts as a part of the server's time: a
+// server seemed slower for each new connection, and got no more requests.
+func TestWaitOfNewConnection(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, response("me", "abc"), response("me", "abc"))
+	p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))
+	first, second := send(p), send(p)
+	is.NoErr(first.Err)
+	is.NoErr(second.Err)
+	is.True(first.NewConn && first.Waited >= minCloseWait)
+	is.True(!second.NewConn && second.Waited == 0)
+}
+
 // Guards against a response whose head breaks off and that passes as a success with
 // an empty or short body, wherever it breaks off and however the body is framed.
 func TestCutHead(t *testing.T) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -182,7 +182,7 @@
 		Confusable: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
 	})
 	end := r.cfg.Clock.Now()
-	took := end.Sub(now)
+	took := max(end.Sub(now)-clock.Span(res.Waited.Milliseconds()), 0)
 	r.cfg.Metrics.observeSend(c.service, res)
 	if res.Sent {
 		c.sends++
