--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -176,13 +176,14 @@
 	}
 	h := endToEnd(c.req.Header)
 	r.cfg.Codec.Forward(h, remaining, sv.ID)
+	began := time.Now()
 	res := p.Do(ctx, link.Request{
 		Method: c.req.Method, Target: c.req.Target, Host: c.req.Host, Header: h, Body: c.req.Body, HasContentLength: c.req.HasContentLength,
 		ID: c.meta.ID, Matches: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).ID == c.meta.ID },
 		Confusable: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
 	})
 	end := r.cfg.Clock.Now()
-	took := max(end.Sub(now)-clock.Span(res.Waited.Milliseconds()), 0)
+	took := clock.Span((time.Since(began) - res.Waited).Milliseconds())
 	r.cfg.Metrics.observeSend(c.service, res)
 	if res.Sent {
 		c.sends++
