--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -338,3 +338,17 @@
 	}
 	return b
 }
+
+// Restart starts the process of a host that has ended again.
+func (l *Lab) Restart(h *Host) {
+	h.done = make(chan struct{})
+	cmd := exec.Command("target/laburnummux", "front")
+	cmd.Env, cmd.Stdout, cmd.Stderr = h.cmd.Env, h.log, h.log
+	h.cmd = cmd
+	if err := cmd.Start(); err != nil {
+		l.Record("%s can't start: %v", h.Name, err)
+		close(h.done)
+		return
+	}
+	go h.run()
+}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -30,6 +30,8 @@
 	up      bool
 	state   string
 	running int
+	warmEnd time.Time
+	born    int64
 }
 
 // Slots is the number of requests that a server processes at a time.
@@ -54,7 +56,7 @@
 	defer s.mu.Unlock()
 	s.Addr = ln.Addr().String()
 	s.srv = &http.Server{Handler: s}
-	s.up, s.running = true, 0
+	s.up, s.running, s.born = true, 0, time.Now().UnixMilli()
 	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.srv) // ends with Close
 	s.register()
 	return nil
@@ -64,14 +66,40 @@
 func (s *Server) register() {
 	s.lab.Store.Put("servers", s.ID, map[string]any{
 		"service": s.Service, "address": s.Addr, "zone": s.Zone, "version": "v1", "capacity": Slots, "state": s.state,
-		"warmup_left": "0ms", "seq": 1, "born": time.Now().UnixMilli(),
+		"warmup_left": fmt.Sprintf("%dms", max(time.Until(s.warmEnd).Milliseconds(), 0)), "seq": 1, "born": s.born,
 	})
 }
 
+// WarmUp has the server say for a time how much longer it is slow, once per
+// heartbeat.
+func (s *Server) WarmUp(d time.Duration) {
+	s.mu.Lock()
+	s.warmEnd = time.Now().Add(d)
+	s.register()
+	s.mu.Unlock()
+	for at := heartbeat; at < d+heartbeat; at += heartbeat {
+		time.AfterFunc(at, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.up {
+				s.register()
+			}
+		})
+	}
+}
+
 // Unregister removes the registration of a server that leaves without reporting
 // that it drains. It goes on serving.
 func (s *Server) Unregister() { s.lab.Store.Remove("servers", s.ID) }
 
+// Exit ends the server for good.
+func (s *Server) Exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up = false
+	s.srv.Close()
+}
+
 // Crash ends the server, and starts it again after a time. The store removes its
 // registration if it is down for longer than three heartbeats.
 func (s *Server) Crash(down time.Duration) {
@@ -142,6 +170,11 @@
 // Send sends a request to an address on a new connection. It returns the status, or
 // 0 without a complete response.
 func Send(ctx context.Context, addr string, q Request) (status int, signed bool) {
+	return SendOn(ctx, &http.Transport{DisableKeepAlives: true, DisableCompression: true}, addr, q)
+}
+
+// SendOn is Send on the connections of a transport.
+func SendOn(ctx context.Context, t *http.Transport, addr string, q Request) (status int, signed bool) {
 	ctx, cancel := context.WithTimeout(ctx, q.Deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+addr+q.Path, newBody(q.Body))
@@ -151,7 +184,6 @@
 	req.Host = HostName
 	req.Header.Set("Laburnummux-Attempt-Id", q.ID)
 	req.Header.Set("Laburnummux-Deadline-Ms", fmt.Sprint(q.Deadline.Milliseconds()))
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return 0, false
