--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,5 +1,5 @@
-// Command 2 is a case of the review: a booking that crashes each backend server that
-// runs it, and whose caller sends it again at both entry hosts.
+// Command 2 is a case of the review: while the store is down, a server that holds
+// keys ends, and its address goes to a server of another service with keys.
 //
 // # Usage
 //
@@ -7,43 +7,45 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/laburnummux/laburnummux/platform/fakes"
 	"github.com/laburnummux/laburnummux/review/lab"
 )
 
 const (
-	servers      = 14
-	hosts        = 2
-	poisonPeriod = 700 * time.Millisecond // at each entry host
-	poisonTime   = 30 * time.Second
-	poisonPath   = "/bookings/tiered-set"
-	poisonBody   = "a booking that no server survives"
-	poisonWork   = 20 * time.Millisecond // until the crash
-	work         = 160 * time.Millisecond
-	downTime     = 3 * time.Second
-	usualPeriod  = 45 * time.Millisecond // of the other callers at each entry host
-	stableWindow = 3 * time.Second
-	maxRetries   = 3
-	deadline     = 2 * time.Second
+	serversPerService = 3
+	hosts             = 2
+	settleTime        = 8 * time.Second
+	outage            = 8 * time.Second
+	crashAfter        = 500 * time.Millisecond // since the start of the outage
+	reuseAfter        = 2 * time.Second
+	expiry            = 3 * 870 * time.Millisecond
+	backAfter         = time.Second // since the end of the outage, for registrations
+	afterwards        = 5 * time.Second
+	samplePeriod      = 20 * time.Millisecond
+	maxShared         = 500 * time.Millisecond // for which two servers may hold a key
 )
 
+var services = []string{"ledger", "stock"}
+
 // bench is the state of the case.
 type bench struct {
-	lab *lab.Lab
-
-	mu        sync.Mutex
-	arrivals  []time.Time // of the request that crashes servers
-	crashes   []time.Time
-	running   map[string]int // other bookings in progress, by server
-	lostOnes  int            // other bookings that a crash ended
-	completed int            // other bookings with a response
+	lab     *lab.Lab
+	mu      sync.Mutex
+	servers []*server
+	shared  map[string]time.Time // since when two servers hold the same keys
+	longest time.Duration
+	pair    string
+}
+
+// server is a backend server that is up.
+type server struct {
+	*fakes.Server
+	id, service string
 }
 
 func main() {
@@ -61,135 +63,177 @@
 		return lab.Failed, err
 	}
 	defer l.Close()
-	b := &bench{lab: l, running: make(map[string]int)}
-	l.Configure(1, []lab.Service{{Name: "bookings"}}, []lab.Route{{Name: "bookings", Kind: "unsafe", Service: "bookings", Timeout: "1000ms", Objective: "500ms", Attempts: 2}})
-	for i := range servers {
-		if _, err := l.StartServer(fmt.Sprintf("i-booking-%02d", i), "bookings", zone(i), b.handle); err != nil {
-			return lab.Failed, err
+	b := &bench{lab: l, shared: make(map[string]time.Time)}
+	defer b.close()
+	var ss []lab.Service
+	var rs []lab.Route
+	for _, s := range services {
+		ss = append(ss, lab.Service{Name: s, Keyed: true})
+		rs = append(rs, lab.Route{Name: s, Kind: "safe", Service: s, Timeout: "1000ms", Objective: "500ms", Attempts: 2})
+	}
+	l.Configure(1, ss, rs)
+	for _, s := range services {
+		for i := range serversPerService {
+			b.start(fmt.Sprintf("i-%s-%d", s, i), s, "")
 		}
 	}
-	var fronts []*lab.Host
 	for i := range hosts {
-		h, err := l.StartHost(fmt.Sprintf("front-%s-1", zone(i)), zone(i))
-		if err != nil {
+		zone := []string{"akl-a", "akl-b"}[i]
+		if _, err := l.StartHost("front-"+zone+"-1", zone); err != nil {
 			return lab.Failed, err
 		}
-		fronts = append(fronts, h)
 	}
 	if err := l.AwaitReady(); err != nil {
 		return lab.Failed, err
 	}
-	time.Sleep(stableWindow + time.Second)
-	b.play(fronts)
-	return b.judge(fronts), nil
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go b.watch(stop, done)
+	time.Sleep(settleTime)
+	if n := b.holders(); n != len(services)*serversPerService {
+		return lab.Failed, fmt.Errorf("%d servers hold keys after %v", n, settleTime)
+	}
+	b.play()
+	close(stop)
+	<-done
+	return b.judge(), nil
 }
 
-func zone(i int) string { return []string{"akl-a", "akl-b"}[i%2] }
-
-// play sends the request that crashes servers, and others beside it.
-func (b *bench) play(fronts []*lab.Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), poisonTime)
-	defer cancel()
-	var wg sync.WaitGroup
-	for i, h := range fronts {
-		wg.Add(2)
-		go b.repeat(ctx, &wg, h, poisonPeriod, fmt.Sprintf("poison-%d", i), poisonBody)
-		go b.repeat(ctx, &wg, h, usualPeriod, fmt.Sprintf("usual-%d", i), "")
+// start starts a server and registers it, unless the store is down.
+func (b *bench) start(id, service, addr string) *server {
+	s := &server{id: id, service: service}
+	s.Server = fakes.NewServer(fakes.ServerConfig{ID: id, Service: service, Zone: "akl-a", Slots: 2, Keyed: true, Addr: addr, Observe: func(ev fakes.Event) {
+		switch ev := ev.(type) {
+		case fakes.Granted:
+			b.lab.Record("%s takes keys %d to %d of %s, fence %d, until %.3f", id, ev.From, ev.To, service, ev.Fence, b.lab.Since().Seconds()+time.Until(ev.Until).Seconds())
+		case fakes.Released:
+			b.lab.Record("%s releases keys %d to %d of %s", id, ev.From, ev.To, service)
+		}
+	}})
+	b.mu.Lock()
+	b.servers = append(b.servers, s)
+	b.mu.Unlock()
+	b.lab.Record("%s of %s is up at %s", id, service, s.Addr())
+	if addr == "" {
+		b.lab.Store.Put("servers", id, s.Registration())
 	}
-	wg.Wait()
+	return s
 }
 
-// repeat sends a request in a period. Without a body each is another booking.
-func (b *bench) repeat(ctx context.Context, wg *sync.WaitGroup, h *lab.Host, period time.Duration, name, body string) {
-	defer wg.Done()
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for n := 0; ; n++ {
-		id := fmt.Sprintf("%s-%d", name, n)
-		q := lab.Request{Method: http.MethodPost, Path: poisonPath, ID: id, Body: body, Deadline: deadline}
-		if body == "" {
-			q.Path, q.Body = "/bookings/"+id, "booking "+id
-		}
-		wg.Add(1)
-		go b.send(wg, h, q)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+// end ends a server.
+func (b *bench) end(s *server) {
+	s.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, x := range b.servers {
+		if x == s {
+			b.servers = append(b.servers[:i], b.servers[i+1:]...)
+			break
 		}
 	}
+	b.lab.Record("%s of %s has ended", s.id, s.service)
 }
 
-func (b *bench) send(wg *sync.WaitGroup, h *lab.Host, q lab.Request) {
-	defer wg.Done()
-	b.lab.Record("sent %s to %s", q.ID, h.Name)
-	status, signed := lab.Send(context.Background(), h.Addr(), q)
-	b.lab.Record("answered %s: %d, signed %t", q.ID, status, signed)
-	if q.Body != poisonBody && signed {
-		b.mu.Lock()
-		b.completed++
-		b.mu.Unlock()
+func (b *bench) close() {
+	for _, s := range b.servers {
+		s.Close()
 	}
 }
 
-// handle runs a request at a server.
-func (b *bench) handle(s *lab.Server, w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Laburnummux-Attempt-Id")
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return // the sender has closed the connection
-	}
-	b.lab.Record("server %s runs %s", s.ID, id)
-	if string(body) != poisonBody {
-		b.addRunning(s.ID, 1)
-		time.Sleep(work)
-		b.addRunning(s.ID, -1)
-		s.Answer(w, r)
-		return
-	}
-	b.mu.Lock()
-	b.arrivals = append(b.arrivals, time.Now())
-	b.mu.Unlock()
-	time.Sleep(poisonWork)
+// play has the first server of the first service replaced at its address by a server
+// of the second one while the store is down.
+func (b *bench) play() {
 	if !lab.Trouble() {
-		s.Answer(w, r)
+		time.Sleep(outage + afterwards)
 		return
 	}
-	b.mu.Lock()
-	b.crashes = append(b.crashes, time.Now())
-	b.lostOnes += b.running[s.ID]
-	b.mu.Unlock()
-	s.Crash(downTime)
+	b.lab.Record("the store is down")
+	b.lab.Store.SetFault(fakes.NoResponse)
+	time.Sleep(crashAfter)
+	x := b.servers[0]
+	b.end(x)
+	time.AfterFunc(expiry, func() { b.lab.Store.Remove("servers", x.id) })
+	time.Sleep(reuseAfter)
+	z := b.start("i-"+services[1]+"-new", services[1], x.Addr())
+	time.Sleep(outage - crashAfter - reuseAfter)
+	b.lab.Record("the store is back")
+	b.lab.Store.SetFault(fakes.NoFault)
+	time.Sleep(backAfter)
+	b.lab.Store.Put("servers", z.id, z.Registration())
+	time.Sleep(afterwards)
 }
 
-func (b *bench) addRunning(id string, n int) {
+// holders returns the number of servers with keys.
+func (b *bench) holders() (n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running[id] += n
+	for _, s := range b.servers {
+		if len(s.Leases()) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// watch looks for keys that two servers of a service hold.
+func (b *bench) watch(stop, done chan struct{}) {
+	defer close(done)
+	t := time.NewTicker(samplePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-t.C:
+			b.sample(now)
+		}
+	}
 }
 
-// judge checks the rule BUDGET about requests that crash servers.
-func (b *bench) judge(fronts []*lab.Host) int {
+func (b *bench) sample(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	late := 0
-	if len(b.crashes) >= 3 {
-		for _, at := range b.arrivals {
-			if at.Sub(b.crashes[2]) > stableWindow {
-				late++
+	for i, x := range b.servers {
+		for _, y := range b.servers[i+1:] {
+			pair := x.id + " and " + y.id
+			if x.service != y.service || !overlap(x.Leases(), y.Leases()) {
+				delete(b.shared, pair)
+				continue
+			}
+			since, ok := b.shared[pair]
+			if !ok {
+				b.shared[pair] = now
+				b.lab.Record("%s of %s hold the same keys from now on", pair, x.service)
+				continue
+			}
+			if d := now.Sub(since); d > b.longest {
+				b.longest, b.pair = d, pair
 			}
 		}
 	}
-	quarantined := 0
-	for _, h := range fronts {
-		quarantined += len(h.Log("quarantined a request"))
+}
+
+// overlap reports whether two lists of leases have a key in common.
+func overlap(x, y []fakes.Lease) bool {
+	for _, a := range x {
+		for _, c := range y {
+			if a.From <= c.To && c.From <= a.To {
+				return true
+			}
+		}
 	}
-	b.lab.Record("the request arrived %d times and crashed %d servers; %d arrivals later than %v after the third crash (%d allowed)", len(b.arrivals), len(b.crashes), late, stableWindow, maxRetries)
-	b.lab.Record("other bookings: %d completed, %d were running at a server that crashed; log lines about a quarantine: %d", b.completed, b.lostOnes, quarantined)
-	if late > maxRetries {
-		b.lab.Record("rule BUDGET is broken")
+	return false
+}
+
+// judge checks the rule OWNER about keys that two servers hold.
+func (b *bench) judge() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lab.Record("longest time for which two servers of a service held the same keys: %v (%s)", b.longest.Round(time.Millisecond), b.pair)
+	if b.longest > maxShared {
+		b.lab.Record("rule OWNER is broken")
 		return lab.Broken
 	}
-	b.lab.Record("rule BUDGET held")
+	b.lab.Record("rule OWNER held")
 	return lab.Held
 }
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -194,3 +194,11 @@
 	}
 	return resp.StatusCode, resp.Header.Get("Laburnummux-Response-Signature") != ""
 }
+
+// Register registers a server that the case runs itself.
+func (l *Lab) Register(id, service, zone, addr string) {
+	l.Store.Put("servers", id, map[string]any{
+		"service": service, "address": addr, "zone": zone, "version": "v1", "capacity": Slots, "state": "ready",
+		"warmup_left": "0ms", "seq": 1, "born": time.Now().UnixMilli(),
+	})
+}
