--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -352,3 +352,19 @@
 	}
 	go h.run()
 }
+
+// Resident returns the resident memory of the process in bytes, or 0 if it has ended.
+func (h *Host) Resident() int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", h.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
+// Wait waits for the end of the process.
+func (h *Host) Wait() { <-h.done }
