--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,5 +1,5 @@
-// Command 4 is a case of the review: a booking that crashes each backend server that
-// runs it, and whose caller sends it again at both entry hosts.
+// Command 4 is a case of the review: several servers leave together without reporting
+// that they drain, in a deployment of five data centres.
 //
 // # Usage
 //
@@ -19,31 +19,37 @@
 )
 
 const (
-	servers      = 14
-	hosts        = 2
-	poisonPeriod = 700 * time.Millisecond // at each entry host
-	poisonTime   = 30 * time.Second
-	poisonPath   = "/bookings/tiered-set"
-	poisonBody   = "a booking that no server survives"
-	poisonWork   = 20 * time.Millisecond // until the crash
-	work         = 160 * time.Millisecond
-	downTime     = 3 * time.Second
-	usualPeriod  = 45 * time.Millisecond // of the other callers at each entry host
+	servers      = 15
+	leaving      = 4 // servers that leave together
+	rounds       = 18
+	roundTime    = 5 * time.Second
+	startGap     = 230 * time.Millisecond // between the starts of the new servers
+	warmup       = 3 * time.Second
+	leaveAfter   = 1800 * time.Millisecond // since the start of a round
 	stableWindow = 3 * time.Second
-	maxRetries   = 3
+	drain        = 2 * time.Second
+	extraTime    = 50 * time.Millisecond // for which a server goes on serving after drain
+	work         = 15 * time.Millisecond
+	period       = 9 * time.Millisecond // of the bookings at each entry host
 	deadline     = 2 * time.Second
+	maxIdle      = 64 // connections to each entry host
 )
 
+// hosts has the zone of each entry host.
+var hosts = []string{"akl-a", "akl-b", "hlz-a", "hlz-a", "hlz-a", "tga-a", "tga-a", "tga-a", "wlg-a", "wlg-a", "wlg-a"}
+
+var zones = []string{"akl-a", "akl-b", "hlz-a", "tga-a", "wlg-a"}
+
 // bench is the state of the case.
 type bench struct {
 	lab *lab.Lab
 
-	mu        sync.Mutex
-	arrivals  []time.Time // of the request that crashes servers
-	crashes   []time.Time
-	running   map[string]int // other bookings in progress, by server
-	lostOnes  int            // other bookings that a crash ended
-	completed int            // other bookings with a response
+	mu     sync.Mutex
+	gone   map[string]time.Time // when the store acknowledged that a server is gone
+	exited map[string]bool
+	late   int           // arrivals later than drain after that
+	latest time.Duration // of them
+	cut    int           // late ones that the exit of their server ended
 }
 
 func main() {
@@ -61,16 +67,19 @@
 		return lab.Failed, err
 	}
 	defer l.Close()
-	b := &bench{lab: l, running: make(map[string]int)}
+	b := &bench{lab: l, gone: make(map[string]time.Time), exited: make(map[string]bool)}
 	l.Configure(1, []lab.Service{{Name: "bookings"}}, []lab.Route{{Name: "bookings", Kind: "unsafe", Service: "bookings", Timeout: "1000ms", Objective: "500ms", Attempts: 2}})
+	var up []*lab.Server
 	for i := range servers {
-		if _, err := l.StartServer(fmt.Sprintf("i-booking-%02d", i), "bookings", zone(i), b.handle); err != nil {
+		s, err := b.startServer(i)
+		if err != nil {
 			return lab.Failed, err
 		}
+		up = append(up, s)
 	}
 	var fronts []*lab.Host
-	for i := range hosts {
-		h, err := l.StartHost(fmt.Sprintf("front-%s-1", zone(i)), zone(i))
+	for i, zone := range hosts {
+		h, err := l.StartHost(fmt.Sprintf("front-%s-%d", zone, i), zone)
 		if err != nil {
 			return lab.Failed, err
 		}
@@ -79,39 +88,80 @@
 	if err := l.AwaitReady(); err != nil {
 		return lab.Failed, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, h := range fronts {
+		wg.Add(1)
+		go b.sendAll(ctx, &wg, h)
+	}
 	time.Sleep(stableWindow + time.Second)
-	b.play(fronts)
-	return b.judge(fronts), nil
+	err = b.play(up)
+	cancel()
+	wg.Wait()
+	if err != nil {
+		return lab.Failed, err
+	}
+	return b.judge(), nil
 }
 
-func zone(i int) string { return []string{"akl-a", "akl-b"}[i%2] }
+func (b *bench) startServer(n int) (*lab.Server, error) {
+	return b.lab.StartServer(fmt.Sprintf("i-booking-%02d", n), "bookings", zones[n%len(zones)], b.handle)
+}
 
-// play sends the request that crashes servers, and others beside it.
-func (b *bench) play(fronts []*lab.Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), poisonTime)
-	defer cancel()
-	var wg sync.WaitGroup
-	for i, h := range fronts {
-		wg.Add(2)
-		go b.repeat(ctx, &wg, h, poisonPeriod, fmt.Sprintf("poison-%d", i), poisonBody)
-		go b.repeat(ctx, &wg, h, usualPeriod, fmt.Sprintf("usual-%d", i), "")
+// play replaces servers together: the new ones start first, then the old ones leave.
+func (b *bench) play(up []*lab.Server) error {
+	for round := range rounds {
+		if !lab.Trouble() {
+			time.Sleep(roundTime)
+			continue
+		}
+		began := time.Now()
+		for i := range leaving {
+			s, err := b.startServer(servers + round*leaving + i)
+			if err != nil {
+				return err
+			}
+			s.WarmUp(warmup)
+			up = append(up, s)
+			time.Sleep(startGap)
+		}
+		time.Sleep(time.Until(began.Add(leaveAfter)))
+		for _, s := range up[:leaving] {
+			b.leave(s)
+		}
+		up = up[leaving:]
+		time.Sleep(time.Until(began.Add(roundTime)))
 	}
-	wg.Wait()
+	return nil
 }
 
-// repeat sends a request in a period. Without a body each is another booking.
-func (b *bench) repeat(ctx context.Context, wg *sync.WaitGroup, h *lab.Host, period time.Duration, name, body string) {
+// leave has a server leave without reporting that it drains.
+func (b *bench) leave(s *lab.Server) {
+	s.Unregister()
+	b.mu.Lock()
+	b.gone[s.ID] = time.Now()
+	b.mu.Unlock()
+	b.lab.Record("the store has removed the registration of %s; it goes on serving", s.ID)
+	time.AfterFunc(drain+extraTime, func() { b.exit(s) })
+}
+
+func (b *bench) exit(s *lab.Server) {
+	b.mu.Lock()
+	b.exited[s.ID] = true
+	b.mu.Unlock()
+	s.Exit()
+	b.lab.Record("%s exits", s.ID)
+}
+
+// sendAll sends bookings to an entry host.
+func (b *bench) sendAll(ctx context.Context, wg *sync.WaitGroup, h *lab.Host) {
 	defer wg.Done()
+	conns := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
 	t := time.NewTicker(period)
 	defer t.Stop()
 	for n := 0; ; n++ {
-		id := fmt.Sprintf("%s-%d", name, n)
-		q := lab.Request{Method: http.MethodPost, Path: poisonPath, ID: id, Body: body, Deadline: deadline}
-		if body == "" {
-			q.Path, q.Body = "/bookings/"+id, "booking "+id
-		}
 		wg.Add(1)
-		go b.send(wg, h, q)
+		go b.send(wg, conns, h, fmt.Sprintf("%s-%d", h.Name, n))
 		select {
 		case <-ctx.Done():
 			return
@@ -120,76 +170,63 @@
 	}
 }
 
-func (b *bench) send(wg *sync.WaitGroup, h *lab.Host, q lab.Request) {
+func (b *bench) send(wg *sync.WaitGroup, conns *http.Transport, h *lab.Host, id string) {
 	defer wg.Done()
-	b.lab.Record("sent %s to %s", q.ID, h.Name)
-	status, signed := lab.Send(context.Background(), h.Addr(), q)
-	b.lab.Record("answered %s: %d, signed %t", q.ID, status, signed)
-	if q.Body != poisonBody && signed {
-		b.mu.Lock()
-		b.completed++
-		b.mu.Unlock()
-	}
+	b.lab.Record("sent %s", id)
+	status, signed := lab.SendOn(context.Background(), conns, h.Addr(), lab.Request{Method: http.MethodPost, Path: "/bookings/" + id, ID: id, Body: "booking", Deadline: deadline})
+	b.lab.Record("answered %s: %d, signed %t", id, status, signed)
 }
 
 // handle runs a request at a server.
 func (b *bench) handle(s *lab.Server, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Laburnummux-Attempt-Id")
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	late := b.arrived(s.ID, id)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // the sender has closed the connection
 	}
-	b.lab.Record("server %s runs %s", s.ID, id)
-	if string(body) != poisonBody {
-		b.addRunning(s.ID, 1)
-		time.Sleep(work)
-		b.addRunning(s.ID, -1)
-		s.Answer(w, r)
-		return
-	}
+	time.Sleep(work)
 	b.mu.Lock()
-	b.arrivals = append(b.arrivals, time.Now())
+	cut := b.exited[s.ID]
+	if late && cut {
+		b.cut++
+	}
 	b.mu.Unlock()
-	time.Sleep(poisonWork)
-	if !lab.Trouble() {
-		s.Answer(w, r)
+	if cut {
+		b.lab.Record("%s was at work on %s when it exited", s.ID, id)
 		return
 	}
-	b.mu.Lock()
-	b.crashes = append(b.crashes, time.Now())
-	b.lostOnes += b.running[s.ID]
-	b.mu.Unlock()
-	s.Crash(downTime)
+	s.Answer(w, r)
 }
 
-func (b *bench) addRunning(id string, n int) {
+// arrived records the arrival of a request, and reports whether its server is gone
+// for longer than drain.
+func (b *bench) arrived(server, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running[id] += n
+	at, ok := b.gone[server]
+	since := time.Since(at)
+	if !ok {
+		b.lab.Record("%s runs %s", server, id)
+		return false
+	}
+	b.lab.Record("%s runs %s, %v after its registration was removed", server, id, since.Round(time.Millisecond))
+	if since <= drain {
+		return false
+	}
+	b.late++
+	b.latest = max(b.latest, since)
+	return true
 }
 
-// judge checks the rule BUDGET about requests that crash servers.
-func (b *bench) judge(fronts []*lab.Host) int {
+// judge checks the rule DRAIN about requests to servers that are gone.
+func (b *bench) judge() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	late := 0
-	if len(b.crashes) >= 3 {
-		for _, at := range b.arrivals {
-			if at.Sub(b.crashes[2]) > stableWindow {
-				late++
-			}
-		}
-	}
-	quarantined := 0
-	for _, h := range fronts {
-		quarantined += len(h.Log("quarantined a request"))
-	}
-	b.lab.Record("the request arrived %d times and crashed %d servers; %d arrivals later than %v after the third crash (%d allowed)", len(b.arrivals), len(b.crashes), late, stableWindow, maxRetries)
-	b.lab.Record("other bookings: %d completed, %d were running at a server that crashed; log lines about a quarantine: %d", b.completed, b.lostOnes, quarantined)
-	if late > maxRetries {
-		b.lab.Record("rule BUDGET is broken")
+	b.lab.Record("%d requests reached a server later than %v after it was gone, the latest after %v; %d of them were cut by its exit", b.late, drain, b.latest.Round(time.Millisecond), b.cut)
+	if b.late > 0 {
+		b.lab.Record("rule DRAIN is broken")
 		return lab.Broken
 	}
-	b.lab.Record("rule BUDGET held")
+	b.lab.Record("rule DRAIN held")
 	return lab.Held
 }
