--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,8 +12,6 @@
 package lab
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -251,20 +249,6 @@
 // Addr returns the address for callers.
 func (h *Host) Addr() string { return fmt.Sprintf("%s:%d", h.IP, h.lab.port) }
 
-// Dump returns the state of the host as JSON.
-func (h *Host) Dump() string {
-	resp, err := http.Get(fmt.Sprintf("http://%s:%d/dump", h.IP, h.lab.port+2))
-	if err != nil {
-		return err.Error()
-	}
-	defer resp.Body.Close()
-	var b bytes.Buffer
-	if _, err := b.ReadFrom(resp.Body); err != nil {
-		return err.Error()
-	}
-	return b.String()
-}
-
 // Ready reports whether the balancer would send connections to the host.
 func (h *Host) Ready() bool {
 	resp, err := http.Get(fmt.Sprintf("http://%s:%d/api/ready", h.IP, h.lab.port+1))
@@ -330,15 +314,6 @@
 	return lines
 }
 
-// Marshal returns the JSON encoding of a value that can always be encoded.
-func Marshal(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("lab: %v", err))
-	}
-	return b
-}
-
 // Restart starts the process of a host that has ended again.
 func (l *Lab) Restart(h *Host) {
 	h.done = make(chan struct{})
