platform, owner: grants reach the named server only, not another at its address

Cause: a grant named an address. If the server there had ended and its address had gone to a server of another keyed service, that one took the range: tokens and tables are per service, so nothing rejected it, and without the store the assigner couldn't learn of the change. The same way led renewals on new connections, releases, and the grants of an assigner that started after the outage to the wrong server.

Change: a new connection for grants and releases starts with a health request, whose response has the server's ID; a connection reaches one process, so the answer holds for what follows. The outcome "replaced" ends all calls for the server's ranges, and they move when their leases have expired.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -10,6 +10,7 @@
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/owner"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // readCall reads the assignment record.
@@ -43,6 +44,7 @@
 type grantCall struct {
 	role   *assignerRole
 	grant  owner.Grant
+	health string // path of the server's health requests
 	sentAt clock.Time
 }
 
@@ -72,19 +74,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left.Std())
 	defer cancel()
-	return c.role.host.cfg.Granter.Grant(ctx, c.grant)
+	return c.role.host.cfg.Granter.Grant(ctx, c.grant, c.health)
 }
 
 // releaseCall sends a release to a backend server.
 type releaseCall struct {
 	role    *assignerRole
 	release owner.Release
+	health  string // path of the server's health requests
 }
 
 func (c *releaseCall) run(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, releaseTimeout.Std())
 	defer cancel()
-	reply, err := c.role.host.cfg.Granter.Release(call, c.release)
+	reply, err := c.role.host.cfg.Granter.Release(call, c.release, c.health)
 	out := reply.Outcome
 	c.role.applyReply(reply, fleet.Incarnation{ID: c.release.Server, Born: c.release.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("release", outcomeName(out)).Inc()
@@ -93,6 +96,16 @@
 	c.role.postResult(ctx, releaseDone{release: c.release, outcome: out, handover: reply.Handover})
 }
 
+// healthPath returns the path of health requests to a service's servers, or "".
+func (r *assignerRole) healthPath(s keys.Service) string {
+	cfg := r.host.relay.Config()
+	if cfg == nil {
+		return ""
+	}
+	svc, _ := cfg.Service(s)
+	return svc.Health
+}
+
 // applyReply applies what a reply says about the process that sent it.
 func (r *assignerRole) applyReply(reply GrantReply, in fleet.Incarnation) {
 	if reply.Leaving {
@@ -110,6 +123,8 @@
 		return "failed"
 	case owner.Unconnected:
 		return "unconnected"
+	case owner.Replaced:
+		return "replaced"
 	}
 	return "unknown"
 }
--- a/internal/front/call_test.go
+++ b/internal/front/call_test.go
@@ -14,13 +14,13 @@
 // deadlineGranter records the time left until the deadline of each grant.
 type deadlineGranter struct{ timeLeft []time.Duration }
 
-func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant) (GrantReply, error) {
+func (g *deadlineGranter) Grant(ctx context.Context, _ owner.Grant, _ string) (GrantReply, error) {
 	end, _ := ctx.Deadline()
 	g.timeLeft = append(g.timeLeft, time.Until(end))
 	return GrantReply{Outcome: owner.Done}, nil
 }
 
-func (g *deadlineGranter) Release(context.Context, owner.Release) (GrantReply, error) {
+func (g *deadlineGranter) Release(context.Context, owner.Release, string) (GrantReply, error) {
 	return GrantReply{Outcome: owner.Failed}, nil
 }
 
--- a/internal/front/role_test.go
+++ b/internal/front/role_test.go
@@ -18,12 +18,12 @@
 // countingGranter counts grants.
 type countingGranter struct{ grants chan owner.Grant }
 
-func (g *countingGranter) Grant(_ context.Context, m owner.Grant) (GrantReply, error) {
+func (g *countingGranter) Grant(_ context.Context, m owner.Grant, _ string) (GrantReply, error) {
 	g.grants <- m
 	return GrantReply{Outcome: owner.Done, LastConn: 1}, nil
 }
 
-func (g *countingGranter) Release(context.Context, owner.Release) (GrantReply, error) {
+func (g *countingGranter) Release(context.Context, owner.Release, string) (GrantReply, error) {
 	return GrantReply{Outcome: owner.Failed}, nil
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -64,8 +64,10 @@
 	LastConn uint64 // number of the last connection that was open when the call was sent; 0: not sent
 }
 
-// Granter grants key ranges to backend servers and has them release the ranges.
+// Granter grants key ranges to backend servers and has them release the ranges. The
+// calls reach no other server than the named one. health is the path of its health
+// requests.
 type Granter interface {
-	Grant(ctx context.Context, g owner.Grant) (GrantReply, error)
-	Release(ctx context.Context, r owner.Release) (GrantReply, error)
+	Grant(ctx context.Context, g owner.Grant, health string) (GrantReply, error)
+	Release(ctx context.Context, r owner.Release, health string) (GrantReply, error)
 }
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -36,6 +36,8 @@
 			if !rs.acked {
 				rs.nextCall = rs.leaseEnd
 			}
+		case Replaced:
+			a.setReplaced(now, rs)
 		case Unconnected:
 			if rs.Fence.term() != a.record.Term {
 				// Only the former fence could show that the server still had the range
@@ -82,7 +84,10 @@
 func (a *Assigner) ReleaseDone(now clock.Time, r Release, out Outcome, handover string) []Action {
 	for _, rs := range a.rangesOf(r.Service, r.From, r.To, r.Fence) {
 		rs.inFlight = false
-		if out == Done && rs.releasing {
+		switch {
+		case out == Replaced:
+			a.setReplaced(now, rs)
+		case out == Done && rs.releasing:
 			rs.released, rs.handover = true, handover
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,7 @@
 	// Unconnected: not sent, as no connection up to Grant.LastConn is left. The
 	// process that got the fencing token may have ended.
 	Unconnected
+	Replaced // not executed: the server has ended, and another one has its address
 )
 
 // Action is a call or write that the caller has to execute: a Grant, a Release
@@ -164,7 +165,8 @@
 	slowPenalty       float64    // exponent of the service time ratio in a server's share; see capacity
 	now               clock.Time
 	failedAt          map[keys.Server]clock.Time // when a grant to the server last failed or went unanswered
-	movedShare        float64                    // share of all keys that changed owner
+	replaced          map[keys.Server]replacement
+	movedShare        float64 // share of all keys that changed owner
 }
 
 // New returns the state of a host that has just become the assigner. rec is the
@@ -175,7 +177,7 @@
 		cfg: cfg, record: rec, tables: make(map[keys.Service][]*rangeState), servers: make(map[keys.Server]fleet.Server),
 		fastLoads: make(map[keys.Service]*loadEstimate), slowLoads: make(map[keys.Service]*loadEstimate),
 		serviceTimeRatios: make(map[keys.Server]*serviceTimeRatio), startedAt: now,
-		now: now, failedAt: make(map[keys.Server]clock.Time),
+		now: now, failedAt: make(map[keys.Server]clock.Time), replaced: make(map[keys.Server]replacement),
 		version: 1, writtenVersion: 1, nextBalance: now.Add(balanceInterval),
 	}
 	a.loads = a.fastLoads
@@ -307,7 +309,7 @@
 
 // nextAction returns the call that is due for a range, or nil.
 func (a *Assigner) nextAction(now clock.Time, s keys.Service, rs *rangeState) Action {
-	if rs.Server == "" || rs.inFlight || now < rs.nextCall || now < rs.blockedUntil {
+	if rs.Server == "" || rs.inFlight || now < rs.nextCall || now < rs.blockedUntil || a.isReplaced(now, rs) {
 		return nil
 	}
 	// A server that has not acknowledged a fence of this term is granted the
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -9,6 +9,7 @@
 // SetServers sets the keyed services and the complete list of servers.
 func (a *Assigner) SetServers(now clock.Time, services []keys.Service, servers []fleet.Server) []Action {
 	a.now = now
+	a.forgetReplaced(now)
 	if a.firstListAt == 0 && len(servers) > 0 {
 		a.firstListAt = now
 	}
--- a/internal/owner/simulation_test.go
+++ b/internal/owner/simulation_test.go
@@ -266,6 +266,8 @@
 	switch kind := rapid.IntRange(0, 9).Draw(sim.t, "grant"); {
 	case sv == nil || sv.unreachableBy[sa.index]:
 		sim.after(100, func() { report(Failed) })
+	case sv.ID != g.Server && sim.identified():
+		sim.after(5, func() { report(Replaced) })
 	case kind == 0: // lost
 		sim.after(testConfig.Timeout, func() { report(Unknown) })
 	case kind == 1: // arrives, and is executed later by the same incarnation
@@ -292,6 +294,9 @@
 	}
 }
 
+// identified reports whether a server at an address of another one says so.
+func (sim *simulation) identified() bool { return rapid.IntRange(0, 3).Draw(sim.t, "identified") > 0 }
+
 func (sim *simulation) release(sa *simAssigner, r Release) {
 	report := func(out Outcome) {
 		if !sa.stopped {
@@ -303,6 +308,10 @@
 		sim.after(300, func() { report(Unknown) })
 		return
 	}
+	if sv.ID != r.Server && sim.identified() {
+		sim.after(5, func() { report(Replaced) })
+		return
+	}
 	born := sv.Born
 	sim.after(clock.Span(rapid.IntRange(5, 900).Draw(sim.t, "work")), func() {
 		if sv := sim.serverAt(r.Addr); sv != nil && sv.Born == born {
