front, fleet: the grace of removed servers counts from their removal, on all hosts

Cause: each host decided for itself whether removed registrations may have expired in an outage, and kept the servers for 1.6 s from when it heard of the removal. A host in a data centre without a watcher hears of it up to 490 ms later: 190 ms for a heartbeat, 300 ms until it fetches from another data centre. Each wait alone is harmless.

Change: the host that reads the store decides. It counts from the earliest time at which the removal can have happened, also if its process was stopped, and passes on what is left of the grace with the list; hosts that learn later use that. From a failed call and a last response so old that registrations can have expired in between it still counts from now, so servers stay in use in a real outage. The grace ends 400 ms before the bound of the settings; it was 1.6 s whatever the bound.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,8 +12,8 @@
 //
 // # Usage
 //
-//	r := fleet.NewRegistry(holdTime)
-//	held := r.Replace(now, epoch, servers, false)
+//	r := fleet.NewRegistry(holdTime, grace)
+//	held := r.Replace(now, epoch, servers, fleet.Grace{})
 //	changed := r.Expire(now) // periodically
 //	for _, sv := range r.List() { ... }
 package fleet
@@ -26,13 +26,6 @@
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
-// registrationGrace is how long a server is kept after its registration has
-// disappeared in an outage of the store. Most servers register again with their
-// next heartbeat to the store. The grace is shorter than the 2 s after which a
-// draining server must get no more requests: a network partition of this host
-// can't be distinguished from an outage of the store.
-const registrationGrace = 1600 * clock.Millisecond
-
 // departureRetention is how long a server that has left is remembered. It is longer
 // than the age of a copy that the store may be restored from.
 const departureRetention = 5 * 60 * clock.Second
@@ -82,18 +75,34 @@
 // Incarnation returns the process that a registration describes.
 func (sv Server) Incarnation() Incarnation { return Incarnation{ID: sv.ID, Born: sv.Born} }
 
+// Grace says until when servers are kept whose registrations are gone.
+type Grace struct {
+	Until clock.Time                 // of servers that aren't in Ends; 0: they aren't kept
+	Ends  map[keys.Server]clock.Time // of single servers
+}
+
+// end returns until when a server is kept.
+func (g Grace) end(id keys.Server) clock.Time {
+	if at, ok := g.Ends[id]; ok {
+		return at
+	}
+	return g.Until
+}
+
 // Registry is the current set of backend servers.
 type Registry struct {
 	holdTime clock.Span
+	grace    clock.Span
 	epoch    uint64 // of the store
 	entries  map[keys.Server]*entry
 	nextEnd  clock.Time // no phase or holding back ends before; 0: none has an end
 }
 
 // NewRegistry returns an empty Registry. holdTime is the time after which a store
-// removes a registration that nobody renews.
-func NewRegistry(holdTime clock.Span) *Registry {
-	return &Registry{holdTime: holdTime, entries: make(map[keys.Server]*entry)}
+// removes a registration that nobody renews. grace is how long a server is kept that
+// a restored store doesn't list.
+func NewRegistry(holdTime, grace clock.Span) *Registry {
+	return &Registry{holdTime: holdTime, grace: grace, entries: make(map[keys.Server]*entry)}
 }
 
 // Put adds or replaces a server. An incarnation that was draining stays so.
@@ -104,20 +113,23 @@
 	r.entries[sv.ID] = &entry{server: sv, epoch: r.epoch}
 }
 
-// Remove handles a registration that is gone. During an outage of the store a
-// server that wasn't draining is kept for the grace period.
-func (r *Registry) Remove(now clock.Time, id keys.Server, outage bool) {
+// Remove handles a registration that is gone. A server that wasn't draining is kept
+// until the end of its grace period. Another removal can't extend it.
+func (r *Registry) Remove(now clock.Time, id keys.Server, g Grace) {
 	e := r.entries[id]
 	if e == nil {
 		return
 	}
 	e.epoch, e.heldUntil = r.epoch, 0
+	until := g.end(id)
 	switch {
 	case e.phase == gone:
-	case !outage || e.server.Draining:
+	case !now.Before(until) || e.server.Draining:
 		e.phase, e.until = gone, now.Add(departureRetention)
 	case e.phase == registered:
-		e.phase, e.until = missing, now.Add(registrationGrace)
+		e.phase, e.until = missing, until
+	default:
+		e.until = min(e.until, until)
 	}
 	r.scheduleEnd(e)
 }
@@ -126,7 +138,7 @@
 // store. Servers that are not in it are removed as by Remove; those that a restored
 // store doesn't list as in an outage, because they may have joined since the copy.
 // It returns the servers whose registrations are held back from now on.
-func (r *Registry) Replace(now clock.Time, epoch uint64, servers []Server, outage bool) (held []keys.Server) {
+func (r *Registry) Replace(now clock.Time, epoch uint64, servers []Server, g Grace) (held []keys.Server) {
 	restored := epoch > r.epoch
 	r.epoch = epoch
 	listed := make(map[keys.Server]bool, len(servers))
@@ -144,9 +156,12 @@
 		}
 		r.scheduleEnd(e)
 	}
+	if restored {
+		g.Until = max(g.Until, now.Add(r.grace))
+	}
 	for id := range r.entries {
 		if !listed[id] {
-			r.Remove(now, id, outage || restored)
+			r.Remove(now, id, g)
 		}
 	}
 	return held
@@ -211,6 +226,26 @@
 	})
 }
 
+// Unregistered returns the servers without a registration that have left or whose
+// grace period runs, in the order of their IDs.
+func (r *Registry) Unregistered() (ids []keys.Server) {
+	for id, e := range r.entries {
+		if e.phase != registered && e.heldUntil == 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// GraceLeft returns how much longer a server without a registration is kept.
+func (r *Registry) GraceLeft(now clock.Time, id keys.Server) clock.Span {
+	if e := r.entries[id]; e != nil && e.phase == missing {
+		return max(e.until.Sub(now), 0)
+	}
+	return 0
+}
+
 func (r *Registry) collect(pick func(*entry) (Server, bool)) []Server {
 	servers := make([]Server, 0, len(r.entries))
 	for _, e := range r.entries {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,41 +12,49 @@
 // testHoldTime is when the store removes a registration that nobody renews.
 const testHoldTime = 3 * clock.Second
 
-// maxUseAfterRemoval is how long a server may get requests after its registration
-// is gone.
-const maxUseAfterRemoval = 2 * clock.Second
+// testGrace is how long a server is kept after its registration is gone.
+const testGrace = 1600 * clock.Millisecond
 
-// A server whose registration disappears must get no more requests after
-// maxUseAfterRemoval, even during an apparent outage of the store; without an
-// outage it gets none from then on. A grace of 2.5 s violated this bound (reported
-// as DRAIN).
+// A server whose registration disappears must get no more requests after its grace
+// period, whatever else removes it again; without one it gets none from then on.
 func TestRemove(t *testing.T) {
+	const (
+		removed = clock.Time(1000)
+		end     = removed + clock.Time(testGrace)
+		longer  = 2 * testGrace
+	)
 	tests := []struct {
 		name     string
 		draining bool
-		outage   bool
-		grace    clock.Span
+		grace    Grace
+		again    clock.Span // grace of later removals
+		want     clock.Span // for which the server is kept
 	}{
-		{"registration is gone", false, false, 0},
-		{"registration is gone in an outage", false, true, registrationGrace},
-		{"draining server in an outage", true, true, 0},
+		{"registration is gone", false, Grace{}, longer, 0},
+		{"registration is gone in an outage", false, Grace{Until: end}, longer, testGrace},
+		{"the same, of this server", false, Grace{Ends: map[keys.Server]clock.Time{"a": end}}, longer, testGrace},
+		{"another one's grace", false, Grace{Ends: map[keys.Server]clock.Time{"b": end}}, longer, 0},
+		{"its grace has ended elsewhere", false, Grace{Until: end, Ends: map[keys.Server]clock.Time{"a": removed}}, longer, 0},
+		{"its grace ends earlier elsewhere", false, Grace{Until: end}, testGrace / 4, testGrace / 4},
+		{"draining server in an outage", true, Grace{Until: end}, longer, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			r := NewRegistry(testHoldTime)
+			r := NewRegistry(testHoldTime, testGrace)
 			r.Put(Server{ID: "a", Service: "s", Draining: tt.draining})
-			r.Remove(1000, "a", tt.outage)
-			now := clock.Time(1000)
-			for ; now < 1000+clock.Time(maxUseAfterRemoval); now += 50 {
+			r.Remove(removed, "a", tt.grace)
+			is.Equal(r.GraceLeft(removed, "a") > 0, tt.want > 0)
+			now := removed
+			for ; now < removed.Add(longer); now += 50 {
 				r.Expire(now)
 				if r.Len() == 0 {
 					break
 				}
-				r.Remove(now, "a", tt.outage) // removing it again doesn't extend the grace
+				r.Remove(now, "a", Grace{Until: removed.Add(tt.again)})
 			}
 			is.Equal(r.Len(), 0)
-			is.Equal(now.Sub(1000), tt.grace)
+			is.Equal(now.Sub(removed), tt.want)
 		})
 	}
 }
@@ -54,13 +62,13 @@
 // A registration that returns ends the grace period: the server doesn't expire.
 func TestRegistrationReturns(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry(testHoldTime)
+	r := NewRegistry(testHoldTime, testGrace)
 	r.Put(Server{ID: "a"})
-	r.Remove(1000, "a", true)
+	r.Remove(1000, "a", Grace{Until: 1000 + clock.Time(testGrace)})
 	is.Equal(len(r.Registered()), 0)
 	is.Equal(r.Len(), 1)
 	r.Put(Server{ID: "a"})
-	r.Expire(1000 + clock.Time(2*registrationGrace))
+	r.Expire(1000 + clock.Time(2*testGrace))
 	is.Equal(r.Len(), 1)
 	is.Equal(len(r.Registered()), 1)
 }
@@ -68,9 +76,9 @@
 // Servers that aren't in a complete list are removed.
 func TestReplace(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry(testHoldTime)
-	r.Replace(0, 1, []Server{{ID: "a"}, {ID: "b"}}, false)
-	r.Replace(0, 1, []Server{{ID: "b"}, {ID: "c"}}, false)
+	r := NewRegistry(testHoldTime, testGrace)
+	r.Replace(0, 1, []Server{{ID: "a"}, {ID: "b"}}, Grace{})
+	r.Replace(0, 1, []Server{{ID: "b"}, {ID: "c"}}, Grace{})
 	is.Equal(r.List(), []Server{{ID: "b"}, {ID: "c"}})
 }
 
@@ -86,11 +94,11 @@
 	ready, draining := Server{ID: "a", Born: 7}, Server{ID: "a", Born: 7, Draining: true}
 	earlier, next := Server{ID: "a", Born: 5}, Server{ID: "a", Born: 9}
 	list := func(now clock.Time, epoch uint64, servers ...Server) func(r *Registry) {
-		return func(r *Registry) { r.Replace(now, epoch, servers, false) }
+		return func(r *Registry) { r.Replace(now, epoch, servers, Grace{}) }
 	}
 	put := func(sv Server) func(r *Registry) { return func(r *Registry) { r.Put(sv) } }
 	remove := func(now clock.Time) func(r *Registry) {
-		return func(r *Registry) { r.Remove(now, "a", false) }
+		return func(r *Registry) { r.Remove(now, "a", Grace{}) }
 	}
 	expire := func(now clock.Time) func(r *Registry) { return func(r *Registry) { r.Expire(now) } }
 	tests := []struct {
@@ -123,7 +131,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := NewRegistry(testHoldTime)
+			r := NewRegistry(testHoldTime, testGrace)
 			for _, step := range tt.steps {
 				step(r)
 			}
@@ -136,12 +144,12 @@
 // that the others hold back, and against a memory of servers that only grows.
 func TestHeldAndForgotten(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry(testHoldTime)
-	r.Replace(0, 1, []Server{{ID: "a", Born: 7}, {ID: "b", Born: 7}}, false)
-	r.Remove(1000, "a", false)
-	r.Remove(1000, "b", false)
-	is.Equal(r.Replace(2000, 2, []Server{{ID: "a", Born: 7}}, false), []keys.Server{"a"})
-	is.Equal(len(r.Replace(2500, 2, []Server{{ID: "a", Born: 7}}, false)), 0) // it was held back before
+	r := NewRegistry(testHoldTime, testGrace)
+	r.Replace(0, 1, []Server{{ID: "a", Born: 7}, {ID: "b", Born: 7}}, Grace{})
+	r.Remove(1000, "a", Grace{})
+	r.Remove(1000, "b", Grace{})
+	is.Equal(r.Replace(2000, 2, []Server{{ID: "a", Born: 7}}, Grace{}), []keys.Server{"a"})
+	is.Equal(len(r.Replace(2500, 2, []Server{{ID: "a", Born: 7}}, Grace{})), 0) // it was held back before
 	is.Equal(r.Registered(), []Server{{ID: "a", Born: 7}})
 	is.Equal(r.Len(), 0)
 	r.Expire(1000 + clock.Time(departureRetention))
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -88,8 +88,10 @@
 
 // expireServers removes the servers whose grace period has ended.
 func (h *Host) expireServers() {
+	now := h.clock.Now()
 	h.mu.Lock()
-	changed := h.fleet.Expire(h.clock.Now())
+	h.roundsAt = [2]clock.Time{h.roundsAt[1], now}
+	changed := h.fleet.Expire(now)
 	h.mu.Unlock()
 	if changed {
 		h.publishServers()
--- a/internal/front/heartbeat_test.go
+++ b/internal/front/heartbeat_test.go
@@ -49,7 +49,7 @@
 			for i := range 900 {
 				list = append(list, fleet.Server{ID: keys.Server(fmt.Sprintf("s%d", i)), Service: "ledger", Addr: fmt.Sprint(i), Slots: 2})
 			}
-			h.replaceServers(list, epoch.At(1, 1), false)
+			h.replaceServers(list, epoch.At(1, 1), noGrace)
 			msgs := make([][]byte, n)
 			for i := range msgs {
 				hb := &mesh.Heartbeat{
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -88,6 +88,7 @@
 	storeEpoch    uint64 // latest known epoch of the store
 	sync          syncState
 	changes       changeLog
+	roundsAt      [2]clock.Time // last two rounds of sendHeartbeats
 
 	serverByHash      atomic.Pointer[map[mesh.ServerHash]keys.Server] // of the servers in the list
 	watchFrom         clock.Time                                      // when the store may first be watched, see maxStartupWatchDelay
@@ -109,7 +110,7 @@
 	}
 	h := &Host{
 		cfg: cfg, clock: clock.System(), incarnation: time.Now().UnixMilli(), log: cfg.Log, settings: cfg.Settings,
-		fleet: fleet.NewRegistry(restoredHoldIntervals * cfg.Settings.RegistrationInterval), watchFrom: clock.Time(minStartupWatchDelay + rand.N(maxStartupWatchDelay-minStartupWatchDelay)), heartbeatDue: make(chan struct{}, 1), snapshotAvailable: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
+		fleet: fleet.NewRegistry(restoredHoldIntervals*cfg.Settings.RegistrationInterval, cfg.Settings.registrationGrace()), watchFrom: clock.Time(minStartupWatchDelay + rand.N(maxStartupWatchDelay-minStartupWatchDelay)), heartbeatDue: make(chan struct{}, 1), snapshotAvailable: make(chan struct{}, 1), stopped: make(chan struct{}), storeUp: true,
 	}
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -50,6 +50,23 @@
 	// revision of the fetching host, and Removed those that are gone.
 	Changes bool          `cbor:"7,keyasint,omitempty"`
 	Removed []keys.Server `cbor:"8,keyasint,omitempty"`
+	// GraceLeft says how much longer servers without a registration are kept, so that
+	// all hosts stop using them at the same time. Hosts of earlier versions send none.
+	GraceLeft map[keys.Server]clock.Span `cbor:"9,keyasint,omitempty"`
+}
+
+// grace returns the grace of a snapshot whose fetch began at a time. A server that
+// the sending host doesn't know, because it has started since, gets that of an
+// outage if there was one.
+func (s snapshot) grace(began clock.Time, outageGrace clock.Span) graceFunc {
+	g := fleet.Grace{Ends: make(map[keys.Server]clock.Time, len(s.GraceLeft))}
+	for id, left := range s.GraceLeft {
+		g.Ends[id] = began.Add(left)
+	}
+	if s.Outage {
+		g.Until = began.Add(outageGrace)
+	}
+	return func(clock.Time, int) fleet.Grace { return g }
 }
 
 // events returns the changes of a snapshot with Changes.
@@ -103,11 +120,13 @@
 		if r.URL.Query().Has(changesParam) {
 			s.Servers, s.Removed, s.Changes = h.changes.since(epoch.At(storeEpoch, number))
 		}
+		unregistered := s.Removed
 		if !s.Changes {
-			s.Servers = h.fleet.Registered()
+			s.Servers, unregistered = h.fleet.Registered(), h.fleet.Unregistered()
 		}
+		s.GraceLeft = h.graceLeft(unregistered)
 	}
-	s.Outage = h.suspectOutage(h.clock.Now(), 0)
+	s.Outage = h.storeFailed(h.clock.Now())
 	h.mu.Unlock()
 	b, err := cbor.Marshal(s)
 	if err != nil {
@@ -119,6 +138,17 @@
 	}
 }
 
+// graceLeft returns how much longer servers without a registration are kept. h.mu is
+// held.
+func (h *Host) graceLeft(ids []keys.Server) map[keys.Server]clock.Span {
+	now := h.clock.Now()
+	left := make(map[keys.Server]clock.Span, len(ids))
+	for _, id := range ids {
+		left[id] = h.fleet.GraceLeft(now, id)
+	}
+	return left
+}
+
 // checkSnapshot wakes fetchSnapshots if a host's heartbeat told of a newer snapshot.
 func (h *Host) checkSnapshot(now clock.Time, from keys.Host) {
 	config, servers, _ := h.snapshotVersions(now)
@@ -184,6 +214,7 @@
 	if err != nil {
 		return err
 	}
+	began := h.clock.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
@@ -203,11 +234,12 @@
 	if s.Config != nil {
 		h.applyConfig(intent.New(*s.Config))
 	}
+	grace := s.grace(began, h.cfg.Settings.registrationGrace())
 	switch {
 	case s.Changes:
-		h.applyChanges(s.events(), epoch.At(s.Epoch, s.ServersRev), s.Outage)
+		h.applyChanges(s.events(), epoch.At(s.Epoch, s.ServersRev), grace)
 	case s.ServersRev > 0:
-		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), s.Outage)
+		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), grace)
 	}
 	return nil
 }
--- a/internal/front/snapshot_test.go
+++ b/internal/front/snapshot_test.go
@@ -29,12 +29,12 @@
 		for i := range known {
 			list = append(list, server(i, false))
 		}
-		h.replaceServers(list, at, false)
+		h.replaceServers(list, at, noGrace)
 	}
 	source := newTestHost()
 	first(source, epoch.At(1, 10))
-	source.applyChanges([]ServerEvent{{ID: "s000", Server: server(0, true)}}, epoch.At(1, 12), false)
-	source.applyChanges([]ServerEvent{{ID: "s000", Removed: true}, {ID: "s200", Server: server(200, false)}}, epoch.At(1, 15), false)
+	source.applyChanges([]ServerEvent{{ID: "s000", Server: server(0, true)}}, epoch.At(1, 12), noGrace)
+	source.applyChanges([]ServerEvent{{ID: "s000", Removed: true}, {ID: "s200", Server: server(200, false)}}, epoch.At(1, 15), noGrace)
 	tests := []struct {
 		name    string
 		at      epoch.Revision // of the host that fetches
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -43,20 +43,10 @@
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
-	// outageWindow is how long after a failed call to the store a removed
-	// registration counts as expired because of an outage. Servers are registered
-	// again within about 2 s of the end of an outage.
-	outageWindow = 2500 * clock.Millisecond
 	// restoredHoldIntervals is how many registration intervals a host waits before
 	// it uses a server that it knows to have left and that a restored store lists.
 	// The store removes the registration after three if the server doesn't renew it.
 	restoredHoldIntervals = 4
-	// If at least massExpiryMinServers registrations, and at least a share of
-	// massExpiryMinShare of all, are removed at once, it counts as an outage
-	// though no call has failed: the store was unavailable during the wait of a
-	// watch call.
-	massExpiryMinServers = 3
-	massExpiryMinShare   = 0.2
 )
 
 // syncState records how up to date this host is with the store. Host.mu guards
@@ -65,6 +55,7 @@
 	serversRev         epoch.Revision // store revision of the last change of the servers
 	configConfirmedAt  clock.Time     // when the store last confirmed the configuration
 	serversConfirmedAt clock.Time     // when it last confirmed the servers
+	serversAsOf        clock.Time     // earliest time at which it can have sent that confirmation
 	configConfirmed    bool           // the store has confirmed the configuration at least once
 	serversConfirmed   bool           // and the servers
 }
@@ -269,36 +260,41 @@
 			return next, err
 		}
 		h.mu.Lock()
-		outage := h.suspectOutage(began, 0)
+		since := h.sync.serversAsOf
 		h.mu.Unlock()
-		h.replaceServers(list, next, outage)
-		h.markServersConfirmed(began)
+		h.replaceServers(list, next, h.graceSince(since))
+		h.markServersConfirmed(began, began)
 		return next, nil
 	}
 	evs, next, err := h.cfg.Store.WatchServers(ctx, rev, h.changeDeadline(watchWaitFraction))
 	if err != nil {
 		return next, err
 	}
+	res := h.newWatchResult(began, h.clock.Now())
 	if len(evs) > 0 {
-		h.applyChanges(evs, next, false)
+		h.mu.Lock()
+		since := h.sync.removedSince(res)
+		h.mu.Unlock()
+		h.applyChanges(evs, next, h.graceSince(since))
 	}
-	h.markServersConfirmed(h.clock.Now())
+	h.markServersConfirmed(res.ended, res.sentAfter)
 	if len(evs) > 0 {
 		sleep(ctx, serverChangePause)
 	}
 	return next, nil
 }
 
-func (h *Host) markServersConfirmed(at clock.Time) {
+// markServersConfirmed records when the store has confirmed the servers, and the
+// earliest time at which it can have sent that.
+func (h *Host) markServersConfirmed(at, sentAfter clock.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.sync.serversConfirmedAt, h.sync.serversConfirmed = at, true
+	h.sync.serversConfirmedAt, h.sync.serversAsOf, h.sync.serversConfirmed = at, sentAfter, true
 }
 
-// replaceServers applies a complete list as of a revision. outage means that a
-// call to the store has recently failed for the host that read the list. Failed
-// calls of this host don't matter, as the list may come from another host.
-func (h *Host) replaceServers(list []fleet.Server, rev epoch.Revision, outage bool) {
+// replaceServers applies a complete list as of a revision. It comes from the store or
+// from another host, which has decided which servers are kept.
+func (h *Host) replaceServers(list []fleet.Server, rev epoch.Revision, graceOf graceFunc) {
 	h.noteEpoch(rev.Epoch())
 	h.mu.Lock()
 	if rev.Before(h.sync.serversRev) {
@@ -316,11 +312,12 @@
 			lost = append(lost, sv.ID)
 		}
 	}
-	outage = outage || h.isMassExpiry(len(lost))
+	grace := graceOf(now, len(lost))
+	held := h.fleet.Replace(now, rev.Epoch(), list, grace)
 	for _, id := range lost {
-		h.log.Info("server registration removed", zap.String("server", string(id)), zap.Bool("outage", outage))
+		h.logRemoved(now, id)
 	}
-	for _, id := range h.fleet.Replace(now, rev.Epoch(), list, outage) {
+	for _, id := range held {
 		h.log.Info("server registration of the restored store is outdated; not using it", zap.String("server", string(id)))
 	}
 	h.serversLoaded = true
@@ -331,10 +328,10 @@
 	h.triggerHeartbeat()
 }
 
-// applyChanges applies changes of the list of servers up to a revision. outage is as
-// in replaceServers.
-func (h *Host) applyChanges(evs []ServerEvent, rev epoch.Revision, outage bool) {
-	if h.applyServerEvents(evs, rev, outage) {
+// applyChanges applies changes of the list of servers up to a revision. They come
+// from where a list does (see replaceServers).
+func (h *Host) applyChanges(evs []ServerEvent, rev epoch.Revision, graceOf graceFunc) {
+	if h.applyServerEvents(evs, rev, graceOf) {
 		h.publishServers()
 		h.triggerHeartbeat()
 	}
@@ -342,7 +339,7 @@
 
 // applyServerEvents is applyChanges without telling others. It reports whether the
 // changes were newer than the list.
-func (h *Host) applyServerEvents(evs []ServerEvent, rev epoch.Revision, outage bool) bool {
+func (h *Host) applyServerEvents(evs []ServerEvent, rev epoch.Revision, graceOf graceFunc) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.sync.serversRev.Before(rev) {
@@ -357,11 +354,11 @@
 			lost++
 		}
 	}
-	outage = outage || h.suspectOutage(now, lost)
+	grace := graceOf(now, lost)
 	for _, ev := range evs {
 		if ev.Removed {
-			h.fleet.Remove(now, ev.ID, outage)
-			h.log.Info("server registration removed", zap.String("server", string(ev.ID)), zap.Bool("outage", outage))
+			h.fleet.Remove(now, ev.ID, grace)
+			h.logRemoved(now, ev.ID)
 			continue
 		}
 		old, known := h.fleet.Get(ev.ID)
@@ -375,19 +372,11 @@
 	return true
 }
 
-// suspectOutage reports whether registrations that are removed now may have
-// expired because the store was unavailable. h.mu is held.
-func (h *Host) suspectOutage(now clock.Time, lost int) bool {
-	if h.storeFailedAt != 0 && now.Sub(h.storeFailedAt) < outageWindow {
-		return true
-	}
-	return h.isMassExpiry(lost)
-}
-
-// isMassExpiry reports whether so many registrations were removed at once that
-// they count as expired in an outage. h.mu is held.
-func (h *Host) isMassExpiry(lost int) bool {
-	return lost >= massExpiryMinServers && float64(lost) >= massExpiryMinShare*float64(h.fleet.Len())
+// logRemoved logs the removal of a registration, and for how long its server is kept.
+// h.mu is held.
+func (h *Host) logRemoved(now clock.Time, id keys.Server) {
+	kept := h.fleet.GraceLeft(now, id)
+	h.log.Info("server registration removed", zap.String("server", string(id)), zap.Bool("outage", kept > 0), zap.Int64("keptMs", int64(kept)))
 }
 
 // publishServers passes the current list of servers to the parts that use it.
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -36,12 +36,12 @@
 			for _, id := range ids {
 				servers = append(servers, fleet.Server{ID: id})
 			}
-			h.replaceServers(servers, rev, false)
+			h.replaceServers(servers, rev, noGrace)
 		}
 	}
 	event := func(rev epoch.Revision, id keys.Server) func(h *Host) {
 		return func(h *Host) {
-			h.applyServerEvents([]ServerEvent{{ID: id, Server: fleet.Server{ID: id}}}, rev, false)
+			h.applyServerEvents([]ServerEvent{{ID: id, Server: fleet.Server{ID: id}}}, rev, noGrace)
 		}
 	}
 	tests := []struct {
