owner: a range is released by the server that now has the address

Cause: releases are for the server that a range names.

Change: such a release names the server at the address. It isn't sent to a server of another service, whose keys it would take.

Tests: TestReleaseBySuccessor.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -139,6 +139,9 @@
 	// blockedUntil is when the range may be granted at the earliest, because until
 	// then a server that isn't known may have a lease.
 	blockedUntil clock.Time
+	// successor is the server of the service that now has the address of the range's
+	// former server. It may have taken a grant of the range.
+	successor fleet.Incarnation
 }
 
 // Assigner is the state of the host that assigns keys.
@@ -320,7 +323,8 @@
 			return nil
 		}
 		rs.inFlight, rs.nextCall = true, now.Add(releaseRetryDelay)
-		return Release{Service: s, Server: rs.Server, Born: rs.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence}
+		at := rs.releaseTarget()
+		return Release{Service: s, Server: at.ID, Born: at.Born, Addr: rs.Addr, From: rs.From, To: rs.To, Fence: rs.Fence}
 	}
 	if rs.recordVersion > a.writtenVersion {
 		return nil
--- a/internal/owner/replaced.go
+++ b/internal/owner/replaced.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -34,7 +35,28 @@
 // anew.
 func (a *Assigner) isReplaced(now clock.Time, rs *rangeState) bool {
 	r, ok := a.replaced[rs.Server]
-	return ok && r.addr == rs.Addr && r.born == rs.Born && now.Sub(r.at) <= failureBackoff
+	return ok && rs.successor.ID == "" && r.addr == rs.Addr && r.born == rs.Born && now.Sub(r.at) <= failureBackoff
+}
+
+// setSuccessor records which server of the service has the address of a range's
+// server, or that none is known.
+func (rs *rangeState) setSuccessor(in fleet.Incarnation) {
+	if rs.successor == in {
+		return
+	}
+	rs.successor = in
+	if in.ID != "" {
+		rs.nextCall = 0
+	}
+}
+
+// releaseTarget returns the process that has to release the range. A server that has
+// ended holds nothing.
+func (rs *rangeState) releaseTarget() fleet.Incarnation {
+	if rs.successor.ID != "" {
+		return rs.successor
+	}
+	return fleet.Incarnation{ID: rs.Server, Born: rs.Born}
 }
 
 // forgetReplaced forgets the servers of which isReplaced doesn't hold any more.
--- a/internal/owner/replaced_test.go
+++ b/internal/owner/replaced_test.go
@@ -91,3 +91,47 @@
 	h.advance(2*testConfig.LeaseTime, "", Done)
 	is.Equal(h.keysPerServer()["a"], 65536)
 }
+
+// Guards against a release that takes keys from a server of another service at the
+// address, and against a range that waits for its lease though the server that now
+// has the address would release it.
+func TestReleaseBySuccessor(t *testing.T) {
+	tests := []struct {
+		name    string
+		service keys.Service // of the later server at the address
+		want    keys.Server  // that has to release the range
+	}{
+		{"of the same service", svc, "later"},
+		{"of another service", "stock", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, Record{Term: 1}, server("a"), server("b"))
+			h.advance(testConfig.RoleLease+clock.Second, "", Done) // the role leases of former assigners have expired
+			call := h.renewalOf("a")
+			h.enqueue(h.assigner.GrantDone(h.now, h.now, call, Replaced))
+			h.answerAll("", Done)
+			replaced := h.now
+			later := server("later")
+			later.Addr, later.Born, later.Service = call.Addr, 2, tt.service
+			h.enqueue(h.assigner.SetServers(h.now, []keys.Service{svc}, []fleet.Server{server("a"), server("b"), later}))
+			var releasedBy keys.Server
+			for end := h.now.Add(2 * testConfig.LeaseTime); h.now < end; {
+				for _, act := range h.queue {
+					if r, ok := act.(Release); ok && r.From == call.From {
+						h.Equal(r.Addr, call.Addr)
+						releasedBy = r.Server
+					}
+				}
+				h.answerAll("", Done)
+				if h.keysPerServer()["a"]+h.keysPerServer()[""] == 0 {
+					break
+				}
+				h.now = h.now.Add(20)
+				h.enqueue(h.assigner.Tick(h.now))
+			}
+			h.Equal(releasedBy, tt.want)
+			h.Equal(h.now < replaced.Add(testConfig.LeaseTime/4), tt.want != "")
+		})
+	}
+}
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -33,7 +33,7 @@
 			a.tables[s] = []*rangeState{{Assignment: Assignment{To: MaxKey}, blockedUntil: a.unknownLeaseEnd}}
 		}
 	}
-	for _, ranges := range a.tables {
+	for s, ranges := range a.tables {
 		for _, rs := range ranges {
 			if rs.Server == "" {
 				continue
@@ -51,6 +51,7 @@
 			if other, reused := byAddr[rs.Addr]; !ok && reused && other != rs.Server && !a.formerExpired(now) {
 				rs.acked = false
 			}
+			rs.setSuccessor(a.successor(s, rs, byAddr))
 			if !ok {
 				rs.confirmAfter = now
 			}
@@ -62,6 +63,19 @@
 	return a.Tick(now)
 }
 
+// successor returns the server of a service that has the address of a range's server
+// which has ended. byAddr has the latest server at each address.
+func (a *Assigner) successor(s keys.Service, rs *rangeState, byAddr map[string]keys.Server) (in fleet.Incarnation) {
+	if _, ok := a.servers[rs.Server]; ok {
+		return in
+	}
+	sv, ok := a.servers[byAddr[rs.Addr]]
+	if !ok || sv.Service != s {
+		return in
+	}
+	return sv.Incarnation()
+}
+
 // serverRestarted assigns a range to the new incarnation of its server. The new
 // incarnation has no leases and has seen no fence, so it gets a higher fence
 // before anything else happens to the range: otherwise a former assigner could
