platform, front: no health requests to a server in a pause that it asked for

Cause: the health request that identifies a server on a new connection counts as a request. A server that has rejected one and asked for a pause got it all the same, and a pause that its response asked for wasn't kept.

Change: no such request in a pause; the call goes out on a plain connection, as it names its server. What the response says about the server, that it leaves or wants a pause, is applied like that of others.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -96,10 +96,11 @@
 	c.role.postResult(ctx, releaseDone{release: c.release, outcome: out, handover: reply.Handover})
 }
 
-// healthPath returns the path of health requests to a service's servers, or "".
-func (r *assignerRole) healthPath(s keys.Service) string {
+// healthPath returns the path of health requests to a server of a service, or "" if
+// it gets none.
+func (r *assignerRole) healthPath(s keys.Service, in fleet.Incarnation) string {
 	cfg := r.host.relay.Config()
-	if cfg == nil {
+	if cfg == nil || r.host.relay.Paused(in) {
 		return ""
 	}
 	svc, _ := cfg.Service(s)
@@ -111,6 +112,9 @@
 	if reply.Leaving {
 		r.host.relay.ServerLeaves(in)
 	}
+	if reply.Pause > 0 {
+		r.host.relay.PauseServer(in, reply.Pause)
+	}
 }
 
 func outcomeName(o owner.Outcome) string {
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -391,10 +391,10 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case owner.Grant:
-			c := &grantCall{role: r, grant: act, health: r.healthPath(act.Service), sentAt: now}
+			c := &grantCall{role: r, grant: act, health: r.healthPath(act.Service, fleet.Incarnation{ID: act.Server, Born: act.Born}), sentAt: now}
 			go c.run(ctx)
 		case owner.Release:
-			c := &releaseCall{role: r, release: act, health: r.healthPath(act.Service)}
+			c := &releaseCall{role: r, release: act, health: r.healthPath(act.Service, fleet.Incarnation{ID: act.Server, Born: act.Born})}
 			go c.run(ctx)
 		case owner.Write:
 			if r.storeCallPending || now < r.nextWriteAt {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -59,14 +59,15 @@
 // GrantReply is a server's reply to a grant or release.
 type GrantReply struct {
 	Outcome  owner.Outcome
-	Handover string // state for the next owner of a released range
-	Leaving  bool   // the server is about to end
-	LastConn uint64 // number of the last connection that was open when the call was sent; 0: not sent
+	Handover string     // state for the next owner of a released range
+	Leaving  bool       // the server is about to end
+	Pause    clock.Span // for which the server wants no requests
+	LastConn uint64     // number of the last connection that was open when the call was sent; 0: not sent
 }
 
 // Granter grants key ranges to backend servers and has them release the ranges. The
 // calls reach no other server than the named one. health is the path of its health
-// requests.
+// requests; empty: it gets none.
 type Granter interface {
 	Grant(ctx context.Context, g owner.Grant, health string) (GrantReply, error)
 	Release(ctx context.Context, r owner.Release, health string) (GrantReply, error)
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -31,12 +31,21 @@
 		r.ServerLeaves(in)
 	}
 	if reply.Pause > 0 {
-		r.pause(in, reply.Pause)
+		r.PauseServer(in, reply.Pause)
 	}
 }
 
-// pause leaves a server without requests for a time that it has asked for.
-func (r *Relay) pause(in fleet.Incarnation, d clock.Span) {
+// Paused reports whether a process of a server has asked this host for a pause that
+// hasn't ended.
+func (r *Relay) Paused(in fleet.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.placement.Paused(r.cfg.Clock.Now(), fleet.Server{ID: in.ID, Born: in.Born})
+}
+
+// PauseServer leaves a process of a server without requests for a time that it has
+// asked for.
+func (r *Relay) PauseServer(in fleet.Incarnation, d clock.Span) {
 	r.mu.Lock()
 	now := r.cfg.Clock.Now()
 	first := r.placement.Pause(now, in, now.Add(d+pauseMargin))
