relay: metrics and a log field that tell why work goes on for departed callers

Nothing said how late a process runs, or whether a request was unread, queued or at a server when its caller left, so the three hypotheses could not be told apart.

Change: laburnummux_tick_delay_seconds, laburnummux_callers_left_total by stage, and the field stage of the log lines with caller-gone. No request is handled in another way.

Result: TestStageOfDepartedCallers passes; it needs the new counter.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -38,6 +38,18 @@
 // requests must not run beside it.
 const exclusiveRetryDelay = 20 * time.Millisecond
 
+//go:generate go tool stringer -type=stage -linecomment -output=stage_string.go
+
+// stage is how far a request has got.
+type stage int
+
+// Stages of a request.
+const (
+	stageUnread stage = iota // unread
+	stageQueued              // queued
+	stageSent                // sent
+)
+
 // quarantineRetryAfter is the delay after which the caller of a quarantined
 // request may retry.
 const quarantineRetryAfter = 5 * clock.Second
@@ -59,6 +71,7 @@
 	mayHaveRun bool          // a server may have run it
 	queueTime  clock.Span    // time spent queued for a server
 	openedConn bool          // a connection was opened for it
+	leftAt     stage         // when its caller disconnected
 	lastErr    error
 }
 
@@ -330,7 +343,7 @@
 // disconnected.
 func (c *call) expire(ctx context.Context) caller.Response {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return c.finish(caller.Response{Abort: true}, reasonCallerGone)
+		return c.endAbandoned()
 	}
 	if c.mayHaveRun {
 		return c.finish(caller.Response{Status: http.StatusGatewayTimeout}, reasonTimeout)
@@ -338,6 +351,15 @@
 	return c.refuse(reasonTimeout, 0)
 }
 
+// endAbandoned ends a request whose caller has disconnected.
+func (c *call) endAbandoned() caller.Response {
+	if c.sends > 0 {
+		c.leftAt = stageSent
+	}
+	c.relay.cfg.Metrics.observeCallerLeft(c.service, c.leftAt)
+	return c.finish(caller.Response{Abort: true}, reasonCallerGone)
+}
+
 // refuseByPlacement ends a request that placement has refused.
 func (c *call) refuseByPlacement(ref place.Refuse) caller.Response {
 	if c.mayHaveRun {
@@ -374,6 +396,9 @@
 		if len(c.tried) > 0 {
 			fields = append(fields, zap.String("server", string(c.tried[len(c.tried)-1])))
 		}
+		if why == reasonCallerGone {
+			fields = append(fields, zap.Stringer("stage", c.leftAt))
+		}
 		if c.openedConn {
 			fields = append(fields, zap.Bool("opened", true))
 		}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -17,6 +18,8 @@
 	sends       *prometheus.CounterVec
 	connsOpened prometheus.Counter
 	mismatched  prometheus.Counter
+	callersLeft *prometheus.CounterVec
+	tickDelay   prometheus.Histogram
 }
 
 // NewMetrics registers the relay's metrics.
@@ -34,7 +37,13 @@
 		connsOpened: prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_connections_opened_total", Help: "Connections opened to servers."}),
 		mismatched:  prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_foreign_responses_total", Help: "Responses that belonged to another request."}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.sends, m.connsOpened, m.mismatched)
+	m.callersLeft = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_callers_left_total", Help: "Requests whose caller left before the final response, by service and where the request was.",
+	}, []string{"service", "stage"})
+	m.tickDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "laburnummux_tick_delay_seconds", Help: "How late the process is: the delay of a timer that expires 20 to 100 times a second.", Buckets: prometheus.ExponentialBuckets(0.002, 4, 7),
+	})
+	reg.MustRegister(m.requests, m.latency, m.sends, m.connsOpened, m.mismatched, m.callersLeft, m.tickDelay)
 	return m
 }
 
@@ -46,6 +55,20 @@
 	m.latency.WithLabelValues(string(s)).Observe(took.Std().Seconds())
 }
 
+func (m *Metrics) observeCallerLeft(s keys.Service, at stage) {
+	if m == nil {
+		return
+	}
+	m.callersLeft.WithLabelValues(string(s), at.String()).Inc()
+}
+
+func (m *Metrics) observeTickDelay(d time.Duration) {
+	if m == nil {
+		return
+	}
+	m.tickDelay.Observe(d.Seconds())
+}
+
 func (m *Metrics) observeSend(s keys.Service, res link.Result) {
 	if m == nil {
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -281,11 +281,13 @@
 func (r *Relay) Run(ctx context.Context) error {
 	swept := time.Now()
 	for period := idleTick; ; {
+		began := time.Now()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(period):
 		}
+		r.cfg.Metrics.observeTickDelay(time.Since(began) - period)
 		period = idleTick
 		r.mu.Lock()
 		r.deliver(r.placement.Tick(r.cfg.Clock.Now()))
@@ -332,6 +334,7 @@
 func (r *Relay) Handle(ctx context.Context, req *caller.Request) caller.Response {
 	now := r.cfg.Clock.Now()
 	c := &call{relay: r, req: req, meta: r.cfg.Codec.Meta(req.Header), started: now}
+	c.leftAt = stageQueued
 	c.cfg = r.activeConfig.Load()
 	if c.cfg == nil {
 		return c.refuse(reasonNoConfig, noConfigRetryAfter)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
@@ -69,3 +70,37 @@
 	is.Equal(endToEnd(h), http.Header{"X-End": {"2"}})
 	is.Equal(len(h), 5)
 }
+
+// Guards against a count of departed callers that doesn't say where their requests were.
+func TestStageOfDepartedCallers(t *testing.T) {
+	tests := []struct {
+		sends int
+		at    stage
+		want  string
+	}{
+		{0, stageUnread, "unread"},
+		{0, stageQueued, "queued"},
+		{1, stageQueued, "sent"},
+		{2, stageQueued, "sent"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.want, func(t *testing.T) {
+			is := is.New(t)
+			r := newRelay()
+			reg := prometheus.NewRegistry()
+			r.cfg.Metrics = NewMetrics(reg)
+			c := &call{relay: r, service: "ledger", sends: tt.sends, leftAt: tt.at}
+			is.True(c.endAbandoned().Abort)
+			families, err := reg.Gather()
+			is.NoErr(err)
+			found := false
+			for _, f := range families {
+				if f.GetName() == "laburnummux_callers_left_total" {
+					m := f.GetMetric()[0]
+					found = m.GetLabel()[1].GetValue() == tt.want && m.GetCounter().GetValue() == 1
+				}
+			}
+			is.True(found)
+		})
+	}
+}
