caller, link, relay: no request is sent for a caller that has closed its connection

Callers saw nothing; servers worked on requests whose callers had left long before.

Cause: the host learns of a close only by reading the end of the connection, and reads the requests before it first. A host that is late (stopped, or short of processor time) sends those to servers before it gets to the close. Besides, a request went to an idle connection without a look at whether it was still wanted: after the queue, and after a response that allows a retry.

Change: the socket is asked whether the caller has closed it (POLLRDHUP, which tells a close even behind unread input) when a request has been read, and again right before it is written to a server. The second look covers all ways to a server, as there is only one place that writes. The connection to the server isn't lost: nothing has been sent on it.

--- /dev/null
+++ b/cmd/laburnummux/left_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/platform"
+	"github.com/laburnummux/laburnummux/platform/fakes"
+)
+
+// frontSubnets are the second bytes of the loopback addresses that entry hosts of
+// these tests may use; frontLockPort is listened on while one is in use.
+const (
+	frontSubnets  = 9
+	frontLockPort = 7199
+)
+
+// lockFrontIP returns an address for an entry host that no other test uses.
+func lockFrontIP(t *testing.T) string {
+	t.Helper()
+	for n := 2; n <= frontSubnets; n++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", n, frontLockPort))
+		if err == nil {
+			t.Cleanup(func() { l.Close() })
+			return fmt.Sprintf("127.%d.0.1", n)
+		}
+	}
+	t.Fatal("other tests use all subnets")
+	return ""
+}
+
+// frontHost is an entry host on the users' platform that runs as a separate
+// process, with a store and backend servers.
+type frontHost struct {
+	addr    string // for callers
+	cmd     *exec.Cmd
+	servers []*fakes.Server
+}
+
+// startFront starts a front with a server of a service without keys and one of a
+// keyed service, each with the given service time.
+func startFront(t *testing.T, serviceTime time.Duration) *frontHost {
+	t.Helper()
+	store := fakes.NewStore()
+	t.Cleanup(store.Close)
+	ip := lockFrontIP(t)
+	h := &frontHost{addr: net.JoinHostPort(ip, strconv.Itoa(fakes.CallerPort))}
+	for _, service := range []string{"catalogue", "ledger"} {
+		sv := fakes.NewServer(fakes.ServerConfig{ID: service + "-1", Service: service, Zone: "north", Slots: 16, Keyed: service == "ledger", ServiceTime: serviceTime})
+		t.Cleanup(sv.Close)
+		store.Put("servers", service+"-1", sv.Registration())
+		h.servers = append(h.servers, sv)
+	}
+	store.Put("config", "main", fakes.Configuration(1, []string{"catalogue"}, []string{"ledger"}, []fakes.Route{
+		{Name: "browse", Kind: "safe", Service: "catalogue", Timeout: "5s"}, {Name: "book", Kind: "unsafe", Service: "catalogue", Timeout: "5s"},
+		{Name: "history", Kind: "safe", Service: "ledger", Timeout: "5s"},
+	}))
+	file := filepath.Join(t.TempDir(), "node.conf")
+	cfg := fakes.Settings{Name: "north-1", Zone: "north", IP: ip, Seed: ip, Store: store.Addr()}
+	if err := cfg.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	h.cmd = exec.Command(os.Args[0], "front", "--metrics", "", "--level", "error")
+	h.cmd.Env = append(os.Environ(), runAsCommand+"=1", platform.SettingsVariable+"="+file)
+	if err := h.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		h.cmd.Process.Signal(syscall.SIGCONT)
+		h.cmd.Process.Kill()
+		h.cmd.Wait()
+	})
+	return h
+}
+
+// dial opens a connection to the host, on which a request of a kind has been
+// answered.
+func (h *frontHost) dial(t *testing.T, kind, id string) net.Conn {
+	t.Helper()
+	for end := time.Now().Add(stateTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			continue
+		}
+		if _, err = io.WriteString(c, frontRequest(kind, id)); err == nil {
+			buf := make([]byte, 4096)
+			if n, _ := c.Read(buf); strings.HasPrefix(string(buf[:n]), "HTTP/1.1 200") {
+				return c
+			}
+		}
+		c.Close()
+	}
+	t.Fatal("the host answers no request")
+	return nil
+}
+
+// frontRequest returns a request of a kind.
+func frontRequest(kind, id string) string {
+	head := fmt.Sprintf("/%s/x HTTP/1.1\r\nHost: %s\r\nLaburnummux-Attempt-Id: %s\r\nLaburnummux-Shard-Key: 7\r\nLaburnummux-Deadline-Ms: 8000\r\n", kind, fakes.HostName, id)
+	if kind == "book" {
+		const size = 20_000
+		return http.MethodPost + " " + head + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size)
+	}
+	return http.MethodGet + " " + head + "\r\n"
+}
+
+// runs returns how many of the attempts have reached a server.
+func (h *frontHost) runs(ids []string) (n int) {
+	for _, id := range ids {
+		for _, sv := range h.servers {
+			n += min(sv.Runs(id), 1)
+		}
+	}
+	return n
+}
+
+// Guards against requests that reach servers after their callers have left a host that was too slow to read them.
+func TestCallersLeaveStoppedHost(t *testing.T) {
+	tests := []struct {
+		name      string
+		kind      string
+		pipelined int
+		kept      bool // on connections that have carried a request
+		reset     bool
+	}{
+		{"kept connections", "browse", 1, true, false},
+		{"pipelined", "browse", 4, true, false},
+		{"non-idempotent", "book", 1, true, false},
+		{"keyed", "history", 1, true, false},
+		{"new connections", "browse", 1, false, false},
+		{"reset connections", "browse", 2, true, true},
+	}
+	const callers = 300
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := startFront(t, time.Millisecond)
+			h.dial(t, tt.kind, "first").Close()
+			var conns []net.Conn
+			for i := range callers {
+				if tt.kept {
+					conns = append(conns, h.dial(t, tt.kind, fmt.Sprintf("kept-%d", i)))
+				}
+			}
+			is.NoErr(h.cmd.Process.Signal(syscall.SIGSTOP))
+			for len(conns) < callers {
+				c, err := net.Dial("tcp", h.addr)
+				is.NoErr(err)
+				conns = append(conns, c)
+			}
+			var ids []string
+			for i, c := range conns {
+				for j := range tt.pipelined {
+					ids = append(ids, fmt.Sprintf("left-%d-%d", i, j))
+					_, err := io.WriteString(c, frontRequest(tt.kind, ids[len(ids)-1]))
+					is.NoErr(err)
+				}
+				if tt.reset {
+					is.NoErr(c.(*net.TCPConn).SetLinger(0))
+				}
+				is.NoErr(c.Close())
+			}
+			is.NoErr(h.cmd.Process.Signal(syscall.SIGCONT))
+			h.dial(t, tt.kind, "last").Close()
+			time.Sleep(time.Second)
+			is.Equal(h.runs([]string{"last"}), 1)
+			is.Equal(h.runs(ids), 0)
+		})
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -25,6 +25,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,6 +63,10 @@
 	Body             []byte
 	HasContentLength bool // the request had a Content-Length, even if 0, or was chunked
 	RemoteAddr       string
+	// Left reports whether the caller has disconnected. The ctx of the request may
+	// not tell yet: it is cancelled when the end of the connection is read, which a
+	// busy host does late. May be nil.
+	Left func() bool
 }
 
 // Response is the response to a request.
@@ -105,6 +110,11 @@
 			continue
 		}
 		c := &conn{server: s, netConn: nc, exchanges: make(chan *exchange, maxPipelined)}
+		if c.socket, err = socketOf(nc); err != nil {
+			s.cfg.Log.Warn("cannot use connection", zap.Error(err))
+			nc.Close()
+			continue
+		}
 		c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
@@ -139,6 +149,7 @@
 type conn struct {
 	server    *Server
 	netConn   net.Conn
+	socket    syscall.RawConn // of netConn
 	reader    *bufio.Reader
 	limited   *io.LimitedReader // source of reader
 	ctx       context.Context
@@ -169,6 +180,7 @@
 			c.handleReadError(err)
 			break
 		}
+		c.left() // cancels the request if nobody waits for its response
 		c.pending.Add(1)
 		c.reading.Store(false)
 		if c.closing.Load() {
@@ -277,6 +289,7 @@
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, Body: body,
 		HasContentLength: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != "",
 		RemoteAddr:       c.netConn.RemoteAddr().String(),
+		Left:             c.left,
 	}
 	if raw, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(raw, "/") {
 		req.Path = raw
--- /dev/null
+++ b/internal/caller/left_test.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/intent"
+)
+
+// settleTime is how long the tests leave a server before they check that it does
+// nothing, or has done something.
+const settleTime = 500 * time.Millisecond
+
+// recorder records the requests that it is to handle.
+type recorder struct{ handled chan string }
+
+func (h *recorder) handle(ctx context.Context, r *Request) Response {
+	if ctx.Err() == nil {
+		h.handled <- r.Path
+	}
+	return Response{Status: 200}
+}
+
+// Guards against requests that are handled although their callers had left before the host read them.
+func TestUnreadRequestsOfDepartedCallers(t *testing.T) {
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+	tests := []struct {
+		name  string
+		send  string
+		reset bool
+	}{
+		{"one", get("/1"), false},
+		{"pipelined", get("/1") + get("/2") + get("/3"), false},
+		{"more than the buffer", strings.Repeat(get("/"+strings.Repeat("x", 500)), 12), false},
+		{"with a body", "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("x", 20000), false},
+		{"in chunks", "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n", false},
+		{"last", "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false},
+		{"followed by a part", get("/1") + "GET /2 HTT", false},
+		{"reset", get("/1"), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { l.Close() })
+			const callers = 50
+			for range callers {
+				c, err := net.Dial("tcp", l.Addr().String())
+				is.NoErr(err)
+				_, err = io.WriteString(c, tt.send)
+				is.NoErr(err)
+				if tt.reset {
+					is.NoErr(c.(*net.TCPConn).SetLinger(0))
+				}
+				is.NoErr(c.Close())
+			}
+			h := &recorder{handled: make(chan string, 12*callers)}
+			limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 30000, HeaderWait: clock.Second, Idle: clock.Second}
+			s := New(Config{Handle: h.handle, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()})
+			a := &acceptor{server: s, listener: l}
+			go a.run()
+			time.Sleep(settleTime)
+			is.Equal(len(h.handled), 0)
+			is.Equal(s.ConnCount(), 0)
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -80,6 +80,7 @@
 	ErrMismatched = errors.New("link: response belongs to another request")
 	ErrMalformed  = errors.New("link: malformed response")
 	ErrNoConn     = errors.New("link: no connection that was open before")
+	ErrAbandoned  = errors.New("link: request abandoned before it was sent")
 )
 
 // Request is a request to a backend server.
@@ -99,7 +100,10 @@
 	// send later on the same connection, could do harm as the response to another
 	// request with the same ID. That isn't sent on this connection any more.
 	Confusable func(status int, h http.Header) bool
-	NewConn    bool // send it on a new connection only
+	// Abandoned reports whether nobody waits for the response any more. It is called
+	// right before the request is sent. May be nil: then only ctx decides.
+	Abandoned func() bool
+	NewConn   bool // send it on a new connection only
 	// LastConn is the highest number of a connection that may carry the request;
 	// 0 means any, and a new one is opened if none is idle. The request waits for one
 	// that is in use.
@@ -141,7 +145,10 @@
 
 func newConn(nc net.Conn) *conn {
 	h := &headReader{source: nc}
-	return &conn{Conn: nc, number: lastConn.Add(1), head: h, reader: bufio.NewReaderSize(h, readBufferBytes)}
+	return &conn{
+		Conn: nc, number: lastConn.Add(1), head: h, reader: bufio.NewReaderSize(h, readBufferBytes),
+		expiry: time.Now().Add(defaultIdleTimeout),
+	}
 }
 
 // Pool has the connections to one backend server.
@@ -371,6 +378,11 @@
 		p.setInUse(c, true)
 	}
 	defer p.setInUse(c, false)
+	if ctx.Err() != nil || r.Abandoned != nil && r.Abandoned() {
+		res.Err = ErrAbandoned
+		p.putIdle(c)
+		return res
+	}
 	res.LastConn = lastConn.Load()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reusable := p.exchange(ctx, c, r, maxBodyBytes, &res)
@@ -513,8 +525,6 @@
 	if err != nil {
 		return false
 	}
-	c := newConn(nc)
-	c.expiry = time.Now().Add(defaultIdleTimeout)
-	p.putIdle(c)
+	p.putIdle(newConn(nc))
 	return true
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -194,6 +194,7 @@
 		Method: c.req.Method, Target: c.req.Target, Host: c.req.Host, Header: h, Body: c.req.Body, HasContentLength: c.req.HasContentLength,
 		ID: c.meta.ID, Matches: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).ID == c.meta.ID },
 		Confusable: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
+		Abandoned:  c.req.Left,
 	})
 	end := r.cfg.Clock.Now()
 	took := clock.Span((time.Since(began) - res.Waited).Milliseconds())
@@ -235,7 +236,7 @@
 	dialFailed                    // no connection could be opened
 	connLost                      // the connection was lost before a complete response
 	mismatched                    // the response isn't the server's response to this request
-	cancelled                     // ctx has ended
+	cancelled                     // ctx has ended, or the caller has left
 )
 
 // sendResult is the classified result of one send.
@@ -248,7 +249,7 @@
 // classify derives the outcome of a send, and its result for placement.
 func (c *call) classify(ctx context.Context, res link.Result) (result sendResult) {
 	switch {
-	case ctx.Err() != nil && res.Err != nil:
+	case ctx.Err() != nil && res.Err != nil, errors.Is(res.Err, link.ErrAbandoned):
 		result.outcome, result.placement.Cancelled = cancelled, true
 	case errors.Is(res.Err, link.ErrDial):
 		result.outcome, result.placement.ConnFailed = dialFailed, true
@@ -283,6 +284,9 @@
 	switch result.outcome {
 	case cancelled:
 		c.mayHaveRun = c.mayHaveRun || res.Sent
+		if ctx.Err() == nil {
+			return c.endAbandoned(), true
+		}
 		return c.expire(ctx), true
 	case dialFailed:
 		return resp, false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -334,6 +334,9 @@
 func (r *Relay) Handle(ctx context.Context, req *caller.Request) caller.Response {
 	now := r.cfg.Clock.Now()
 	c := &call{relay: r, req: req, meta: r.cfg.Codec.Meta(req.Header), started: now}
+	if ctx.Err() != nil {
+		return c.endAbandoned()
+	}
 	c.leftAt = stageQueued
 	c.cfg = r.activeConfig.Load()
 	if c.cfg == nil {
