caller: a close is noticed while the host reads no further requests

Callers saw nothing; servers worked to the end on requests whose callers had left.

Cause: the end of a connection was looked for only by reading the next request. The host reads none while 17 requests of the connection are in progress, and none after an invalid request; after the last request of a connection it took more than 1 MiB of further input for a close, and cancelled requests of a caller that stayed.

Change: with a full pipeline the host waits for a free place or for the close, whichever is first, without reading. Behind an invalid request, as behind a last one, it discards input until the requests in progress have ended, without a limit, as the close comes behind the input.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,9 @@
 	// maxPipelined is the maximum number of requests of a connection that are handled
 	// concurrently with its oldest unanswered one.
 	maxPipelined = 16
+	// maxExchanges is the most exchanges of a connection: one more for the response
+	// to an invalid request.
+	maxExchanges = maxPipelined + 2
 	// writeTimeout bounds the writing of a response to a caller that doesn't read
 	// it.
 	writeTimeout = 10 * time.Second
@@ -109,7 +113,7 @@
 			time.Sleep(10 * time.Millisecond) // file descriptors may be exhausted
 			continue
 		}
-		c := &conn{server: s, netConn: nc, exchanges: make(chan *exchange, maxPipelined)}
+		c := &conn{server: s, netConn: nc, exchanges: make(chan *exchange, maxExchanges)}
 		if c.socket, err = socketOf(nc); err != nil {
 			s.cfg.Log.Warn("cannot use connection", zap.Error(err))
 			nc.Close()
@@ -156,6 +160,7 @@
 	cancel    context.CancelFunc
 	exchanges chan *exchange
 	pending   atomic.Int32 // requests whose response isn't written
+	waiting   atomic.Bool  // run waits for pending to fall
 	reading   atomic.Bool  // a request has been received in part
 	closing   atomic.Bool  // the last response is being written
 }
@@ -174,7 +179,7 @@
 	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
 	written := make(chan struct{})
 	go c.loop(written)
-	for c.ctx.Err() == nil {
+	for c.awaitPending(maxPipelined) {
 		ex, err := c.readExchange()
 		if err != nil {
 			c.handleReadError(err)
@@ -186,7 +191,7 @@
 		if c.closing.Load() {
 			// The request follows a response that closes the connection. The caller
 			// sends it again on another connection.
-			c.pending.Add(-1)
+			c.endPending()
 			break
 		}
 		// While draining, the next request of a connection is its last one. The
@@ -238,6 +243,7 @@
 	close(ex.done)
 	c.pending.Add(1)
 	c.exchanges <- ex
+	c.awaitDisconnect()
 }
 
 // awaitDisconnect discards input while the last requests are handled, and
@@ -247,9 +253,13 @@
 		c.cancel()
 		return
 	}
-	c.limited.N = 1 << 20
+	c.limited.N = math.MaxInt64 // a close reaches this host behind all of the input
 	for c.pending.Load() > 0 {
-		if _, err := c.reader.ReadByte(); err != nil {
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			_, err = c.reader.Discard(c.reader.Buffered())
+		}
+		if err != nil {
 			c.cancel()
 			return
 		}
@@ -359,12 +369,12 @@
 			// The request follows one whose response has closed the connection.
 			// To the caller it looks as if it hadn't been read.
 			<-ex.done
-			c.pending.Add(-1)
+			c.endPending()
 			continue
 		}
 		<-ex.done
 		closed = c.writeResponse(ex)
-		c.pending.Add(-1)
+		c.endPending()
 		if closed {
 			c.finish(ex)
 		}
--- a/internal/caller/left.go
+++ b/internal/caller/left.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,3 +46,30 @@
 		return n > 0
 	}
 }
+
+// awaitPending waits until at most n requests are pending, without reading. It
+// reports whether the connection is still in use: false if the caller disconnects.
+func (c *conn) awaitPending(n int32) bool {
+	for c.pending.Load() > n && c.ctx.Err() == nil {
+		if err := c.netConn.SetReadDeadline(time.Now().Add(time.Hour)); err != nil {
+			c.cancel()
+			return false
+		}
+		c.waiting.Store(true)
+		// The function is called when the socket has input or is closed.
+		err := c.socket.Read(func(uintptr) bool { return c.pending.Load() <= n || c.left() })
+		c.waiting.Store(false)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel()
+		}
+	}
+	return c.ctx.Err() == nil
+}
+
+// endPending counts a request as no longer pending, and wakes awaitPending.
+func (c *conn) endPending() {
+	c.pending.Add(-1)
+	if c.waiting.Load() {
+		c.netConn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed, which ends the wait, too
+	}
+}
--- a/internal/caller/left_test.go
+++ b/internal/caller/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -74,3 +75,68 @@
 		})
 	}
 }
+
+// Guards against requests that go on after their caller has left, because the host reads no more of the connection.
+func TestCallerLeavesFullPipeline(t *testing.T) {
+	tests := []struct {
+		name string
+		send func(i int) string
+		n    int
+	}{
+		{"most that are handled", func(i int) string { return fmt.Sprintf("GET /wait/%d HTTP/1.1\r\nHost: h\r\n\r\n", i) }, maxPipelined},
+		{"one more", func(i int) string { return fmt.Sprintf("GET /wait/%d HTTP/1.1\r\nHost: h\r\n\r\n", i) }, maxPipelined + 1},
+		{"many more", func(i int) string { return fmt.Sprintf("GET /wait/%d HTTP/1.1\r\nHost: h\r\n\r\n", i) }, 10 * maxPipelined},
+		{"an invalid one behind", func(i int) string {
+			if i == 2 {
+				return "GET\r\n\r\n"
+			}
+			return fmt.Sprintf("GET /wait/%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &echo{release: make(chan struct{}), cancelled: make(chan string, 20*maxPipelined)}
+			t.Cleanup(func() { close(e.release) })
+			s, c := start(t, e)
+			for i := range tt.n {
+				_, err := io.WriteString(c, tt.send(i))
+				is.NoErr(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			is.NoErr(c.Close())
+			time.Sleep(settleTime)
+			is.True(len(e.cancelled) >= min(tt.n-1, maxPipelined))
+			is.Equal(s.ConnCount(), 0)
+		})
+	}
+}
+
+// Guards against a request that is cancelled because its caller, who stays, sends much behind the last request of a connection.
+func TestMuchInputBehindLastRequest(t *testing.T) {
+	tests := []struct {
+		name string
+		send string
+	}{
+		{"last request", "GET /wait/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
+		{"invalid request", "GET /wait/1 HTTP/1.1\r\nHost: h\r\n\r\nGET\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEcho()
+			s, c := start(t, e)
+			_, err := io.WriteString(c, tt.send)
+			is.NoErr(err)
+			is.NoErr(c.SetWriteDeadline(time.Now().Add(4 * settleTime)))
+			_, err = c.Write(make([]byte, 8<<20))
+			is.NoErr(err)
+			time.Sleep(settleTime)
+			is.Equal(len(e.cancelled), 0)
+			is.NoErr(c.Close())
+			time.Sleep(settleTime)
+			is.Equal(len(e.cancelled), 1)
+			is.Equal(s.ConnCount(), 0)
+		})
+	}
+}
