--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -180,3 +181,39 @@
 		})
 	}
 }
+
+// Guards against requests that reach servers after their callers have left a stopped host of the stand-alone system.
+func TestCallersLeaveStoppedServe(t *testing.T) {
+	is := is.New(t)
+	const callers = 300
+	s, ps := startHosts(t, 2)
+	runs := func() (n int) {
+		for _, name := range s.Servers() {
+			n += len(s.Server(name).Backend().AllRuns())
+		}
+		return n
+	}
+	get := func(i int) string { return fmt.Sprintf("GET /ledger/tin-%d HTTP/1.1\r\nHost: h\r\n\r\n", i) }
+	var conns []net.Conn
+	for i := range callers {
+		c, err := net.Dial("tcp", ps[0].callers)
+		is.NoErr(err)
+		_, err = io.WriteString(c, get(i))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		conns = append(conns, c)
+	}
+	before := runs()
+	ps[0].signal(t, syscall.SIGSTOP)
+	for i, c := range conns {
+		_, err := io.WriteString(c, get(i))
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+	ps[0].signal(t, syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	is.Equal(runs(), before)
+}
