caller: the socket is asked for a close with a peek first

Change: a peek answers in the usual case, where there is no unread input; the poll is asked only for a close behind such input.

The tests of callers that leave pass: internal/caller with the race detector, TestCallersLeaveStoppedHost 2 of 2.

--- a/internal/caller/left.go
+++ b/internal/caller/left.go
@@ -26,7 +26,7 @@
 		return true
 	}
 	closed := false
-	err := c.socket.Control(func(fd uintptr) { closed = peerClosed(int32(fd)) })
+	err := c.socket.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
 	if err == nil && !closed {
 		return false
 	}
@@ -35,16 +35,20 @@
 }
 
 // peerClosed reports whether the peer of a socket has closed or reset the
-// connection.
-func peerClosed(fd int32) bool {
-	fds := [1]unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
-	for {
-		n, err := unix.Poll(fds[:], 0)
-		if errors.Is(err, unix.EINTR) {
-			continue
-		}
-		return n > 0
+// connection. A peek tells, unless there is unread input: then only the poll sees
+// the close behind it.
+func peerClosed(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		return false
+	case err != nil || n == 0:
+		return true
 	}
+	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err = unix.Poll(fds[:], 0)
+	return err == nil && n > 0
 }
 
 // awaitPending waits until at most n requests are pending, without reading. It
