--- a/internal/caller/left_test.go
+++ b/internal/caller/left_test.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -140,3 +142,26 @@
 		})
 	}
 }
+
+// Guards against requests behind a full pipeline that are never read.
+func TestFullPipelineGoesOn(t *testing.T) {
+	is := is.New(t)
+	const requests = 4 * maxPipelined
+	e := newEcho()
+	_, c := start(t, e)
+	for i := range requests {
+		_, err := fmt.Fprintf(c, "GET /wait/%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		is.NoErr(err)
+	}
+	time.Sleep(50 * time.Millisecond) // until the pipeline is full
+	close(e.release)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(10 * settleTime)))
+	br := bufio.NewReader(c)
+	for i := range requests {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		b, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(b), fmt.Sprintf("/wait/%d", i))
+	}
+}
