caller: a late wake-up of a full pipeline ends no read

Cause: found by reading again. A wait for a free place is ended by a read deadline in the past. The loop that writes responses looked whether there is a wait and set the deadline after that; if the wait ended in between, because of new input, the deadline hit the next read, whose failure is taken for a disconnect.

Change: a mutex covers the look and the deadline, and the end of the wait, so no deadline is set once the wait has ended.

Result: TestLateWakeUpEndsNoRead passes, and fails without the mutex; the package passes twice with the race detector.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,9 +41,10 @@
 	cancel    context.CancelFunc
 	exchanges chan *exchange
 	pending   atomic.Int32 // requests whose response isn't written
-	waiting   atomic.Bool  // run waits for pending to fall
-	reading   atomic.Bool  // a request has been received in part
-	closing   atomic.Bool  // the last response is being written
+	waitMu    sync.Mutex
+	waiting   bool        // run is in awaitPending and reads nothing; guarded by waitMu
+	reading   atomic.Bool // a request has been received in part
+	closing   atomic.Bool // the last response is being written
 }
 
 // exchange is a request and its response, which is set when done is closed.
--- a/internal/caller/left.go
+++ b/internal/caller/left.go
@@ -59,10 +59,10 @@
 			c.cancel()
 			return false
 		}
-		c.waiting.Store(true)
+		c.setWaiting(true)
 		// The function is called when the socket has input or is closed.
 		err := c.socket.Read(func(uintptr) bool { return c.pending.Load() <= n || c.left() })
-		c.waiting.Store(false)
+		c.setWaiting(false)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
 		}
@@ -70,10 +70,19 @@
 	return c.ctx.Err() == nil
 }
 
-// endPending counts a request as no longer pending, and wakes awaitPending.
+func (c *conn) setWaiting(waiting bool) {
+	c.waitMu.Lock()
+	defer c.waitMu.Unlock()
+	c.waiting = waiting
+}
+
+// endPending counts a request as no longer pending, and wakes awaitPending. The
+// deadline that wakes it must not be set later, as it would end the next read.
 func (c *conn) endPending() {
+	c.waitMu.Lock()
+	defer c.waitMu.Unlock()
 	c.pending.Add(-1)
-	if c.waiting.Load() {
+	if c.waiting {
 		c.netConn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed, which ends the wait, too
 	}
 }
--- a/internal/caller/left_test.go
+++ b/internal/caller/left_test.go
@@ -165,3 +165,44 @@
 		is.Equal(string(b), fmt.Sprintf("/wait/%d", i))
 	}
 }
+
+// slowSocket is a connection on which setting the read deadline takes until release.
+type slowSocket struct {
+	net.Conn
+	entered, release chan struct{}
+}
+
+func (s *slowSocket) SetReadDeadline(time.Time) error {
+	close(s.entered)
+	<-s.release
+	return nil
+}
+
+// waitEnder ends the wait of a connection for a free place.
+type waitEnder struct {
+	conn *conn
+	done chan struct{}
+}
+
+func (w *waitEnder) run() {
+	w.conn.setWaiting(false)
+	close(w.done)
+}
+
+// Guards against a read that fails, and cancels all requests of its connection, because the wake-up of a wait that has ended sets its deadline.
+func TestLateWakeUpEndsNoRead(t *testing.T) {
+	s := &slowSocket{entered: make(chan struct{}), release: make(chan struct{})}
+	c := &conn{netConn: s, waiting: true}
+	c.pending.Store(1)
+	go c.endPending()
+	<-s.entered
+	w := &waitEnder{conn: c, done: make(chan struct{})}
+	go w.run()
+	select {
+	case <-w.done:
+		t.Fatal("the wait ended before its wake-up")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(s.release)
+	<-w.done
+}
