cmd: test that work ends after a stopped host goes on

Cause: the tests of callers that leave covered what is sent, not what is already at work at servers, at a real process.

Change: TestWorkEndsForCallersOfStoppedHost; the fake server tells how many requests it runs.

On `full pipeline` fails: 17 requests are still at work half a second after the host has gone on.

--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -182,6 +182,51 @@
 	}
 }
 
+// Guards against work that goes on at servers after its callers have left a stopped host, which is on again.
+func TestWorkEndsForCallersOfStoppedHost(t *testing.T) {
+	tests := []struct {
+		name, kind       string
+		conns, pipelined int
+		running          int // requests that the server runs
+	}{
+		{"one each", "browse", 8, 1, 8},
+		{"pipelined", "browse", 2, 4, 8},
+		{"full pipeline", "browse", 1, 30, 16},
+		{"keyed", "history", 8, 1, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := startFront(t, 4*time.Second)
+			running := func() (n int) {
+				for _, sv := range h.servers {
+					n += sv.Running()
+				}
+				return n
+			}
+			h.dial(t, tt.kind, "first").Close()
+			var conns []net.Conn
+			for i := range tt.conns {
+				c, err := net.Dial("tcp", h.addr)
+				is.NoErr(err)
+				for j := range tt.pipelined {
+					_, err = io.WriteString(c, frontRequest(tt.kind, fmt.Sprintf("work-%d-%d", i, j)))
+					is.NoErr(err)
+				}
+				conns = append(conns, c)
+			}
+			waitFor(t, func() bool { return running() >= tt.running })
+			is.NoErr(h.cmd.Process.Signal(syscall.SIGSTOP))
+			for _, c := range conns {
+				is.NoErr(c.Close())
+			}
+			is.NoErr(h.cmd.Process.Signal(syscall.SIGCONT))
+			time.Sleep(500 * time.Millisecond)
+			is.Equal(running(), 0)
+		})
+	}
+}
+
 // Guards against requests that reach servers after their callers have left a stopped host of the stand-alone system.
 func TestCallersLeaveStoppedServe(t *testing.T) {
 	is := is.New(t)
