front: an assigner that alone can't reach the store hands over its role

Cause: an assigner that is partitioned from the store renews its grants for the role lease (12 s) and moves nothing. Change: after two failed calls over at least 1 s, if heartbeats say that the store has responded to another host since, the assigner gives up the role and tells its term in heartbeats; the others claim it by rank without waiting for the timeout.

--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -18,6 +18,9 @@
 		return
 	}
 	mono := r.host.clock.Now() // the clock of members; now is boot time
+	if r.host.othersReachStore(mono) {
+		return // one of them claims the role
+	}
 	name, _, _, seen := r.host.members.currentAssigner()
 	if name != "" && mono.Sub(seen) < assignerTimeout {
 		return
--- /dev/null
+++ b/internal/front/handover.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"github.com/laburnummux/laburnummux/internal/clock"
+)
+
+const (
+	// handOverFailures and handOverDelay say when the store counts as unreachable for
+	// the assigner: after so many failed calls in a row, the first of them so long ago.
+	// A single response may be lost.
+	handOverFailures = 2
+	handOverDelay    = clock.Second
+	// storeProbeInterval is the period in which the assigner confirms its role while
+	// the store doesn't respond to it, so that it learns early whether that lasts.
+	storeProbeInterval = 500 * clock.Millisecond
+	// handOverMargin is how much later than the first failed call the store must have
+	// responded to another host. The times are taken from heartbeats.
+	handOverMargin = 300 * clock.Millisecond
+)
+
+// storeOutage is the time during which the store hasn't responded to this host.
+type storeOutage struct {
+	failures int // failed calls in a row
+	since    clock.Time
+}
+
+// record adds the result of a call.
+func (o *storeOutage) record(now clock.Time, failed bool) {
+	if !failed {
+		*o = storeOutage{}
+		return
+	}
+	if o.failures == 0 {
+		o.since = now
+	}
+	o.failures++
+}
+
+// lasts reports whether the store counts as unreachable.
+func (o storeOutage) lasts(now clock.Time) bool {
+	return o.failures >= handOverFailures && now.Sub(o.since) >= handOverDelay
+}
+
+// othersReachStore reports whether the store doesn't respond to this host while it
+// responds to other live hosts. Such a host can't move keys and shouldn't have the
+// assigner's role.
+func (h *Host) othersReachStore(now clock.Time) bool {
+	h.mu.Lock()
+	o := h.outage
+	h.mu.Unlock()
+	if !o.lasts(now) {
+		return false
+	}
+	s := h.members.standing(now)
+	return s.confirmed && s.confirmedAt > o.since.Add(handOverMargin)
+}
+
+// handOver gives up the role, and tells the other hosts in heartbeats, so that one of
+// them claims it at once. Servers keep their leases from this term meanwhile.
+func (r *assignerRole) handOver() {
+	r.gaveUpTerm.Store(r.assigner.Term())
+	r.stepDown("the store doesn't respond to this host, but to others")
+	r.host.triggerHeartbeat()
+}
--- /dev/null
+++ b/internal/front/handover_test.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+// Guards against an assigner that keeps its role for the role lease while only it is
+// partitioned from the store: it can't move the keys of servers that leave.
+func TestHandOverRole(t *testing.T) {
+	const failing = 2 * clock.Second // since the first failed call
+	tests := []struct {
+		name         string
+		failures     int
+		confirmedAge clock.Span // of the other host's last confirmation by the store; negative: none
+		handsOver    bool
+	}{
+		{"another host reaches the store", 3, clock.Second, true},
+		{"one call has failed", 1, clock.Second, false},
+		{"no host reaches the store", 3, failing, false},
+		{"another host reached it just after the first failure", 3, failing - handOverMargin, false},
+		{"no other host has read the store", 3, -1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			st := &recordStore{reads: make(chan struct{}, 4)}
+			h := New(Config{Settings: Settings{Host: "self", DC: "north"}, Store: st, Granter: &countingGranter{}, Log: zap.NewNop()})
+			mono := h.clock.Now().Add(10 * clock.Second)
+			now := h.role.now()
+			h.role.assigner = unconnectedAssigner(t, now)
+			h.role.heldTerm.Store(2)
+			h.role.confirmedAt, h.role.confirmStartedAt = now, now
+			other := &mesh.Heartbeat{From: "other", IP: "127.0.0.2", DC: "north", Incarnation: 1, ConfirmationAge: tt.confirmedAge}
+			h.members.handleHeartbeat(mono, other)
+			h.outage = storeOutage{failures: tt.failures, since: mono.Add(-failing)}
+			is.Equal(h.othersReachStore(mono), tt.handsOver)
+			if !tt.handsOver {
+				return
+			}
+			h.role.handOver()
+			is.Equal(h.role.term(), uint64(0))
+			b := h.heartbeat(mono, 1, mesh.ReachGroup, false)
+			is.Equal(b.GaveUpTerm, uint64(2))
+		})
+	}
+}
+
+// Guards against waiting for the timeout of an assigner that has given up its role,
+// and against a later term that such a heartbeat ends.
+func TestAssignerGivesUp(t *testing.T) {
+	tests := []struct {
+		name     string
+		gaveUp   uint64
+		assigner keys.Host
+	}{
+		{"this term", 5, ""},
+		{"an earlier term", 4, "a"},
+		{"none", 0, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "self", DC: "north"})
+			b := &mesh.Heartbeat{From: "a", IP: "127.0.0.2", DC: "north", Incarnation: 1, Term: 5}
+			ms.handleHeartbeat(100, b)
+			b.Term, b.GaveUpTerm = 0, tt.gaveUp
+			ms.handleHeartbeat(200, b)
+			name, _, _, _ := ms.currentAssigner()
+			is.Equal(name, tt.assigner)
+		})
+	}
+}
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -137,6 +137,7 @@
 	b.ConfigVersion, servers, b.ConfirmationAge = h.snapshotVersions(now)
 	b.ServersRev, b.ServersEpoch = servers.Number(), servers.Epoch()
 	b.LeavingServers = h.relay.LeavingServers()
+	b.GaveUpTerm = h.role.gaveUpTerm.Load()
 	h.members.mu.Lock()
 	defer h.members.mu.Unlock()
 	if gossip {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -85,6 +85,7 @@
 	serversLoaded bool // the list of servers has been loaded
 	storeFailedAt clock.Time
 	storeUp       bool
+	outage        storeOutage
 	storeEpoch    uint64 // latest known epoch of the store
 	sync          syncState
 	changes       changeLog
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -154,7 +154,7 @@
 	switch {
 	case b.Term > 0 && b.Term >= ms.maxTerm:
 		ms.assigner, ms.maxTerm, ms.assignerTerm, ms.assignerSeenAt = b.From, b.Term, b.Term, now
-	case ms.assigner == b.From && b.Leaving:
+	case ms.assigner == b.From && (b.Leaving || b.GaveUpTerm > 0 && b.GaveUpTerm >= ms.assignerTerm):
 		ms.assigner, ms.assignerSeenAt = "", 0 // it has given up the role
 	}
 	return first
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -68,6 +68,7 @@
 type assignerRole struct {
 	host           *Host
 	heldTerm       atomic.Uint64 // term in which this host has the role, or 0
+	gaveUpTerm     atomic.Uint64 // last term in which this host gave up the role though its process goes on
 	events         chan any
 	resignRequests chan chan struct{}
 
@@ -319,6 +320,10 @@
 	if r.stepDownIfExpired(now) {
 		return
 	}
+	if r.host.othersReachStore(r.host.clock.Now()) {
+		r.handOver()
+		return
+	}
 	if now.Sub(r.confirmStartedAt) > r.confirmPeriod() && !r.storeCallPending {
 		r.confirmStartedAt, r.storeCallPending = now, true
 		c := &readCall{role: r, startedAt: now}
@@ -339,11 +344,14 @@
 
 // confirmPeriod returns the time between two confirmations of the role. After a
 // restore of the store the role has to be claimed anew soon: if this host ends
-// before, no key can be granted for a while.
+// before, no key can be granted for a while. See also storeProbeInterval.
 func (r *assignerRole) confirmPeriod() clock.Span {
 	if r.host.knownEpoch() > r.recordRev.Epoch() {
 		return writeBackoff
 	}
+	if !r.host.isStoreUp() {
+		return storeProbeInterval
+	}
 	return confirmInterval
 }
 
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -126,6 +126,7 @@
 	bad := errors.Is(err, ErrNoResponse) || errors.Is(err, ErrRefused)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.outage.record(h.clock.Now(), bad)
 	if bad {
 		h.storeFailedAt = h.clock.Now()
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -69,6 +69,9 @@
 	Interval clock.Span `cbor:"21,keyasint,omitempty"`
 	Reach    Reach      `cbor:"22,keyasint,omitempty"`
 	NoLoad   bool       `cbor:"23,keyasint,omitempty"` // InFlight and Queued aren't sent to the receiver
+	// GaveUpTerm is the last term in which its process gave up the assigner's role and
+	// went on.
+	GaveUpTerm uint64 `cbor:"30,keyasint,omitempty"`
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
