front: only a host with enough processor takes over the assigner's role

Change: the role is handed over only while a host with at least half of this one's cores is confirmed by the store.

--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -16,6 +16,9 @@
 	// handOverMargin is how much later than the first failed call the store must have
 	// responded to another host. The times are taken from heartbeats.
 	handOverMargin = 300 * clock.Millisecond
+	// successorCores is the least processor of a successor, as a share of that of this
+	// host. A host with too little can't renew all leases in time.
+	successorCores = 0.5
 )
 
 // storeOutage is the time during which the store hasn't responded to this host.
@@ -42,8 +45,8 @@
 }
 
 // othersReachStore reports whether the store doesn't respond to this host while it
-// responds to other live hosts. Such a host can't move keys and shouldn't have the
-// assigner's role.
+// responds to another live one with enough processor for the assigner's role. Without
+// the store an assigner can't move keys.
 func (h *Host) othersReachStore(now clock.Time) bool {
 	h.mu.Lock()
 	o := h.outage
@@ -51,8 +54,7 @@
 	if !o.lasts(now) {
 		return false
 	}
-	s := h.members.standing(now)
-	return s.confirmed && s.confirmedAt > o.since.Add(handOverMargin)
+	return h.members.standing(now).successorConfirmedAt > o.since.Add(handOverMargin)
 }
 
 // handOver gives up the role, and tells the other hosts in heartbeats, so that one of
--- a/internal/front/handover_test.go
+++ b/internal/front/handover_test.go
@@ -19,25 +19,28 @@
 		name         string
 		failures     int
 		confirmedAge clock.Span // of the other host's last confirmation by the store; negative: none
+		cores        float64    // of the other host; this one has 0.8
 		handsOver    bool
 	}{
-		{"another host reaches the store", 3, clock.Second, true},
-		{"one call has failed", 1, clock.Second, false},
-		{"no host reaches the store", 3, failing, false},
-		{"another host reached it just after the first failure", 3, failing - handOverMargin, false},
-		{"no other host has read the store", 3, -1, false},
+		{"another host reaches the store", 3, clock.Second, 0.8, true},
+		{"one with half the cores", 3, clock.Second, 0.4, true},
+		{"one with too little processor for the role", 3, clock.Second, 0.16, false},
+		{"one call has failed", 1, clock.Second, 0.8, false},
+		{"no host reaches the store", 3, failing, 0.8, false},
+		{"another host reached it just after the first failure", 3, failing - handOverMargin, 0.8, false},
+		{"no other host has read the store", 3, -1, 0.8, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			st := &recordStore{reads: make(chan struct{}, 4)}
-			h := New(Config{Settings: Settings{Host: "self", DC: "north"}, Store: st, Granter: &countingGranter{}, Log: zap.NewNop()})
+			h := New(Config{Settings: Settings{Host: "self", DC: "north", Cores: 0.8}, Store: st, Granter: &countingGranter{}, Log: zap.NewNop()})
 			mono := h.clock.Now().Add(10 * clock.Second)
 			now := h.role.now()
 			h.role.assigner = unconnectedAssigner(t, now)
 			h.role.heldTerm.Store(2)
 			h.role.confirmedAt, h.role.confirmStartedAt = now, now
-			other := &mesh.Heartbeat{From: "other", IP: "127.0.0.2", DC: "north", Incarnation: 1, ConfirmationAge: tt.confirmedAge}
+			other := &mesh.Heartbeat{From: "other", IP: "127.0.0.2", DC: "north", Incarnation: 1, ConfirmationAge: tt.confirmedAge, Cores: tt.cores}
 			h.members.handleHeartbeat(mono, other)
 			h.outage = storeOutage{failures: tt.failures, since: mono.Add(-failing)}
 			is.Equal(h.othersReachStore(mono), tt.handsOver)
--- a/internal/front/rank.go
+++ b/internal/front/rank.go
@@ -90,6 +90,9 @@
 	dcsBefore   int        // data centres before this one that have a live host
 	confirmed   bool       // the store has confirmed the state of another live host
 	confirmedAt clock.Time // latest such confirmation
+	// successorConfirmedAt is the latest such confirmation of a host that could take
+	// over a role of this one, see successorCores; 0: none.
+	successorConfirmedAt clock.Time
 }
 
 // maxStandingAge is how long a standing is used before it is determined anew. It is
@@ -129,6 +132,9 @@
 		if at := m.lastHeartbeat.Add(-m.confirmationAge); !s.confirmed || at > s.confirmedAt {
 			s.confirmed, s.confirmedAt = true, at
 		}
+		if at := m.lastHeartbeat.Add(-m.confirmationAge); !m.leaving && m.cores >= successorCores*ms.cores {
+			s.successorConfirmedAt = max(s.successorConfirmedAt, at)
+		}
 	}
 	s.dcsBefore = len(before)
 	return s
