front, owner: ranges of lost servers move at once after a handover of the role

Cause: a new assigner waits for the role lease (12 s) before it moves the ranges of servers that don't respond, as the former one may still renew them. Change: Record.Former has the term of each holder, and heartbeats say which term a process gave up, so the former assigner is known not to act any more.

--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/owner"
 )
 
 const (
@@ -57,10 +58,18 @@
 	return h.members.standing(now).successorConfirmedAt > o.since.Add(handOverMargin)
 }
 
+// gaveUp reports whether a former assigner has said in a heartbeat since a time that
+// its process has given up the role in the term that it is listed with.
+func (ms *members) gaveUp(h owner.Holder, after clock.Time) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	m := ms.all[h.Host]
+	return m != nil && h.Term > 0 && m.lastHeartbeat > after && m.incarnation == h.Incarnation && m.roleTerm == 0 && m.gaveUpTerm >= h.Term
+}
+
 // handOver gives up the role, and tells the other hosts in heartbeats, so that one of
 // them claims it at once. Servers keep their leases from this term meanwhile.
 func (r *assignerRole) handOver() {
-	r.gaveUpTerm.Store(r.assigner.Term())
 	r.stepDown("the store doesn't respond to this host, but to others")
 	r.host.triggerHeartbeat()
 }
--- a/internal/front/handover_test.go
+++ b/internal/front/handover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -55,6 +56,35 @@
 	}
 }
 
+// Guards against keys that stay without an owner for the role lease after a handover:
+// the ranges of servers that don't respond move only once no former assigner can act.
+func TestFormerAssignerGaveUp(t *testing.T) {
+	former := owner.Holder{Host: "a", Incarnation: 7, Term: 5}
+	tests := []struct {
+		name  string
+		b     mesh.Heartbeat
+		ended bool
+	}{
+		{"gave up the term", mesh.Heartbeat{Incarnation: 7, GaveUpTerm: 5}, true},
+		{"gave up an earlier term", mesh.Heartbeat{Incarnation: 7, GaveUpTerm: 4}, false},
+		{"has the role", mesh.Heartbeat{Incarnation: 7, GaveUpTerm: 5, Term: 6}, false},
+		{"says nothing", mesh.Heartbeat{Incarnation: 7}, false},
+		{"is another process", mesh.Heartbeat{Incarnation: 8, GaveUpTerm: 5}, false}, // see owner.Holder.Replaced
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "self", DC: "north"})
+			tt.b.From, tt.b.IP, tt.b.DC = "a", "127.0.0.2", "north"
+			ms.handleHeartbeat(100, &tt.b)
+			is.Equal(ms.gaveUp(former, 50), tt.ended)
+			is.Equal(ms.gaveUp(former, 100), false) // the heartbeat is no newer
+			rec := owner.Record{Holder: "self", Former: []owner.Holder{former}}.WithoutFormer(func(h owner.Holder) bool { return ms.gaveUp(h, 50) })
+			is.Equal(rec.FormerEnded(func(keys.Host) int64 { return 0 }), tt.ended)
+		})
+	}
+}
+
 // Guards against waiting for the timeout of an assigner that has given up its role,
 // and against a later term that such a heartbeat ends.
 func TestAssignerGivesUp(t *testing.T) {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -41,6 +41,7 @@
 	lastSent        clock.Time
 	leaving         bool
 	roleTerm        uint64 // term of the assigner's role, or 0
+	gaveUpTerm      uint64 // last term in which its process gave up the role, or 0
 	tablesTerm      uint64 // term of its tables
 	tablesVersion   uint64
 	tablesSentAt    clock.Time // when complete tables were last sent to it
@@ -143,7 +144,7 @@
 	sooner := b.Reach > m.reach || !m.active(now)
 	ms.setIP(m, b.IP)
 	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
-	m.roleTerm, m.tablesTerm, m.tablesVersion = b.Term, b.TablesTerm, b.TablesVersion
+	m.roleTerm, m.gaveUpTerm, m.tablesTerm, m.tablesVersion = b.Term, b.GaveUpTerm, b.TablesTerm, b.TablesVersion
 	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
 	if sooner {
 		ms.scheduleAt(m, m.lastSent.Add(ms.interval(m)))
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -68,7 +68,7 @@
 type assignerRole struct {
 	host           *Host
 	heldTerm       atomic.Uint64 // term in which this host has the role, or 0
-	gaveUpTerm     atomic.Uint64 // last term in which this host gave up the role though its process goes on
+	gaveUpTerm     atomic.Uint64 // last term in which this process gave up the role, or 0
 	events         chan any
 	resignRequests chan chan struct{}
 
@@ -355,19 +355,21 @@
 	return confirmInterval
 }
 
-// allFormerEnded reports whether the processes of all former assigners have
-// ended: they gave up the role, or their hosts run other processes now. After a
+// allFormerEnded reports whether no former assigner acts any more: each has given
+// up the role, or its host runs another process now. After a
 // restore of the store any host can be one.
 func (r *assignerRole) allFormerEnded() bool {
 	if r.claimedRecord.Unverified {
 		return r.host.members.noneActs(r.electedAt)
 	}
-	return r.claimedRecord.FormerEnded(func(h keys.Host) int64 { return r.host.members.incarnationAfter(h, r.electedAt) })
+	rec := r.claimedRecord.WithoutFormer(func(h owner.Holder) bool { return r.host.members.gaveUp(h, r.electedAt) })
+	return rec.FormerEnded(func(h keys.Host) int64 { return r.host.members.incarnationAfter(h, r.electedAt) })
 }
 
 // stepDown ends the role on this host, without a change in the store.
 func (r *assignerRole) stepDown(why string) {
 	r.host.log.Warn("stepping down as assigner", zap.Uint64("term", r.assigner.Term()), zap.String("why", why))
+	r.gaveUpTerm.Store(r.assigner.Term())
 	r.assigner = nil
 	r.heldTerm.Store(0)
 	r.host.metrics.assignerTerm.Set(0)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -67,6 +67,9 @@
 type Holder struct {
 	Host        keys.Host `json:"host"`
 	Incarnation int64     `json:"run"` // incarnation: start of the process, Unix ms
+	// Term is the last term in which it had the role. It is set in Record.Former only,
+	// and not by earlier versions.
+	Term uint64 `json:"term,omitempty"`
 }
 
 // Process returns the process that has the role.
@@ -85,7 +88,9 @@
 	next := r.inEpoch(storeEpoch)
 	next.Former = slices.Clone(r.Former)
 	if r.Holder != "" {
-		next.Former = append(next.Former, r.Process())
+		former := r.Process()
+		former.Term = r.Term
+		next.Former = append(next.Former, former)
 	}
 	next.Term, next.Seq, next.Holder, next.Incarnation = max(next.Term, observedTerm+next.Term-r.Term)+1, 0, h.Host, h.Incarnation
 	return next
@@ -136,6 +141,13 @@
 	return r
 }
 
+// WithoutFormer returns the record without the former holders that are known to
+// act no more.
+func (r Record) WithoutFormer(ended func(Holder) bool) Record {
+	r.Former = slices.DeleteFunc(slices.Clone(r.Former), ended)
+	return r
+}
+
 // FormerEnded reports whether all former holders are known to have ended.
 // incarnationOf returns the incarnation in a host's current heartbeats, or 0 if
 // there are none.
