owner: a server whose ranges can't move doesn't keep the others from balancing

Cause: a round of balancing ended at the first overloaded server without a range to move (one hot key, or ranges that have just moved), and its load counted in the mean that the others were compared with. Change: such a server is passed over, up to four a round, and left out of the mean; one range more may move at a time for each 16 servers beyond 64.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -31,9 +31,14 @@
 	// service and added to the observed one, so that keys without load are spread
 	// too.
 	baseLoad = 1.0
-	// maxMoves is the number of ranges of a service that may move at a time.
-	// Requests for them wait until the move is done.
-	maxMoves = 4
+	// minMoves is the number of ranges of a service that may move at a time, and
+	// serversPerMove the number of its servers for each further one. Requests for these
+	// ranges wait until the move is done, so only a small share of the keys may move.
+	minMoves       = 4
+	serversPerMove = 16
+	// maxUnsplit is how many overloaded servers without a range that can move are passed
+	// over in a round. The search for a range takes time in proportion to the keys.
+	maxUnsplit = 4
 	// maxRangesPerServer limits the ranges of a server, as each is renewed with
 	// a call of its own.
 	maxRangesPerServer = 12
@@ -227,8 +232,9 @@
 	}
 	mean := total / capacity
 	ratio := func(id keys.Server) float64 { return loads[id] / a.capacity(id) / mean }
-	for ; moving < maxMoves; moving++ {
-		hot := slices.MaxFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
+	sources := slices.Clone(ids) // servers that ranges may move away from
+	for limit := maxMoves(len(ids)); moving < limit; {
+		hot := slices.MaxFunc(sources, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.hasRanges(s, idle)
 		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, loads[hot], mean) {
@@ -243,16 +249,30 @@
 			rs, part = a.splitHalf(s, hot)
 		}
 		if rs == nil {
-			return moving
+			// The server has a single hot key, or ranges that have just moved. The
+			// others balance their load among themselves.
+			sources = slices.DeleteFunc(sources, func(id keys.Server) bool { return id == hot })
+			if len(ids)-len(sources) > maxUnsplit || len(sources) == 0 {
+				return moving
+			}
+			total -= loads[hot]
+			capacity -= a.capacity(hot)
+			mean = total / capacity
+			continue
 		}
 		rs.dest = idle
 		rs.startRelease()
 		loads[hot] -= part
 		loads[idle] += part
+		moving++
 	}
 	return moving
 }
 
+// maxMoves returns the number of ranges that may move at a time in a service with n
+// servers.
+func maxMoves(n int) int { return max(minMoves, n/serversPerMove) }
+
 // hasRanges reports whether any range is assigned to a server or moving to it.
 func (a *Assigner) hasRanges(s keys.Service, id keys.Server) bool {
 	return slices.ContainsFunc(a.tables[s], func(rs *rangeState) bool { return rs.Server == id || rs.releasing && rs.dest == id })
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -333,6 +333,30 @@
 	h.True(h.assigner.MovedShare() < 0.05)
 }
 
+// Guards against a server with a single hot key, which can't be divided, that keeps the
+// ranges of all other overloaded servers from moving.
+func TestHotKeyBlocksNoMoves(t *testing.T) {
+	rec := Record{Term: 1, Tables: map[keys.Service][]Assignment{svc: {
+		{From: 0, To: 49999, Server: "b", Addr: "b:1", Born: 1, Fence: 1},
+		{From: 50000, To: 50000, Server: "a", Addr: "a:1", Born: 1, Fence: 2},
+		{From: 50001, To: MaxKey, Server: "c", Addr: "c:1", Born: 1, Fence: 3},
+	}}}
+	h := newHarness(t, rec, server("a"), server("b"), server("c"))
+	h.assigner.FormerEnded(h.now)
+	h.advance(5*clock.Second, "", Done)
+	for i := range 40 {
+		loads := []KeyLoad{{Key: 50000, Time: 1500}} // six slots of two
+		for k := Key(100); i >= 20 && k < 140; k++ {
+			loads = append(loads, KeyLoad{Key: k, Time: 25}) // four slots of two
+		}
+		h.assigner.AddLoads(h.now, svc, loads)
+		h.advance(250, "", Done)
+	}
+	loads, _ := h.assigner.serverLoads(svc)
+	h.True(loads["b"] < 3)
+	h.True(loads["c"] > 1)
+}
+
 // After a takeover a draining server is granted its range with a fence of the
 // new term before the range is released: after a release alone, the former
 // assigner could renew the lease there while another server owns the range.
