--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -50,7 +50,10 @@
 		// After a partition the assigner's heartbeats may be the last to arrive.
 		wait += minorityClaimDelay
 	}
-	since := max(seen, clock.Time(0))
+	since := max(seen, 0)
+	if name == "" && seen == 0 {
+		since = r.host.members.vacated()
+	}
 	if mono.Sub(since) < wait || now.Sub(r.lastClaimAt) < claimBackoff+clock.Span(ms.rank)*claimDelayPerRank || now.Sub(r.startedAt) < assignerTimeout {
 		return
 	}
--- a/internal/front/handover_test.go
+++ b/internal/front/handover_test.go
@@ -107,6 +107,7 @@
 			ms.handleHeartbeat(200, b)
 			name, _, _, _ := ms.currentAssigner()
 			is.Equal(name, tt.assigner)
+			is.Equal(ms.vacated() == 200, tt.assigner == "") // the hosts claim by rank from then on
 		})
 	}
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -102,6 +102,7 @@
 	maxTerm        uint64     // highest term of a heartbeat or table
 	assignerTerm   uint64     // term of assigner
 	assignerSeenAt clock.Time // time of its last heartbeat
+	vacatedAt      clock.Time // when an assigner last said that it gave up the role
 }
 
 func newMembers(s Settings) *members {
@@ -156,7 +157,7 @@
 	case b.Term > 0 && b.Term >= ms.maxTerm:
 		ms.assigner, ms.maxTerm, ms.assignerTerm, ms.assignerSeenAt = b.From, b.Term, b.Term, now
 	case ms.assigner == b.From && (b.Leaving || b.GaveUpTerm > 0 && b.GaveUpTerm >= ms.assignerTerm):
-		ms.assigner, ms.assignerSeenAt = "", 0 // it has given up the role
+		ms.assigner, ms.assignerSeenAt, ms.vacatedAt = "", 0, now // it has given up the role
 	}
 	return first
 }
@@ -291,6 +292,13 @@
 	return ms.assigner, ip, ms.maxTerm, ms.assignerSeenAt
 }
 
+// vacated returns when an assigner last said that it gave up the role, or 0.
+func (ms *members) vacated() clock.Time {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.vacatedAt
+}
+
 // lastAssignerTerm returns the term of the last known assigner. Tables don't
 // raise it, because a table can arrive before the first heartbeat of the assigner
 // that sent it.
