place, owner: evacuation of data centres

An operator needs a whole data centre without requests within a bound. Draining its servers one by one takes a registration change of each.

place takes a list of evacuated data centres: their servers are neither candidates nor overflow nor tried first, owners of keys there get requests until a given time, and a request is refused at once if every server of its service is evacuated. owner moves the ranges of their servers, a quarter at a time, with at most one write of the record each 80 ms; it starts none while the store doesn't respond. A range that was released may return to its former server, since that may be used again.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -176,8 +176,9 @@
 	loads, _ := a.serverLoads(s)
 	least := math.Inf(1)
 	for _, id := range a.usableServers(s) {
-		// A new incarnation of the same server holds no leases and may get it.
-		if id == rs.Server && rs.releasing && a.servers[id].Born == rs.Born {
+		// A new incarnation of the same server holds no leases and may get it, and so
+		// may one that has released the range, such as after an evacuation.
+		if id == rs.Server && rs.releasing && !rs.released && a.servers[id].Born == rs.Born {
 			continue
 		}
 		if x := loads[id] / a.capacity(id); x < least {
--- /dev/null
+++ b/internal/owner/evac.go
@@ -0,0 +1,95 @@
+package owner
+
+import (
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// evacuationShare is the share of the ranges to evacuate that move at a time, and
+	// minEvacuationMoves the least number of them. Requests for a range wait while it
+	// moves, and if the store or the assigner is lost halfway, only these have no
+	// owner.
+	evacuationShare    = 0.25
+	minEvacuationMoves = 24
+	// slowMove is how long a range counts as moving. A server that doesn't respond,
+	// or has long work in progress, must not hold up the other ranges.
+	slowMove = 500 * clock.Millisecond
+	// evacuationWriteInterval is the shortest time between two writes of the record
+	// while ranges are evacuated. Each write is billed.
+	evacuationWriteInterval = 80 * clock.Millisecond
+	// slowWrite is the age of a write from which on no further range is evacuated: a
+	// range that is released while the store is down has no owner until it is back.
+	slowWrite = 400 * clock.Millisecond
+)
+
+// evacuation is the state of the evacuation of data centres.
+type evacuation struct {
+	dcs     map[keys.DataCentre]bool
+	total   int        // ranges that were to move at most since none was
+	moving  int        // ranges that began to move less than slowMove ago
+	wroteAt clock.Time // when the last write of the record was sent
+}
+
+// SetEvacuated sets the evacuated data centres. Their servers get no new ranges, and
+// their ranges move to other servers, some at a time.
+func (a *Assigner) SetEvacuated(list []keys.DataCentre) {
+	a.evacuation.dcs = make(map[keys.DataCentre]bool, len(list))
+	for _, dc := range list {
+		a.evacuation.dcs[dc] = true
+	}
+}
+
+// isEvacuated reports whether a server is in an evacuated data centre.
+func (a *Assigner) isEvacuated(id keys.Server) bool {
+	return len(a.evacuation.dcs) > 0 && a.evacuation.dcs[a.servers[id].DC]
+}
+
+// evacuate has ranges of evacuated servers released, as many at a time as may move.
+// Ranges of a service without a usable server stay, as they have nowhere to move to.
+func (a *Assigner) evacuate(now clock.Time) {
+	e := &a.evacuation
+	e.moving = 0
+	if len(e.dcs) == 0 {
+		e.total = 0
+		return
+	}
+	if a.firstListAt == 0 || now < a.firstListAt.Add(firstAssignDelay) {
+		return // released ranges would wait for assignFree
+	}
+	var waiting []*rangeState
+	for _, s := range a.serviceNames() {
+		first := len(waiting)
+		for _, rs := range a.tables[s] {
+			switch {
+			case rs.evacuatedAt != 0 && !rs.acked, rs.evacuatedAt != 0 && rs.releasing:
+				if now.Sub(rs.evacuatedAt) < slowMove {
+					e.moving++
+				}
+			case rs.acked && !rs.releasing && now >= rs.blockedUntil && a.isEvacuated(rs.Server):
+				waiting = append(waiting, rs)
+			}
+		}
+		if len(waiting) > first && len(a.usableServers(s)) == 0 {
+			waiting = waiting[:first]
+		}
+	}
+	if a.storeOutage || a.writeInFlight && now.Sub(e.wroteAt) > slowWrite {
+		return
+	}
+	if e.total = max(e.total, len(waiting)+e.moving); len(waiting)+e.moving == 0 {
+		e.total = 0
+	}
+	limit := max(minEvacuationMoves, int(evacuationShare*float64(e.total)))
+	for _, rs := range waiting[:min(len(waiting), max(limit-e.moving, 0))] {
+		rs.evacuatedAt = now
+		rs.startRelease()
+		e.moving++
+	}
+}
+
+// holdsWrite reports whether a write of the record waits for more moves.
+func (a *Assigner) holdsWrite(now clock.Time) bool {
+	e := &a.evacuation
+	return e.moving > 0 && now.Sub(e.wroteAt) < evacuationWriteInterval
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -136,6 +136,7 @@
 	handover        string      // state for the next owner
 	dest            keys.Server // the next owner, if already chosen
 	movedAt         clock.Time  // when the range moved to this server; 0: first assignment
+	evacuatedAt     clock.Time  // when it began to move from an evacuated server; 0: never
 	// blockedUntil is when the range may be granted at the earliest, because until
 	// then a server that isn't known may have a lease.
 	blockedUntil clock.Time
@@ -169,6 +170,7 @@
 	now               clock.Time
 	failedAt          map[keys.Server]clock.Time // when a grant to the server last failed or went unanswered
 	replaced          map[keys.Server]replacement
+	evacuation        evacuation
 	movedShare        float64 // share of all keys that changed owner
 }
 
@@ -294,6 +296,7 @@
 // due.
 func (a *Assigner) advance(now clock.Time) (acts []Action) {
 	a.now, a.unconfirmed = now, false
+	a.evacuate(now)
 	for _, s := range a.serviceNames() {
 		a.assignFree(now, s)
 		for _, rs := range a.tables[s] {
@@ -303,8 +306,8 @@
 		}
 		a.merge(s)
 	}
-	if a.version > a.writtenVersion && !a.writeInFlight {
-		a.writeInFlight = true
+	if a.version > a.writtenVersion && !a.writeInFlight && !a.holdsWrite(now) {
+		a.writeInFlight, a.evacuation.wroteAt = true, now
 		acts = append(acts, Write{Record: a.snapshot(), Version: a.version})
 	}
 	return acts
@@ -407,13 +410,13 @@
 	a.version++
 	*rs = rangeState{
 		Assignment:    Assignment{From: rs.From, To: rs.To, Server: dest, Addr: sv.Addr, Born: sv.Born, Fence: a.nextFence()},
-		recordVersion: a.version, handover: rs.handover, movedAt: movedAt,
+		recordVersion: a.version, handover: rs.handover, movedAt: movedAt, evacuatedAt: rs.evacuatedAt,
 	}
 }
 
 func (a *Assigner) usable(s keys.Service, id keys.Server) bool {
 	sv, ok := a.servers[id]
-	if !ok || sv.Draining || sv.Service != s {
+	if !ok || sv.Draining || sv.Service != s || a.isEvacuated(id) {
 		return false
 	}
 	failedAt, failed := a.failedAt[id]
--- a/internal/place/notice.go
+++ b/internal/place/notice.go
@@ -100,9 +100,12 @@
 func (s *State) groupServers() {
 	s.serversOf = make(map[keys.Service][]*server)
 	s.leavingOf = make(map[keys.Service][]*server)
+	s.evacuatedOf = make(map[keys.Service]bool)
 	for _, id := range s.order {
 		sv := s.servers[id]
 		switch {
+		case s.markEvacuated(sv):
+			s.evacuatedOf[sv.Service] = true
 		case sv.Draining:
 		case sv.notice.leaving:
 			s.leavingOf[sv.Service] = append(s.leavingOf[sv.Service], sv)
@@ -127,9 +130,10 @@
 	return group
 }
 
-// gone reports whether a server gets no requests any more because it leaves.
+// gone reports whether a server gets no requests any more because it leaves or is
+// evacuated.
 func (sv *server) gone(now clock.Time) bool {
-	return sv.Draining || sv.notice.leaving && now >= sv.notice.leavesAt
+	return sv.Draining || sv.notice.leaving && now >= sv.notice.leavesAt || sv.evacuated && now >= sv.ownsUntil
 }
 
 // avoided reports whether a server gets no requests for now, because it asked for
@@ -139,9 +143,10 @@
 }
 
 // pauseLeft returns how long requests for the keys of a server have to wait for
-// the end of its pause. The keys of a server that leaves are about to move.
+// the end of its pause. The keys of a server that leaves or is evacuated are about
+// to move.
 func (sv *server) pauseLeft(now clock.Time) clock.Span {
-	if sv.Draining || sv.notice.leaving {
+	if sv.Draining || sv.notice.leaving || sv.evacuated {
 		return 0
 	}
 	return max(sv.notice.pausedUntil.Sub(now), 0)
@@ -159,6 +164,9 @@
 // one before the request's wait limit: its owner if it has a key, else any server
 // of the service. ok is false if it may be served.
 func (s *State) blocked(now clock.Time, r *Request) (ref Refuse, ok bool) {
+	if s.allEvacuated(now, r.Service) {
+		return Refuse{ID: r.ID, Why: Evacuated, RetryAfter: retryAfterMax}, true
+	}
 	sv := s.firstAvailable(now, r)
 	limit := s.waitLimit(now, r)
 	switch {
@@ -171,11 +179,12 @@
 }
 
 // firstAvailable returns the server that is expected to accept a request first, or
-// nil if that isn't known. The keys of an owner that leaves are about to move.
+// nil if that isn't known. The keys of an owner that leaves or is evacuated are about
+// to move.
 func (s *State) firstAvailable(now clock.Time, r *Request) (first *server) {
 	if r.Keyed {
 		sv := s.ownerOf(r)
-		if sv == nil || sv.Draining || sv.notice.leaving {
+		if sv == nil || sv.Draining || sv.notice.leaving || sv.evacuated {
 			return nil
 		}
 		return sv
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,6 +111,7 @@
 	Stopping                // stopping
 	Unreachable             // unreachable
 	Paused                  // paused
+	Evacuated               // evacuated
 )
 
 // Result is the outcome of a request at a server.
@@ -141,8 +142,12 @@
 	serversOf map[keys.Service][]*server
 	shareOf   map[keys.Service][]*server // see SetShare; nil: all of serversOf
 	leavingOf map[keys.Service][]*server
-	share     Share
-	notices   map[keys.Server]notice
+	// evacuations has the evacuated data centres, and until when owners of keys there
+	// get requests; evacuatedOf the services with servers there.
+	evacuations map[keys.DataCentre]clock.Time
+	evacuatedOf map[keys.Service]bool
+	share       Share
+	notices     map[keys.Server]notice
 	// lastPauseEnd is the latest end of a pause that a server has asked for.
 	lastPauseEnd clock.Time
 	services     map[keys.Service]*service
@@ -397,8 +402,8 @@
 }
 
 // Tick drops load reports older than peerMaxAge, starts the queued requests for
-// which servers have room, and refuses those that have waited too long or whose
-// servers have asked for a pause.
+// which servers have room, and refuses those that have waited too long, or whose
+// servers have asked for a pause or are all evacuated.
 func (s *State) Tick(now clock.Time) (acts []Action) {
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
@@ -410,7 +415,7 @@
 	for _, x := range s.services {
 		left := x.queue[:0]
 		for i, r := range x.queue {
-			if now < s.lastPauseEnd {
+			if now < s.lastPauseEnd || len(s.evacuations) > 0 {
 				if ref, ok := s.blocked(now, r); ok {
 					acts = append(acts, ref)
 					continue
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -48,6 +48,8 @@
 	warmupUntil      clock.Time
 	explored         bool // some host has sent it a request
 	notice           notice
+	evacuated        bool       // its data centre is evacuated
+	ownsUntil        clock.Time // see Evacuation.OwnersUntil
 }
 
 // connLimit returns how many requests this host may have in flight at a server
--- a/internal/place/why_string.go
+++ b/internal/place/why_string.go
@@ -15,11 +15,12 @@
 	_ = x[Stopping-4]
 	_ = x[Unreachable-5]
 	_ = x[Paused-6]
+	_ = x[Evacuated-7]
 }
 
-const _Why_name = "queue-fullwaited-outno-serverno-ownerstoppingunreachablepaused"
+const _Why_name = "queue-fullwaited-outno-serverno-ownerstoppingunreachablepausedevacuated"
 
-var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45, 56, 62}
+var _Why_index = [...]uint8{0, 10, 20, 29, 37, 45, 56, 62, 71}
 
 func (i Why) String() string {
 	idx := int(i) - 0
