front, platform: evacuation entries in the store

The entries evacuations/ZONE of operators were not read.

Hosts that watch the store read and watch the kind if bounds.evac is set, each watch for half of the bound. A new process holds its list of servers back for up to 1 s until it knows the entries. Unknown names, unreadable entries and those beyond 256 are counted and logged once. Changes of the record during an evacuation wait 20 ms for others.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -93,7 +93,7 @@
 	h.roundsAt = [2]clock.Time{h.roundsAt[1], now}
 	changed := h.fleet.Expire(now)
 	h.mu.Unlock()
-	if changed {
+	if h.releaseServers() || changed {
 		h.publishServers()
 	}
 }
@@ -102,14 +102,16 @@
 type versions struct {
 	config  uint64
 	servers epoch.Revision
+	evac    epoch.Revision
 }
 
 // sendHeartbeat sends a heartbeat to the hosts that are due for one. It reports
 // whether there were any.
 func (h *Host) sendHeartbeat(seq uint64, reach mesh.Reach, gossip bool) bool {
 	now := h.clock.Now()
-	if config, servers, _ := h.snapshotVersions(now); config != h.announced.config || servers != h.announced.servers {
-		h.announced = versions{config: config, servers: servers}
+	config, servers, _ := h.snapshotVersions(now)
+	if v := (versions{config: config, servers: servers, evac: h.members.ownEvacRev()}); v != h.announced {
+		h.announced = v
 		h.members.announce(now)
 	}
 	batches := h.members.heartbeatTargets(now, reach)
@@ -136,6 +138,8 @@
 	var servers epoch.Revision
 	b.ConfigVersion, servers, b.ConfirmationAge = h.snapshotVersions(now)
 	b.ServersRev, b.ServersEpoch = servers.Number(), servers.Epoch()
+	evac := h.members.ownEvacRev()
+	b.EvacRev, b.EvacEpoch = evac.Number(), evac.Epoch()
 	b.LeavingServers = h.relay.LeavingServers()
 	h.members.mu.Lock()
 	defer h.members.mu.Unlock()
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -88,6 +88,7 @@
 	storeEpoch    uint64 // latest known epoch of the store
 	sync          syncState
 	changes       changeLog
+	evac          evacuations
 	roundsAt      [2]clock.Time // last two rounds of sendHeartbeats
 
 	serverByHash      atomic.Pointer[map[mesh.ServerHash]keys.Server] // of the servers in the list
@@ -171,6 +172,9 @@
 	root.Add("beat", h.sendHeartbeats)
 	root.Add("config", h.watchConfig)
 	root.Add("servers", h.watchServers)
+	if s.evacuates() {
+		root.Add("evacuations", h.watchEvacuations)
+	}
 	root.Add("view", h.fetchSnapshots)
 	root.Add("duty", h.role.run)
 	root.Add("join", h.join)
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -20,6 +20,9 @@
 	storeEpoch   prometheus.Gauge
 	movedShare   prometheus.Gauge
 	keyCalls     *prometheus.CounterVec
+
+	evacuated          prometheus.Gauge
+	evacuationsIgnored prometheus.Counter
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
@@ -34,8 +37,10 @@
 			Name: "laburnummux_key_calls_total", Help: "Grants and releases by outcome.",
 		}, []string{"call", "outcome"}),
 	}
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_evacuated_datacentres", Help: "Data centres whose servers get no requests."})
+	m.evacuationsIgnored = prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_evacuations_ignored_total", Help: "Entries of evacuations without effect: of an unknown data centre, or too many."})
 	m.mesh = mesh.NewMetrics(reg)
-	reg.MustRegister(m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
+	reg.MustRegister(m.evacuated, m.evacuationsIgnored, m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
 
@@ -91,7 +96,7 @@
 // or "" if it is ready.
 func (h *Host) notReadyReason() string {
 	h.mu.Lock()
-	loaded := h.serversLoaded
+	loaded, held := h.serversLoaded, h.evacHeld()
 	h.mu.Unlock()
 	switch {
 	case h.leaving.Load():
@@ -100,6 +105,8 @@
 		return "it knows no configuration"
 	case !loaded:
 		return "it doesn't know the backend servers"
+	case held:
+		return "it doesn't know the evacuated data centres"
 	}
 	return ""
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -47,6 +47,7 @@
 	dc              keys.DataCentre
 	configVersion   uint64
 	serversRev      epoch.Revision // store revision of its list of servers
+	evacRev         epoch.Revision // store revision of its list of evacuated data centres
 	fetchAfter      clock.Time     // earliest next fetch of its snapshot, after a failed one
 	cores           float64
 	confirmationAge clock.Span // at its last heartbeat; negative: the store has never confirmed its state
@@ -96,6 +97,9 @@
 	lastStanding standing
 	standingAt   clock.Time // when it was determined
 
+	evacuates bool           // evacuations are enabled
+	evacRev   epoch.Revision // store revision of this host's list of evacuated data centres
+
 	tables         map[keys.Service]owner.Table
 	assigner       keys.Host  // host whose heartbeat had the highest term
 	maxTerm        uint64     // highest term of a heartbeat or table
@@ -104,7 +108,7 @@
 }
 
 func newMembers(s Settings) *members {
-	return &members{self: s.Host, dc: s.DC, ip: s.IP, cores: s.Cores, seeds: s.Seeds, all: make(map[keys.Host]*member), addrs: make(map[string]int), groupChanged: true, tables: make(map[keys.Service]owner.Table)}
+	return &members{self: s.Host, dc: s.DC, ip: s.IP, cores: s.Cores, seeds: s.Seeds, evacuates: s.evacuates(), all: make(map[keys.Host]*member), addrs: make(map[string]int), groupChanged: true, tables: make(map[keys.Service]owner.Table)}
 }
 
 // add adds a host that another host or the store lists. ms.mu is held.
@@ -145,6 +149,7 @@
 	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
 	m.roleTerm, m.tablesTerm, m.tablesVersion = b.Term, b.TablesTerm, b.TablesVersion
 	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
+	m.evacRev = epoch.At(b.EvacEpoch, b.EvacRev)
 	if sooner {
 		ms.scheduleAt(m, m.lastSent.Add(ms.interval(m)))
 	}
@@ -392,12 +397,41 @@
 	return m.configVersion > config || servers.Before(peerRevision(m.serversRev.Epoch(), m.serversRev.Number(), servers))
 }
 
+// hasNewerEvac reports whether a host has a newer list of evacuated data centres than
+// this one. ms.mu is held.
+func (ms *members) hasNewerEvac(m *member) bool { return ms.evacuates && ms.evacRev.Before(m.evacRev) }
+
+// setEvacRev sets the revision of this host's list of evacuated data centres.
+func (ms *members) setEvacRev(rev epoch.Revision) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.evacRev = rev
+}
+
+// ownEvacRev returns the revision of this host's list of evacuated data centres.
+func (ms *members) ownEvacRev() epoch.Revision {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.evacRev
+}
+
+// dataCentres returns the data centres of the known hosts.
+func (ms *members) dataCentres() map[keys.DataCentre]bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	dcs := map[keys.DataCentre]bool{ms.dc: true}
+	for _, m := range ms.all {
+		dcs[m.dc] = true
+	}
+	return dcs
+}
+
 // sentNewer reports whether a host's last heartbeat told of a newer snapshot.
 func (ms *members) sentNewer(now clock.Time, name keys.Host, config uint64, servers epoch.Revision) bool {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	m := ms.all[name]
-	return m != nil && now >= m.fetchAfter && m.hasNewer(config, servers)
+	return m != nil && now >= m.fetchAfter && (m.hasNewer(config, servers) || ms.hasNewerEvac(m))
 }
 
 // newerSnapshotAddr returns the address of a live host with a newer snapshot,
@@ -409,7 +443,7 @@
 		if !m.alive(now) || local && m.dc != ms.dc || now < m.fetchAfter {
 			continue
 		}
-		if m.hasNewer(config, servers) {
+		if m.hasNewer(config, servers) || ms.hasNewerEvac(m) {
 			ip = m.ip
 			if m.dc == ms.dc {
 				return ip
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -266,6 +266,7 @@
 	if cfg == nil {
 		return nil
 	}
+	r.assigner.SetEvacuated(r.host.evacuatedDCs())
 	return r.assigner.SetServers(now, cfg.KeyedServices(), r.serverList())
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -25,6 +25,7 @@
 
 	DrainTimeout clock.Span // longest time until a draining server gets no new requests
 	ApplyTimeout clock.Span // longest time until an accepted configuration is in force
+	EvacTimeout  clock.Span // longest time until an evacuation is in force; 0: evacuations are disabled
 	GracePeriod  clock.Span // time between SIGTERM and SIGKILL
 	// RegistrationInterval is the period in which backend servers renew their
 	// registrations. The store removes a registration after three without renewal.
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -53,6 +53,7 @@
 	// GraceLeft says how much longer servers without a registration are kept, so that
 	// all hosts stop using them at the same time. Hosts of earlier versions send none.
 	GraceLeft map[keys.Server]clock.Span `cbor:"9,keyasint,omitempty"`
+	Evac      *evacSnapshot              `cbor:"10,keyasint,omitempty"`
 }
 
 // grace returns the grace of a snapshot whose fetch began at a time. A server that
@@ -109,8 +110,14 @@
 			return
 		}
 	}
+	evac, err := evacRevParam(r.URL.Query().Get(evacParam))
+	if err != nil {
+		http.Error(w, evacParam+": "+err.Error(), http.StatusBadRequest)
+		return
+	}
 	var s snapshot
 	h.mu.Lock()
+	s.Evac = h.evacSnapshotSince(evac)
 	if c := h.relay.Config(); c != nil && c.Version() > config {
 		doc := c.Document()
 		s.Config = &doc
@@ -210,6 +217,7 @@
 		}
 	}()
 	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d&epoch=%d&%s=1", addr, snapshotPath, config, servers.Number(), servers.Epoch(), changesParam)
+	url += fmt.Sprintf("&%s=%s", evacParam, h.members.ownEvacRev())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -234,6 +242,7 @@
 	if s.Config != nil {
 		h.applyConfig(intent.New(*s.Config))
 	}
+	h.applyEvacSnapshot(s.Evac, began)
 	grace := s.grace(began, h.cfg.Settings.registrationGrace())
 	switch {
 	case s.Changes:
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -31,7 +31,7 @@
 }
 
 // Store is the platform's store, which keeps the configuration, the assignment
-// record, and the registrations of servers and hosts.
+// record, the registrations of servers and hosts, and the entries of evacuations.
 type Store interface {
 	// Config returns the configuration, or nil if the store has an invalid one, and
 	// the store's revision of it.
@@ -42,6 +42,10 @@
 	// Servers returns the servers that are in use or draining.
 	Servers(ctx context.Context) ([]fleet.Server, epoch.Revision, error)
 	WatchServers(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]ServerEvent, epoch.Revision, error)
+	// Evacuations returns the data centres that operators have entered for evacuation,
+	// whether or not they exist. The name of an unreadable entry is empty.
+	Evacuations(ctx context.Context) ([]keys.DataCentre, epoch.Revision, error)
+	WatchEvacuations(ctx context.Context, rev epoch.Revision, wait clock.Span) ([]EvacuationEvent, epoch.Revision, error)
 	// Record returns the assignment record. If none was written in the store's
 	// current epoch, the revision has no number, and the record is the last one of
 	// an earlier epoch, or empty. An invalid one is ErrMalformed, with its revision.
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -381,6 +381,10 @@
 
 // publishServers passes the current list of servers to the parts that use it.
 func (h *Host) publishServers() {
+	if h.holdServers() {
+		return
+	}
+	h.checkEvacuations()
 	h.mu.Lock()
 	list := h.fleet.List()
 	h.mu.Unlock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -69,6 +69,10 @@
 	Interval clock.Span `cbor:"21,keyasint,omitempty"`
 	Reach    Reach      `cbor:"22,keyasint,omitempty"`
 	NoLoad   bool       `cbor:"23,keyasint,omitempty"` // InFlight and Queued aren't sent to the receiver
+	// EvacRev is the number of the store revision of its list of evacuated data
+	// centres, and EvacEpoch its epoch. They are 0 from hosts that don't know the list.
+	EvacRev   uint64 `cbor:"24,keyasint,omitempty"`
+	EvacEpoch uint64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
--- a/internal/owner/evac.go
+++ b/internal/owner/evac.go
@@ -18,6 +18,9 @@
 	// evacuationWriteInterval is the shortest time between two writes of the record
 	// while ranges are evacuated. Each write is billed.
 	evacuationWriteInterval = 80 * clock.Millisecond
+	// evacuationWriteDelay is how long a change waits for others, as servers often
+	// respond to several releases at once.
+	evacuationWriteDelay = 20 * clock.Millisecond
 	// slowWrite is the age of a write from which on no further range is evacuated: a
 	// range that is released while the store is down has no owner until it is back.
 	slowWrite = 400 * clock.Millisecond
@@ -29,6 +32,7 @@
 	total   int        // ranges that were to move at most since none was
 	moving  int        // ranges that began to move less than slowMove ago
 	wroteAt clock.Time // when the last write of the record was sent
+	heldAt  clock.Time // when a write was first held since then; 0: not
 }
 
 // SetEvacuated sets the evacuated data centres. Their servers get no new ranges, and
@@ -91,5 +95,8 @@
 // holdsWrite reports whether a write of the record waits for more moves.
 func (a *Assigner) holdsWrite(now clock.Time) bool {
 	e := &a.evacuation
-	return e.moving > 0 && now.Sub(e.wroteAt) < evacuationWriteInterval
+	if e.moving > 0 && e.heldAt == 0 {
+		e.heldAt = now
+	}
+	return e.moving > 0 && (now.Sub(e.heldAt) < evacuationWriteDelay || now.Sub(e.wroteAt) < evacuationWriteInterval)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -307,7 +307,7 @@
 		a.merge(s)
 	}
 	if a.version > a.writtenVersion && !a.writeInFlight && !a.holdsWrite(now) {
-		a.writeInFlight, a.evacuation.wroteAt = true, now
+		a.writeInFlight, a.evacuation.wroteAt, a.evacuation.heldAt = true, now, 0
 		acts = append(acts, Write{Record: a.snapshot(), Version: a.version})
 	}
 	return acts
