--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -38,6 +38,9 @@
 		{"leaving and paused servers", 112, small},
 		// Requests that waited for the end of a pause arrived a millisecond before it.
 		{"end of a pause", 200, small},
+		// Plans with evacuations; none has failed.
+		{"evacuations", 300, small},
+		{"evacuations and faults", 301, small},
 	}
 	t.Setenv(runAsCommand, "1")
 	for _, tt := range tests {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -161,6 +161,6 @@
 
 func newHost(dir, name, ip, seed string, command []string, store *proxy, onUnexpectedExit func(*host, string)) (h *host, err error) {
 	h = &host{name: name, ip: ip, command: command, onUnexpectedExit: onUnexpectedExit, settingsFile: filepath.Join(dir, name+".conf"), logFile: filepath.Join(dir, name+".log"), store: store}
-	settings := fakes.Settings{Name: name, Zone: "north", IP: ip, Seed: seed, Store: store.Addr()}
+	settings := fakes.Settings{Name: name, Zone: "north", IP: ip, Seed: seed, Store: store.Addr(), Evac: evacTimeout.Std().String()}
 	return h, settings.Write(h.settingsFile)
 }
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -30,12 +30,13 @@
 	_ = x[PauseServer-19]
 	_ = x[StoreRestore-20]
 	_ = x[RepeatResponses-21]
-	_ = x[numKinds-22]
+	_ = x[Evacuate-22]
+	_ = x[numKinds-23]
 }
 
-const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigureleave-serverpause-serverstore-restorerepeat-answerskinds"
+const _Kind_name = "kill-hoststop-hostpause-hostreload-hostcrash-serverwedge-serverdrain-serverlose-answerscross-answersshed-requestsstore-busystore-silentstore-loses-acksstore-deafstore-compactlink-to-storelink-to-serverconfigureleave-serverpause-serverstore-restorerepeat-answersevacuatekinds"
 
-var _Kind_index = [...]uint16{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 222, 234, 247, 261, 266}
+var _Kind_index = [...]uint16{0, 9, 18, 28, 39, 51, 63, 75, 87, 100, 113, 123, 135, 151, 161, 174, 187, 201, 210, 222, 234, 247, 261, 269, 274}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -29,6 +29,7 @@
 	NotLost                // a host without a fault closed a connection without a response
 	StaysUp                // a host process ended without having been stopped
 	Recovered              // a host didn't serve requests again after the faults
+	Evacuated              // a server of an evacuated data centre got a request
 )
 
 // Violation is a violation of a rule.
@@ -47,6 +48,7 @@
 // server is the oracle's record of one incarnation of a backend server.
 type server struct {
 	id     string
+	zone   string
 	leases []fakes.Lease
 	// drainingSince is when the store got its registration as draining, or
 	// zero.
@@ -71,9 +73,11 @@
 	requests      int
 	served        int
 	notices       notices
-	longestGap    time.Duration            // longest time without a response from a running host
-	lastResponse  map[string]time.Time     // by host
-	faultFree     func(time.Duration) bool // reports whether there was no unplanned fault for this time
+	// evacuatedSince is when the data centre was evacuated, or zero.
+	evacuatedSince time.Time
+	longestGap     time.Duration            // longest time without a response from a running host
+	lastResponse   map[string]time.Time     // by host
+	faultFree      func(time.Duration) bool // reports whether there was no unplanned fault for this time
 }
 
 func newOracle(faultFree func(time.Duration) bool) *oracle {
@@ -151,6 +155,7 @@
 func (o *oracle) runStarted(sv *server, ev fakes.Started) {
 	o.runs[ev.AttemptID]++
 	o.checkLeaving(sv, ev.AttemptID)
+	o.checkEvacuated(sv, ev)
 	switch {
 	case o.nonIdempotent[ev.AttemptID] && o.runs[ev.AttemptID] > 1:
 		o.addViolation(RunsOnce, "%s is non-idempotent and ran again on %s", ev.AttemptID, sv.id)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,7 @@
 	PauseServer                   // pause-server
 	StoreRestore                  // store-restore
 	RepeatResponses               // repeat-answers
+	Evacuate                      // evacuate
 	numKinds                      // kinds
 )
 
@@ -50,7 +51,7 @@
 
 // planned reports whether a step is planned work, which must not affect callers.
 func (k Kind) planned() bool {
-	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure || k == LeaveServer || k == PauseServer
+	return k == StopHost || k == ReloadHost || k == DrainServer || k == Configure || k == LeaveServer || k == PauseServer || k == Evacuate
 }
 
 const (
@@ -130,6 +131,7 @@
 		steps = append(steps, planRestores(seed, length)...)
 	}
 	steps = append(steps, planRepeats(seed, servers, length)...)
+	steps = append(steps, planEvacuations(seed, length)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -166,7 +168,7 @@
 }
 
 // kindsOf returns the kinds that the steps of a seed may have, apart from those of
-// planRestores and planRepeats.
+// planRestores, planRepeats and planEvacuations.
 func kindsOf(seed uint64) (all []Kind) {
 	kinds := StoreRestore
 	if seed < allKindsFrom {
--- a/internal/soak/rule_string.go
+++ b/internal/soak/rule_string.go
@@ -21,11 +21,12 @@
 	_ = x[NotLost-10]
 	_ = x[StaysUp-11]
 	_ = x[Recovered-12]
+	_ = x[Evacuated-13]
 }
 
-const _Rule_name = "OwnAnswerRunsOnceTrueNotRunOneOwnerFencesNoReturnKnownRouteInForceDrainedPausedNotLostStaysUpRecovered"
+const _Rule_name = "OwnAnswerRunsOnceTrueNotRunOneOwnerFencesNoReturnKnownRouteInForceDrainedPausedNotLostStaysUpRecoveredEvacuated"
 
-var _Rule_index = [...]uint8{0, 9, 17, 27, 35, 41, 49, 59, 66, 73, 79, 86, 93, 102}
+var _Rule_index = [...]uint8{0, 9, 17, 27, 35, 41, 49, 59, 66, 73, 79, 86, 93, 102, 111}
 
 func (i Rule) String() string {
 	idx := int(i) - 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[Kind]int)
-	for _, seed := range append(seedsFrom(0), seedsFrom(allKindsFrom)...) {
+	for _, seed := range slices.Concat(seedsFrom(0), seedsFrom(allKindsFrom), seedsFrom(evacuationsFrom)) {
 		steps := Plan(seed, 3, 6, 12*clock.Second)
 		is.True(reflect.DeepEqual(steps, Plan(seed, 3, 6, 12*clock.Second)))
 		for _, s := range steps {
@@ -172,6 +173,20 @@
 				o.observe(a, paused)
 			}
 		}, nil},
+		{"request for a server of an evacuated data centre", func(o *oracle, a, b *server) {
+			a.zone, b.zone = evacuatedZone, "north"
+			o.evacuate(true)
+			o.observe(a, fakes.Started{AttemptID: "x"})
+			o.evacuatedSince = time.Now().Add(-time.Minute)
+			o.observe(b, fakes.Started{AttemptID: "y"})
+			o.observe(a, fakes.Started{AttemptID: "z"})
+		}, []Rule{Evacuated}},
+		{"request for its server after the evacuation", func(o *oracle, a, b *server) {
+			a.zone = evacuatedZone
+			o.evacuate(true)
+			o.evacuate(false)
+			o.observe(a, fakes.Started{AttemptID: "x"})
+		}, nil},
 		{"connection closed without a response", func(o *oracle, a, b *server) {
 			o.observe(a, fakes.Started{AttemptID: "x"})
 			o.connectionLost("h", "x", io.EOF)
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -120,6 +120,8 @@
 		d.writeNextConfig()
 	case StoreRestore:
 		p.copy = d.store.Copy()
+	case Evacuate:
+		d.evacuate(true)
 	}
 	return nil
 }
@@ -163,6 +165,8 @@
 		d.backends[p.step.Target].proxy.SetMode(Pass)
 	case StoreRestore:
 		p.restoreStore()
+	case Evacuate:
+		d.evacuate(false)
 	}
 	return nil
 }
