owner: choose the next owners of evacuated ranges in batches

A server that doesn't respond kept its ranges for the 5 s until the release timed out, which is the bound.

Change: ranges are chosen once a tick and at least a quarter of those that may move together; releases of evacuated servers time out after 2.95 s, just over a lease.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -81,11 +81,12 @@
 type releaseCall struct {
 	role    *assignerRole
 	release owner.Release
+	timeout clock.Span
 	health  string // path of the server's health requests
 }
 
 func (c *releaseCall) run(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, releaseTimeout.Std())
+	call, cancel := context.WithTimeout(ctx, c.timeout.Std())
 	defer cancel()
 	reply, err := c.role.host.cfg.Granter.Release(call, c.release, c.health)
 	out := reply.Outcome
--- a/internal/front/evac.go
+++ b/internal/front/evac.go
@@ -21,6 +21,10 @@
 	// there get their last requests. It covers clocks that differ and requests that
 	// are being sent.
 	evacOwnerMargin = 300 * clock.Millisecond
+	// evacReleaseTimeout is the timeout of releases of evacuated servers. It is longer
+	// than a lease, so that the ranges of a server that doesn't respond can move at once,
+	// and shorter than the usual one, so that they move within the bound.
+	evacReleaseTimeout = leaseTime + leaseTime/10 + 200*clock.Millisecond
 	// maxEvacuations is how many entries of evacuations a host keeps. Deployments have
 	// a few data centres; names of known ones come first.
 	maxEvacuations = 256
@@ -270,6 +274,16 @@
 	return slices.Clone(h.evac.inForce)
 }
 
+// releaseTimeout returns the timeout of a release of a server.
+func (h *Host) releaseTimeout(id keys.Server) clock.Span {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sv, ok := h.fleet.Get(id); ok && slices.Contains(h.evac.inForce, sv.DC) {
+		return evacReleaseTimeout
+	}
+	return releaseTimeout
+}
+
 // checkEvacuations applies the entries to data centres that have become known with a
 // new list of servers.
 func (h *Host) checkEvacuations() {
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -395,7 +395,7 @@
 			c := &grantCall{role: r, grant: act, health: r.healthPath(act.Service, fleet.Incarnation{ID: act.Server, Born: act.Born}), sentAt: now}
 			go c.run(ctx)
 		case owner.Release:
-			c := &releaseCall{role: r, release: act, health: r.healthPath(act.Service, fleet.Incarnation{ID: act.Server, Born: act.Born})}
+			c := &releaseCall{role: r, release: act, timeout: r.host.releaseTimeout(act.Server), health: r.healthPath(act.Service, fleet.Incarnation{ID: act.Server, Born: act.Born})}
 			go c.run(ctx)
 		case owner.Write:
 			if r.storeCallPending || now < r.nextWriteAt {
--- a/internal/owner/evac.go
+++ b/internal/owner/evac.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -12,6 +15,10 @@
 	// owner.
 	evacuationShare    = 0.25
 	minEvacuationMoves = 24
+	// evacuationBatches is how many times fewer ranges begin to move together than may
+	// move at a time. The next owners are chosen by the load of all keys, which takes a
+	// walk over them.
+	evacuationBatches = 4
 	// slowMove is how long a range counts as moving. A server that doesn't respond,
 	// or has long work in progress, must not hold up the other ranges.
 	slowMove = 500 * clock.Millisecond
@@ -49,11 +56,11 @@
 	return len(a.evacuation.dcs) > 0 && a.evacuation.dcs[a.servers[id].DC]
 }
 
-// evacuate has ranges of evacuated servers released, as many at a time as may move.
-// Ranges of a service without a usable server stay, as they have nowhere to move to.
+// evacuate has ranges of evacuated servers released, as many at a time as may move. It
+// is called once a tick, as it looks at all ranges. Ranges of a service without a usable server stay, as they have nowhere to move to.
 func (a *Assigner) evacuate(now clock.Time) {
 	e := &a.evacuation
-	e.moving = 0
+	a.now, e.moving = now, 0
 	if len(e.dcs) == 0 {
 		e.total = 0
 		return
@@ -61,35 +68,64 @@
 	if a.firstListAt == 0 || now < a.firstListAt.Add(firstAssignDelay) {
 		return // released ranges would wait for assignFree
 	}
-	var waiting []*rangeState
-	for _, s := range a.serviceNames() {
-		first := len(waiting)
-		for _, rs := range a.tables[s] {
+	waiting := make(map[keys.Service][]*rangeState)
+	count := 0
+	for s, ranges := range a.tables {
+		for _, rs := range ranges {
 			switch {
-			case rs.evacuatedAt != 0 && !rs.acked, rs.evacuatedAt != 0 && rs.releasing:
+			case rs.evacuatedAt != 0 && (!rs.acked || rs.releasing):
 				if now.Sub(rs.evacuatedAt) < slowMove {
 					e.moving++
 				}
 			case rs.acked && !rs.releasing && now >= rs.blockedUntil && a.isEvacuated(rs.Server):
-				waiting = append(waiting, rs)
+				waiting[s] = append(waiting[s], rs)
+				count++
 			}
 		}
-		if len(waiting) > first && len(a.usableServers(s)) == 0 {
-			waiting = waiting[:first]
-		}
-	}
-	if a.storeOutage || a.writeInFlight && now.Sub(e.wroteAt) > slowWrite {
-		return
 	}
-	if e.total = max(e.total, len(waiting)+e.moving); len(waiting)+e.moving == 0 {
+	if e.total = max(e.total, count+e.moving); count+e.moving == 0 {
 		e.total = 0
 	}
 	limit := max(minEvacuationMoves, int(evacuationShare*float64(e.total)))
-	for _, rs := range waiting[:min(len(waiting), max(limit-e.moving, 0))] {
+	room := min(limit-e.moving, count)
+	if room <= 0 || room < min(limit/evacuationBatches, count) || a.storeOutage || a.writeInFlight && now.Sub(e.wroteAt) > slowWrite {
+		return
+	}
+	for _, s := range a.serviceNames() {
+		room -= a.startEvacuation(now, s, waiting[s][:min(len(waiting[s]), room)])
+	}
+}
+
+// startEvacuation has ranges of a service released and chooses their next owners, the
+// least loaded servers. It returns how many ranges it has started to move.
+func (a *Assigner) startEvacuation(now clock.Time, s keys.Service, ranges []*rangeState) int {
+	ids := a.usableServers(s)
+	if len(ids) == 0 || len(ranges) == 0 {
+		return 0
+	}
+	servers, _ := a.serverLoads(s)
+	load := make(map[*rangeState]float64, len(ranges))
+	for _, rs := range ranges {
+		load[rs] = baseLoad / float64(int(MaxKey)+1) * rs.width()
+	}
+	if l := a.loads[s]; l != nil {
+		for k, v := range l.keys {
+			if rs := a.rangeOf(s, k); load[rs] > 0 {
+				load[rs] += v
+			}
+		}
+	}
+	slices.SortStableFunc(ranges, func(x, y *rangeState) int { return cmp.Compare(load[y], load[x]) })
+	for _, rs := range ranges {
+		rs.dest = slices.MinFunc(ids, func(x, y keys.Server) int {
+			return cmp.Compare(servers[x]/a.capacity(x), servers[y]/a.capacity(y))
+		})
+		servers[rs.dest] += load[rs]
 		rs.evacuatedAt = now
 		rs.startRelease()
-		e.moving++
 	}
+	a.evacuation.moving += len(ranges)
+	return len(ranges)
 }
 
 // holdsWrite reports whether a write of the record waits for more moves.
--- a/internal/owner/evac_test.go
+++ b/internal/owner/evac_test.go
@@ -19,8 +19,16 @@
 	releaseLatency = 120 * clock.Millisecond
 	grantLatency   = 10 * clock.Millisecond
 	writeLatency   = 30 * clock.Millisecond
+	// releaseTimeout is that of a release without a response: longer than a lease.
+	releaseTimeout = 2950 * clock.Millisecond
+	// maxEvacuation is the time after which all ranges must have moved, also those of
+	// servers that don't respond.
+	maxEvacuation = 4700 * clock.Millisecond
 )
 
+// evacConfig has the time limits of the assigner in package front.
+var evacConfig = Config{LeaseTime: 2500 * clock.Millisecond, Timeout: 700 * clock.Millisecond, RoleLease: 12 * clock.Second}
+
 // timedCall is a call or write in flight.
 type timedCall struct {
 	sent, ends clock.Time
@@ -71,7 +79,7 @@
 
 func newEvacuationRun(t *testing.T, rec Record, servers []fleet.Server, evacuated ...keys.DataCentre) *evacuationRun {
 	x := &evacuationRun{I: is.New(t), now: 1000, gapSince: make(map[Key]clock.Time), silent: make(map[keys.Server]bool)}
-	x.assigner = New(testConfig, x.now, rec)
+	x.assigner = New(evacConfig, x.now, rec)
 	x.assigner.SetEvacuated(evacuated)
 	x.send(x.assigner.SetServers(x.now, []keys.Service{svc}, servers))
 	return x
@@ -98,7 +106,7 @@
 	switch act := c.act.(type) {
 	case Release:
 		if x.silent[act.Server] {
-			if x.now < c.sent.Add(5*clock.Second) {
+			if x.now < c.sent.Add(releaseTimeout) {
 				return false
 			}
 			x.send(x.assigner.ReleaseDone(x.now, act, Unknown, ""))
@@ -107,7 +115,7 @@
 		x.send(x.assigner.ReleaseDone(x.now, act, Done, "h"))
 	case Grant:
 		if x.silent[act.Server] {
-			if x.now < c.sent.Add(testConfig.Timeout) {
+			if x.now < c.sent.Add(evacConfig.Timeout) {
 				return false
 			}
 			x.send(x.assigner.GrantDone(x.now, c.sent, act, Unknown))
@@ -218,7 +226,9 @@
 				x.True(x.longestGap <= tt.maxGap)
 			}
 			x.True(x.writes <= tt.maxWrites)
-			x.runFor(8 * clock.Second)
+			x.runFor(began.Add(maxEvacuation).Sub(x.now))
+			x.Equal(x.perServer[""], 0)
+			x.runFor(4 * clock.Second)
 			x.Equal(x.perServer[""], 0)
 			x.Equal(x.owned("south"), 0) // none is granted back
 			x.assigner.SetEvacuated(nil)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -274,6 +274,7 @@
 		a.record.Unverified = false
 		a.version++
 	}
+	a.evacuate(now)
 	if now < a.nextBalance {
 		return a.advance(now)
 	}
@@ -296,7 +297,6 @@
 // due.
 func (a *Assigner) advance(now clock.Time) (acts []Action) {
 	a.now, a.unconfirmed = now, false
-	a.evacuate(now)
 	for _, s := range a.serviceNames() {
 		a.assignFree(now, s)
 		for _, rs := range a.tables[s] {
