--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -72,6 +72,10 @@
 	// GaveUpTerm is the last term in which its process gave up the assigner's role and
 	// went on.
 	GaveUpTerm uint64 `cbor:"30,keyasint,omitempty"`
+	// EvacRev is the number of the store revision of its list of evacuated data
+	// centres, and EvacEpoch its epoch. They are 0 from hosts that don't know the list.
+	EvacRev   uint64 `cbor:"24,keyasint,omitempty"`
+	EvacEpoch uint64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
