admit, front, relay: one host per server admits the requests for keys

Cause: hosts of different groups don't report their load to each other. Each group fills the owner of a key by its own counts, so requests wait at the owner in the order of arrival, whatever their priority, and are rejected there.

Change: where the hosts of a data centre form several groups, a request for a key is sent once the owner's admitter has admitted it. The admitter is the host with the highest rendezvous hash among the active hosts of the server's data centre. It admits one request more than the server has slots, orders the others by priority, by whether they can meet their objective, and by objective, and refuses those that can't be served before their wait limit. Asks, replies and results are new parts of the messages between hosts. After 45 ms without a reply a request is sent as before, and the next host is asked for a second.

TestAdmissionAcrossGroups (14 hosts, 28 callers, one server of two slots): 224 of 224 served with at most 3 requests at the server; without admission 85 of 224 and 14, and the test fails. Tests of place, relay, admit, mesh and front pass.

--- /dev/null
+++ b/internal/front/admission_metrics.go
@@ -0,0 +1,31 @@
+package front
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// admissionMetrics are the metrics of the admission of this host's requests.
+type admissionMetrics struct {
+	asks *prometheus.CounterVec
+	wait prometheus.Histogram
+}
+
+func newAdmissionMetrics(reg prometheus.Registerer) *admissionMetrics {
+	m := &admissionMetrics{
+		asks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnummux_admission_asks_total", Help: "Requests of this host for which admission was asked, by result.",
+		}, []string{"result"}),
+		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "laburnummux_admission_wait_seconds", Help: "Time that these requests waited for the result.", Buckets: prometheus.ExponentialBuckets(0.0005, 3, 8),
+		}),
+	}
+	reg.MustRegister(m.asks, m.wait)
+	return m
+}
+
+func (m *admissionMetrics) observe(result string, took time.Duration) {
+	m.asks.WithLabelValues(result).Inc()
+	m.wait.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/front/admitter.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
+
+const (
+	// maxAdmitters is how many hosts are ranked as admitters of a server: the first, and
+	// those that are asked while it doesn't reply.
+	maxAdmitters = 3
+	// maxRanked is the most servers whose ranking is kept.
+	maxRanked = 1 << 15
+)
+
+// candidate is a host that may be an admitter.
+type candidate struct {
+	name keys.Host
+	ip   string
+	dc   keys.DataCentre
+	hash uint64 // of its name
+}
+
+// admitters ranks the hosts as admitters of servers by rendezvous hash. All hosts with
+// the same list of hosts come to the same ranking, so that no message assigns it, and a
+// host that joins or leaves changes the admitter of few servers.
+type admitters struct {
+	all    []candidate // by name
+	byDC   map[keys.DataCentre][]candidate
+	ranked map[keys.Server][]string // addresses, best first
+}
+
+// set replaces the list of hosts.
+func (a *admitters) set(list []candidate) {
+	slices.SortFunc(list, func(x, y candidate) int { return cmp.Compare(x.name, y.name) })
+	if slices.Equal(list, a.all) && a.ranked != nil {
+		return
+	}
+	a.all, a.byDC, a.ranked = list, make(map[keys.DataCentre][]candidate), make(map[keys.Server][]string)
+	for _, c := range list {
+		a.byDC[c.dc] = append(a.byDC[c.dc], c)
+	}
+}
+
+// of returns the addresses of the first admitters of a server: hosts of its data centre,
+// or of all if it has none.
+func (a *admitters) of(sv fleet.Server) []string {
+	ips, ok := a.ranked[sv.ID]
+	if ok {
+		return ips
+	}
+	if len(a.ranked) >= maxRanked {
+		clear(a.ranked)
+	}
+	group := a.byDC[sv.DC]
+	if len(group) == 0 {
+		group = a.all
+	}
+	ips = rank(sv.ID, group)
+	if a.ranked != nil {
+		a.ranked[sv.ID] = ips
+	}
+	return ips
+}
+
+// rank returns the addresses of the hosts with the highest rendezvous hashes.
+func rank(id keys.Server, hosts []candidate) (ips []string) {
+	type ranked struct {
+		hash uint64
+		ip   string
+	}
+	var best [maxAdmitters]ranked
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], xxhash.Sum64String(string(id)))
+	for _, c := range hosts {
+		binary.LittleEndian.PutUint64(b[8:], c.hash)
+		x := ranked{hash: xxhash.Sum64(b[:]), ip: c.ip}
+		for i := range best {
+			if best[i].ip == "" || x.hash > best[i].hash {
+				x, best[i] = best[i], x
+			}
+			if x.ip == "" {
+				break
+			}
+		}
+	}
+	for _, x := range best {
+		if x.ip != "" {
+			ips = append(ips, x.ip)
+		}
+	}
+	return ips
+}
+
+// newCandidate returns a host as a candidate.
+func newCandidate(name keys.Host, ip string, dc keys.DataCentre) candidate {
+	return candidate{name: name, ip: ip, dc: dc, hash: xxhash.Sum64String(string(name))}
+}
+
+// candidates returns the active hosts that act as admitters, without this one.
+func (ms *members) candidates(now clock.Time) (list []candidate) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, m := range ms.all {
+		if m.admits && !m.leaving && m.active(now) {
+			list = append(list, newCandidate(m.name, m.ip, m.dc))
+		}
+	}
+	return list
+}
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -55,7 +55,7 @@
 // sendHeartbeats sends heartbeats and reports periodically, and a heartbeat at
 // once after a change.
 func (h *Host) sendHeartbeats(ctx context.Context) error {
-	var report, suspects, standing timer
+	var report, suspects, standing, candidates timer
 	var seq uint64
 	var reach mesh.Reach
 	var gossipAt time.Time // of the last heartbeat that lists other hosts
@@ -70,6 +70,9 @@
 			reach = h.currentReach()
 			h.updateGroup()
 		}
+		if candidates.due(candidatesInterval) {
+			h.admission.updateAdmitters()
+		}
 		seq++
 		gossip := time.Since(gossipAt) >= h.members.gossipInterval()
 		if h.sendHeartbeat(seq, reach, gossip) && gossip {
@@ -132,7 +135,7 @@
 // heartbeat returns what this host's heartbeats tell to all hosts.
 func (h *Host) heartbeat(now clock.Time, seq uint64, reach mesh.Reach, gossip bool) (b mesh.Heartbeat) {
 	s := h.cfg.Settings
-	b = mesh.Heartbeat{From: s.Host, Incarnation: h.incarnation, Seq: seq, IP: s.IP, DC: s.DC, Cores: s.Cores, Leaving: h.leaving.Load(), Term: h.role.term(), Reach: reach}
+	b = mesh.Heartbeat{From: s.Host, Incarnation: h.incarnation, Seq: seq, IP: s.IP, DC: s.DC, Cores: s.Cores, Leaving: h.leaving.Load(), Term: h.role.term(), Reach: reach, Admits: true}
 	var servers epoch.Revision
 	b.ConfigVersion, servers, b.ConfirmationAge = h.snapshotVersions(now)
 	b.ServersRev, b.ServersEpoch = servers.Number(), servers.Epoch()
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -73,6 +73,7 @@
 	relay       *relay.Relay
 	callers     *caller.Server
 	mesh        *mesh.Conn
+	admission   *admission
 	members     *members
 	role        *assignerRole
 	dropped     droppedMessages
@@ -115,14 +116,15 @@
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
 	s := cfg.Settings
+	h.members = newMembers(s)
+	h.admission = newAdmission(h)
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
 		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
-		Metrics:     relay.NewMetrics(cfg.Registry),
+		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission,
 	})
 	h.callers = caller.New(caller.Config{Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log})
-	h.members = newMembers(s)
 	h.role = newAssignerRole(h)
 	return h
 }
@@ -168,6 +170,7 @@
 	root := super.New("front", h.log)
 	root.Add("relay", h.relay.Run)
 	root.Add("mesh", h.receive)
+	root.Add("admission", h.admission.run)
 	root.Add("beat", h.sendHeartbeats)
 	root.Add("config", h.watchConfig)
 	root.Add("servers", h.watchServers)
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -20,6 +20,7 @@
 	storeEpoch   prometheus.Gauge
 	movedShare   prometheus.Gauge
 	keyCalls     *prometheus.CounterVec
+	admission    *admissionMetrics
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
@@ -35,6 +36,7 @@
 		}, []string{"call", "outcome"}),
 	}
 	m.mesh = mesh.NewMetrics(reg)
+	m.admission = newAdmissionMetrics(reg)
 	reg.MustRegister(m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -52,6 +52,7 @@
 	confirmationAge clock.Span // at its last heartbeat; negative: the store has never confirmed its state
 	interval        clock.Span // longest time until its next heartbeat, as it promised; 0: an earlier version
 	reach           mesh.Reach
+	admits          bool       // it acts as an admitter
 	dueAt           clock.Time // next heartbeat to it
 	sentAs          relation   // of the last heartbeat to it
 	index           int        // in members.due
@@ -143,6 +144,7 @@
 	sooner := b.Reach > m.reach || !m.active(now)
 	ms.setIP(m, b.IP)
 	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
+	m.admits = b.Admits
 	m.roleTerm, m.tablesTerm, m.tablesVersion = b.Term, b.TablesTerm, b.TablesVersion
 	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
 	if sooner {
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -134,11 +134,14 @@
 	Tables  any    `json:"tables"`
 	Busy    any    `json:"busy"`
 	Waiting any    `json:"waiting"`
+	// Admission has the requests of all hosts for the servers whose admitter this host is.
+	Admission any `json:"admission"`
 }
 
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
 	d := dumpJSON{Host: string(h.cfg.Settings.Host), Run: h.incarnation, Ready: h.isReady(), Term: h.role.term(), Servers: h.serverList(), Config: h.ConfigVersion()}
 	d.Busy, d.Waiting = h.relay.LocalLoad()
+	d.Admission = h.admission.queues()
 	h.members.mu.Lock()
 	d.Tables = h.members.tables
 	b, err := json.Marshal(d)
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -28,6 +28,7 @@
 		h.logDropped(mesh.Foreign, fmt.Errorf("%s from %s, which is no known host", msg.Kind(), ip))
 	default:
 		h.handleMessage(msg)
+		h.admission.handle(ip, msg)
 	}
 }
 
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -27,6 +27,7 @@
 	h.log.Info("stop", zap.Int("connections", h.callers.ConnCount()))
 	h.leaving.Store(true)
 	h.role.resign()
+	h.admission.stop()
 	h.callers.Drain()
 	h.triggerHeartbeat()
 	time.Sleep(deregistrationDelay)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -389,6 +389,7 @@
 		byHash[mesh.HashServer(sv.ID)] = sv.ID
 	}
 	h.serverByHash.Store(&byHash)
+	h.admission.setServers(list)
 	h.relay.SetServers(list)
 	h.role.notifyServersChanged()
 }
--- a/internal/mesh/check.go
+++ b/internal/mesh/check.go
@@ -32,6 +32,7 @@
 	KindTables                // tables
 	KindSuspects              // suspects
 	KindMembers               // members
+	KindAdmission             // admission
 	numKinds
 )
 
@@ -48,6 +49,8 @@
 		return KindSuspects
 	case len(m.Members) > 0:
 		return KindMembers
+	case m.hasAdmissions():
+		return KindAdmission
 	}
 	return KindUnknown
 }
@@ -72,6 +75,9 @@
 			return err
 		}
 	}
+	if err := m.checkAdmissions(); err != nil {
+		return err
+	}
 	return checkMembers(m.Members)
 }
 
--- a/internal/mesh/kind_string.go
+++ b/internal/mesh/kind_string.go
@@ -14,12 +14,13 @@
 	_ = x[KindTables-3]
 	_ = x[KindSuspects-4]
 	_ = x[KindMembers-5]
-	_ = x[numKinds-6]
+	_ = x[KindAdmission-6]
+	_ = x[numKinds-7]
 }
 
-const _Kind_name = "unknownheartbeatreporttablessuspectsmembersnumKinds"
+const _Kind_name = "unknownheartbeatreporttablessuspectsmembersadmissionnumKinds"
 
-var _Kind_index = [...]uint8{0, 7, 16, 22, 28, 36, 43, 51}
+var _Kind_index = [...]uint8{0, 7, 16, 22, 28, 36, 43, 52, 60}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -40,6 +40,10 @@
 	// Members are all active hosts in the sender's list. They are sent to a host
 	// that has just started.
 	Members []Member `cbor:"5,keyasint,omitempty"`
+	// Admission of requests to servers. Hosts of earlier versions ignore these parts.
+	Asks       []Ask      `cbor:"6,keyasint,omitempty"`
+	AskReplies []AskReply `cbor:"7,keyasint,omitempty"`
+	AskDones   []AskDone  `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to the others periodically.
@@ -69,6 +73,7 @@
 	Interval clock.Span `cbor:"21,keyasint,omitempty"`
 	Reach    Reach      `cbor:"22,keyasint,omitempty"`
 	NoLoad   bool       `cbor:"23,keyasint,omitempty"` // InFlight and Queued aren't sent to the receiver
+	Admits   bool       `cbor:"25,keyasint,omitempty"` // it acts as an admitter
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -85,6 +85,7 @@
 type Start struct {
 	ID     uint64
 	Server fleet.Server
+	Admit  bool // to be sent only once the server's admitter has admitted it
 }
 
 // Refuse rejects a request without sending it to a server.
@@ -152,6 +153,7 @@
 	rng          *rand.Rand
 	rotation     int // start of the next scan of a group, so that ties are spread
 	stopped      bool
+	admission    bool                 // see SetAdmission
 	hostCount    int                  // hosts that send to the same servers
 	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
 }
@@ -327,7 +329,7 @@
 		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
-		if s.full(sv) {
+		if !s.admits(r) && s.full(sv) {
 			return nil
 		}
 		return sv
@@ -389,7 +391,7 @@
 		}
 		s.begin(sv)
 		sv.explored = true
-		acts = append(acts, Start{ID: r.ID, Server: sv.Server})
+		acts = append(acts, Start{ID: r.ID, Server: sv.Server, Admit: s.admits(r)})
 	}
 	clear(x.queue[len(left):])
 	x.queue = left
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -62,6 +62,9 @@
 // rest of a pause that its owner has asked for is added, and what its owner has said
 // to have queued.
 func (s *State) expectedWait(now clock.Time, x *service, r *Request, at int) clock.Span {
+	if s.admits(r) {
+		return s.waitForOwner(now, r)
+	}
 	ahead, group, pause, waiting := at, s.pool(now, r.Service), clock.Span(0), 0
 	if r.Keyed {
 		sv := s.ownerOf(r)
--- /dev/null
+++ b/internal/relay/admission.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/place"
+)
+
+// goneRetryDelay is the delay before a request is placed again whose server has left or
+// restarted as its admitter says: this host is about to learn of it.
+const goneRetryDelay = 20 * time.Millisecond
+
+// Admitter obtains the admission of requests to servers from the servers' admitters.
+type Admitter interface {
+	// Admit waits until a request may be sent, is refused, or ctx ends.
+	Admit(ctx context.Context, a Ask) Admission
+}
+
+// Ask is a request that is to be sent to a server.
+type Ask struct {
+	Server    fleet.Server
+	Priority  int
+	Objective clock.Time
+	Deadline  clock.Time
+	RouteMean clock.Span // mean service time of its route
+}
+
+// AdmitVerdict is the decision on an Ask.
+type AdmitVerdict int
+
+// Verdicts.
+const (
+	AdmitEnded   AdmitVerdict = iota // ctx has ended; the request isn't admitted
+	AdmitSend                        // the request may be sent
+	AdmitRefused                     // it can't be served in time
+	AdmitGone                        // the server has left or restarted
+)
+
+// Admission is the decision on an Ask.
+type Admission struct {
+	Verdict    AdmitVerdict
+	RetryAfter clock.Span // delay before the caller of a refused request should retry
+	// Done ends the admission of a request that was sent, or isn't sent after all. It is
+	// nil if there is nothing to end.
+	Done func(place.Result)
+}
+
+// admissionWait is a request that waits for its admission.
+type admissionWait struct {
+	server fleet.Incarnation
+	cancel context.CancelFunc
+}
+
+// admit waits for the admission of the request to a server. final is true if the
+// request has ended, with resp; else send says whether it may be sent now or has to be
+// placed again.
+func (c *call) admit(ctx context.Context, sv fleet.Server) (resp caller.Response, send, final bool) {
+	r := c.relay
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	began := r.cfg.Clock.Now()
+	ask := Ask{Server: sv, Priority: c.route.Priority, Objective: c.started.Add(c.route.Objective), Deadline: c.deadline, RouteMean: r.routeMean(c.route.Name)}
+	wait := admissionWait{server: sv.Incarnation(), cancel: cancel}
+	r.admissionWaits[c] = wait
+	if r.moved(c, wait) {
+		cancel()
+	}
+	r.mu.Unlock()
+	adm := r.cfg.Admitter.Admit(waitCtx, ask)
+	r.mu.Lock()
+	delete(r.admissionWaits, c)
+	r.mu.Unlock()
+	c.queueTime += r.cfg.Clock.Now().Sub(began)
+	c.admissionDone = adm.Done
+	if adm.Verdict == AdmitSend {
+		return resp, true, false
+	}
+	c.reportResult(sv, place.Result{Cancelled: true})
+	switch {
+	case ctx.Err() != nil:
+		return c.expire(ctx), false, true
+	case adm.Verdict == AdmitRefused:
+		return c.refuseUnlessRun(reasonNotAdmitted, adm.RetryAfter), false, true
+	case adm.Verdict == AdmitGone:
+		select {
+		case <-ctx.Done():
+		case <-time.After(goneRetryDelay):
+		}
+	}
+	return resp, false, false
+}
+
+// endAdmission ends the admission of the request, if it has one.
+func (c *call) endAdmission(res place.Result) {
+	if done := c.admissionDone; done != nil {
+		c.admissionDone = nil
+		done(res)
+	}
+}
+
+// cancelMoved ends the wait for an admission of the requests whose key has another owner
+// now, or whose server has left or restarted, so that they are placed again. r.mu is
+// held.
+func (r *Relay) cancelMoved() {
+	for c, w := range r.admissionWaits {
+		if r.moved(c, w) {
+			w.cancel()
+		}
+	}
+}
+
+// moved reports whether a request that waits for its admission has to be placed again.
+// r.mu is held.
+func (r *Relay) moved(c *call, w admissionWait) bool {
+	if p := r.pools[w.server.ID]; p == nil || p.server.Born != w.server.Born {
+		return true
+	}
+	svc, _ := c.cfg.Service(c.service)
+	return svc.Keyed && c.meta.HasKey && r.placement.Owner(c.service, c.meta.Key) != w.server.ID
+}
+
+// refuseUnlessRun responds that the request has not run, or with 502 if an earlier
+// server may have run it.
+func (c *call) refuseUnlessRun(why string, retryAfter clock.Span) caller.Response {
+	if c.mayHaveRun {
+		return c.finish(caller.Response{Status: http.StatusBadGateway}, why)
+	}
+	return c.refuse(why, retryAfter)
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -31,6 +31,7 @@
 	reasonAnswerLost   = "answer-lost"
 	reasonRejected     = "rejected"
 	reasonNoConnection = "no-connection"
+	reasonNotAdmitted  = "not-admitted"
 )
 
 // exclusiveRetryDelay is the delay before a request that the quarantine didn't
@@ -73,6 +74,8 @@
 	openedConn bool          // a connection was opened for it
 	leftAt     stage         // when its caller disconnected
 	lastErr    error
+	// admissionDone ends its admission to the server that it is placed on, or is nil.
+	admissionDone func(place.Result)
 }
 
 // run places and sends the request until there is a final response.
@@ -88,7 +91,15 @@
 		if ref, ok := act.(place.Refuse); ok {
 			return c.refuseByPlacement(ref)
 		}
-		sv := act.(place.Start).Server
+		start := act.(place.Start)
+		sv := start.Server
+		if start.Admit {
+			if resp, send, final := c.admit(ctx, sv); final {
+				return resp
+			} else if !send {
+				continue
+			}
+		}
 		c.relay.mu.Lock()
 		adm := c.relay.quarantine.Start(c.relay.cfg.Clock.Now(), sv.ID, sig)
 		c.relay.mu.Unlock()
@@ -164,6 +175,7 @@
 
 // reportResult reports the result of the request at a server to placement.
 func (c *call) reportResult(sv fleet.Server, res place.Result) {
+	c.endAdmission(res)
 	c.relay.mu.Lock()
 	c.relay.deliver(c.relay.placement.Done(c.relay.cfg.Clock.Now(), sv.ID, res))
 	c.relay.mu.Unlock()
@@ -366,10 +378,7 @@
 
 // refuseByPlacement ends a request that placement has refused.
 func (c *call) refuseByPlacement(ref place.Refuse) caller.Response {
-	if c.mayHaveRun {
-		return c.finish(caller.Response{Status: http.StatusBadGateway}, ref.Why.String())
-	}
-	return c.refuse(ref.Why.String(), ref.RetryAfter)
+	return c.refuseUnlessRun(ref.Why.String(), ref.RetryAfter)
 }
 
 // refuse responds that the request has not run and never will.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,9 @@
 	Metrics       *Metrics
 	LoadChanged   func() // called when the number of requests in flight may have changed
 	ServerLeaving func() // called when a server is leaving that wasn't before
+	// Admitter is asked before a request is sent where placement says so; nil: requests
+	// are sent without admission.
+	Admitter Admitter
 }
 
 // Relay forwards the requests that one host receives.
@@ -91,7 +94,9 @@
 	keyLoads      map[keys.Service]map[owner.Key]clock.Span // estimated service time since the last TakeObservations
 	serviceTimes  map[keys.Server]*owner.ServiceTime        // since the last TakeObservations
 	lastLoss      serverLoss
-	toldLeaving   bool // some pool may have leaving set
+	// admissionWaits are the requests that wait for their admission.
+	admissionWaits map[*call]admissionWait
+	toldLeaving    bool // some pool may have leaving set
 }
 
 // serverLoss is the loss of a server: it accepted no connection after one had
@@ -115,8 +120,10 @@
 		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
 		pools: make(map[keys.Server]*pool), responses: link.NewBudget(maxResponseBytes), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
+		admissionWaits: make(map[*call]admissionWait),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
+	r.placement.SetAdmission(cfg.Admitter != nil)
 	return r
 }
 
@@ -163,6 +170,7 @@
 		}
 	}
 	r.deliver(r.placement.SetServers(r.cfg.Clock.Now(), list))
+	r.cancelMoved()
 }
 
 // SetTable replaces the table of key owners of a keyed service.
@@ -170,6 +178,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.deliver(r.placement.SetTable(r.cfg.Clock.Now(), t))
+	r.cancelMoved()
 }
 
 // SetPeerLoad replaces the load report of another host.
