--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,8 +38,22 @@
 	DC       keys.DataCentre
 	Slots    int
 	Draining bool
-	Warmup   clock.Span // remaining warm-up time when the registration was written
-	Born     int64      // incarnation: Unix time in ms of its start
+	// Warmup is the remaining warm-up time when the registration was written or, in a
+	// list from another host, when that was sent.
+	Warmup clock.Span
+	Born   int64 // incarnation: Unix time in ms of its start
+	// Revision of the registration in the store. Each one has a Warmup of its own; 0 in
+	// lists of hosts of earlier versions.
+	Revision uint64
+}
+
+// SameRegistration reports whether two lists have the same registration of a server,
+// so that the warm-up in the later list has been running since the earlier one.
+func (sv Server) SameRegistration(o Server) bool {
+	if sv.ID != o.ID || sv.Born != o.Born || sv.Revision != o.Revision {
+		return false
+	}
+	return sv.Revision != 0 || sv.Warmup == o.Warmup
 }
 
 // entry is what is known of a server.
@@ -48,6 +62,7 @@
 	phase  phase
 	until  clock.Time // end of the phase, if it isn't registered
 	epoch  uint64     // epoch of the store in which it was last registered or removed
+	warmUp clock.Time // end of the warm-up that the registration states
 
 	// held is a registration from a restored store that is older than server. It is
 	// not used until heldUntil, which is 0 if there is none.
@@ -106,11 +121,25 @@
 }
 
 // Put adds or replaces a server. An incarnation that was draining stays so.
-func (r *Registry) Put(sv Server) {
-	if e := r.entries[sv.ID]; e != nil && e.server.Born == sv.Born && e.server.Draining {
+func (r *Registry) Put(now clock.Time, sv Server) {
+	old := r.entries[sv.ID]
+	if old != nil && old.server.Born == sv.Born && old.server.Draining {
 		sv.Draining = true
 	}
-	r.entries[sv.ID] = &entry{server: sv, epoch: r.epoch}
+	e := &entry{server: sv, epoch: r.epoch, warmUp: now.Add(sv.Warmup)}
+	if old != nil && old.server.SameRegistration(sv) {
+		e.warmUp = old.warmUp
+	}
+	r.entries[sv.ID] = e
+}
+
+// WarmupLeft returns the remaining time of the warm-up that a server's registration
+// states.
+func (r *Registry) WarmupLeft(now clock.Time, id keys.Server) clock.Span {
+	if e := r.entries[id]; e != nil {
+		return max(e.warmUp.Sub(now), 0)
+	}
+	return 0
 }
 
 // Remove handles a registration that is gone. A server that wasn't draining is kept
@@ -146,7 +175,7 @@
 		listed[sv.ID] = true
 		e := r.entries[sv.ID]
 		if e == nil || !r.isOutdated(e, sv) {
-			r.Put(sv)
+			r.Put(now, sv)
 			continue
 		}
 		e.held = sv
@@ -186,7 +215,7 @@
 	for id, e := range r.entries {
 		switch {
 		case e.heldUntil != 0 && !now.Before(e.heldUntil):
-			r.Put(e.held)
+			r.Put(now, e.held)
 			changed = true
 		case e.phase == missing && !now.Before(e.until):
 			e.phase, e.until = gone, now.Add(departureRetention)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,7 +42,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := NewRegistry(testHoldTime, testGrace)
-			r.Put(Server{ID: "a", Service: "s", Draining: tt.draining})
+			r.Put(0, Server{ID: "a", Service: "s", Draining: tt.draining})
 			r.Remove(removed, "a", tt.grace)
 			is.Equal(r.GraceLeft(removed, "a") > 0, tt.want > 0)
 			now := removed
@@ -63,11 +63,11 @@
 func TestRegistrationReturns(t *testing.T) {
 	is := is.New(t)
 	r := NewRegistry(testHoldTime, testGrace)
-	r.Put(Server{ID: "a"})
+	r.Put(0, Server{ID: "a"})
 	r.Remove(1000, "a", Grace{Until: 1000 + clock.Time(testGrace)})
 	is.Equal(len(r.Registered()), 0)
 	is.Equal(r.Len(), 1)
-	r.Put(Server{ID: "a"})
+	r.Put(0, Server{ID: "a"})
 	r.Expire(1000 + clock.Time(2*testGrace))
 	is.Equal(r.Len(), 1)
 	is.Equal(len(r.Registered()), 1)
@@ -96,7 +96,7 @@
 	list := func(now clock.Time, epoch uint64, servers ...Server) func(r *Registry) {
 		return func(r *Registry) { r.Replace(now, epoch, servers, Grace{}) }
 	}
-	put := func(sv Server) func(r *Registry) { return func(r *Registry) { r.Put(sv) } }
+	put := func(sv Server) func(r *Registry) { return func(r *Registry) { r.Put(0, sv) } }
 	remove := func(now clock.Time) func(r *Registry) {
 		return func(r *Registry) { r.Remove(now, "a", Grace{}) }
 	}
--- a/internal/front/claim_test.go
+++ b/internal/front/claim_test.go
@@ -32,7 +32,7 @@
 			st := &recordStore{reads: make(chan struct{}, 4)}
 			h := New(Config{Settings: Settings{Host: "self", MaxLeaseTime: leaseTime}, Store: st, Granter: g, Log: zap.NewNop()})
 			h.relay.SetConfig(intent.New(intent.Document{Services: []intent.Service{{Name: "ledger", Keyed: true}}}))
-			h.fleet.Put(fleet.Server{ID: "a", Service: "ledger", Addr: "a:1", Slots: 2, Born: 1})
+			h.fleet.Put(0, fleet.Server{ID: "a", Service: "ledger", Addr: "a:1", Slots: 2, Born: 1})
 			now := h.role.now()
 			h.role.handleClaim(t.Context(), now, claimDone{startedAt: now.Add(-tt.age), rev: epoch.At(1, 5), rec: owner.Record{
 				Term: 2, Epoch: 1, Tables: map[keys.Service][]owner.Assignment{"ledger": {{To: owner.MaxKey, Server: "a", Addr: "a:1", Born: 1}}},
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -33,6 +33,9 @@
 	BudgetRatio          float64    // retries per request
 	BudgetSlack          float64    // retries beyond the ratio, of all hosts together
 	BudgetWindow         clock.Span
+	// In no second a cold server may get more requests than the cold rate of its
+	// service times ColdOver, plus ColdSlack.
+	ColdOver, ColdSlack float64
 }
 
 // heapShare is the share of a process's memory from which on the garbage collector
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -125,6 +125,7 @@
 			s.Servers, unregistered = h.fleet.Registered(), h.fleet.Unregistered()
 		}
 		s.GraceLeft = h.graceLeft(unregistered)
+		h.ageWarmups(s.Servers)
 	}
 	s.Outage = h.storeFailed(h.clock.Now())
 	h.mu.Unlock()
@@ -138,6 +139,16 @@
 	}
 }
 
+// ageWarmups sets the warm-up of each server to the remaining time. h.mu is held.
+func (h *Host) ageWarmups(list []fleet.Server) {
+	now := h.clock.Now()
+	for i, sv := range list {
+		if sv.Warmup > 0 {
+			list[i].Warmup = h.fleet.WarmupLeft(now, sv.ID)
+		}
+	}
+}
+
 // graceLeft returns how much longer servers without a registration are kept. h.mu is
 // held.
 func (h *Host) graceLeft(ids []keys.Server) map[keys.Server]clock.Span {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -362,7 +362,7 @@
 			continue
 		}
 		old, known := h.fleet.Get(ev.ID)
-		h.fleet.Put(ev.Server)
+		h.fleet.Put(now, ev.Server)
 		sv, _ := h.fleet.Get(ev.ID)
 		if !known || old.Draining != sv.Draining || old.Born != sv.Born {
 			h.log.Info("server", zap.String("server", string(ev.ID)), zap.String("service", string(sv.Service)),
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -58,6 +58,11 @@
 	Conns  int        // connections that a server accepts from all hosts together
 	Keyed  bool       // a server executes only requests whose key it owns
 	Warm   clock.Span // how long a key is slow at a new owner without a handover
+	// Warmup is how long a server is cold after its start. Above 0 it enables slow
+	// start.
+	Warmup clock.Span
+	// ColdRate is how many requests per second a cold server tolerates; 0: any.
+	ColdRate float64
 }
 
 // Limits bounds the size of callers' requests and the time they take to send
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -186,8 +186,9 @@
 			if x != nil {
 				inFlight = x.localInFlight
 			}
-			x = &server{localInFlight: inFlight, serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
+			x = &server{localInFlight: inFlight, serviceTimeRatio: 1}
 		}
+		x.register(now, sv)
 		x.Server, x.notice, x.peerInFlight = sv, s.noticeOf(sv), 0
 		if x.localInFlight > 0 {
 			s.busy[x] = true
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -46,7 +46,8 @@
 	connFailures     int     // consecutive connection failures
 	avoidUntil       clock.Time
 	warmupUntil      clock.Time
-	explored         bool // some host has sent it a request
+	warmupToldAt     clock.Time // when a health response last told warmupUntil; 0: never
+	explored         bool       // some host has sent it a request
 	notice           notice
 }
 
