admit, front, relay: requests to a cold server are admitted at a limited rate

Cause: a cold server tolerates few requests per second from all hosts together, and no host knows how many the others send.

Change: every request to a cold server of a service with a cold rate is asked for. A host that gets no reply asks the next one and never sends without admission. A request without a key that isn't admitted at once is placed on another server.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -68,6 +68,9 @@
 	Objective clock.Time
 	Deadline  clock.Time
 	RouteMean clock.Span // mean service time of its route
+	Cold      clock.Span // how much longer the server is cold; 0: it isn't
+	ColdRate  float64    // requests per second that it tolerates while it is cold
+	AtOnce    bool       // refused if it can't be admitted at once
 }
 
 // Reply is the answer to a request: Admitted, Queued, Refused, Gone or Moved.
@@ -123,6 +126,8 @@
 	active   map[*server]bool // with requests
 	requests map[ID]*request
 	stopped  bool
+	over     float64 // see SetColdBound
+	slack    float64
 }
 
 // New returns a State without servers.
@@ -145,13 +150,14 @@
 		}
 		return []Reply{Queued{r.ID}}
 	}
-	sv := s.serverOf(now, &r)
+	sv := s.serverOf(&r)
 	if sv == nil {
 		return []Reply{Gone{r.ID}}
 	}
 	if len(s.requests) >= maxRequests {
 		return []Reply{s.refuse(r.ID, retryAfterMax/2)}
 	}
+	s.setCold(now, sv, r.Cold, r.ColdRate)
 	q := &request{Request: r, server: sv}
 	q.limit = sv.waitLimit(now, &r)
 	s.requests[r.ID] = q
@@ -209,9 +215,9 @@
 		l, ok := s.listed[id]
 		switch {
 		case ok && l.Born <= sv.born:
-			sv.update(now, l)
+			sv.update(l)
 			replies = append(replies, s.advance(now, sv, nil)...)
-		case ok || len(sv.admitted) == 0:
+		case ok || sv.listed || sv.idle():
 			replies = append(replies, s.drop(sv)...)
 		}
 	}
@@ -252,7 +258,7 @@
 // serverOf returns the server that a request is for, or nil if it names an earlier
 // process than the current one. A server that isn't listed yet is taken from the
 // request.
-func (s *State) serverOf(now clock.Time, r *Request) *server {
+func (s *State) serverOf(r *Request) *server {
 	sv := s.servers[r.Server.ID]
 	if sv != nil && sv.born == r.Server.Born {
 		return sv
@@ -268,7 +274,8 @@
 		s.drop(sv) // the hosts place the waiting requests again when they learn of the restart
 	}
 	sv = &server{id: l.ID, born: l.Born, ratio: 1}
-	sv.update(now, l)
+	sv.update(l)
+	sv.listed = ok
 	s.servers[l.ID] = sv
 	return sv
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -40,6 +40,7 @@
 	id       keys.Server
 	born     int64
 	slots    int
+	listed   bool       // it has been in a list
 	queue    []*request // in the order of compare at the last advance
 	admitted []*request
 	ratio    float64 // moving average of service time / mean of the route
@@ -47,9 +48,10 @@
 	// the admitted ones: hosts that get no reply send without admission.
 	foreign   float64
 	foreignAt clock.Time
+	cold      coldState
 }
 
-func (sv *server) update(_ clock.Time, l Server) { sv.slots = max(l.Slots, 1) }
+func (sv *server) update(l Server) { sv.slots, sv.listed = max(l.Slots, 1), true }
 
 func (sv *server) idle() bool { return len(sv.queue) == 0 && len(sv.admitted) == 0 }
 
@@ -122,7 +124,7 @@
 	}
 	sv.sort(now)
 	n := 0
-	for ; n < len(sv.queue) && sv.hasRoom(now); n++ {
+	for bucket := sv.limit(now); n < len(sv.queue) && sv.hasRoom(now) && (bucket == nil || bucket.Take(now)); n++ {
 		q := sv.queue[n]
 		q.admitted = true
 		sv.admitted = append(sv.admitted, q)
@@ -143,14 +145,17 @@
 		work += q.mean()
 	}
 	work += sv.foreignLeft(now) * float64(defaultMean)
-	left := sv.queue[:0]
+	left, bucket := sv.queue[:0], sv.limit(now)
 	for _, q := range sv.queue {
 		wait := sv.waitBehind(ahead, work)
+		if bucket != nil {
+			wait = max(wait, bucket.WaitFor(now, len(left)+1))
+		}
 		counted := wait
 		if q != asked {
 			counted = clock.Span(patience * float64(wait))
 		}
-		if now.Add(counted) > q.limit || len(left) >= maxQueue {
+		if now.Add(counted) > q.limit || q.AtOnce || len(left) >= maxQueue {
 			delete(s.requests, q.ID)
 			replies = append(replies, s.refuse(q.ID, wait))
 			continue
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -78,6 +78,7 @@
 		// Asks of an earlier process of this host have other numbers.
 		lastNum: uint64(rand.Uint32()) << 16, lostUntil: make(map[string]clock.Time), outbox: make(map[string]*mesh.Message),
 	}
+	a.state.SetColdBound(h.cfg.Settings.ColdOver, h.cfg.Settings.ColdSlack)
 	a.updateAdmitters()
 	return a
 }
@@ -104,7 +105,7 @@
 		switch {
 		case end == askEnded:
 			return relay.Admission{Verdict: relay.AdmitEnded}, "ended"
-		case end == askLost && queued, end == askReplied && reply.Verdict == mesh.VerdictMoved:
+		case end == askLost && (queued || ask.Cold > 0), end == askReplied && reply.Verdict == mesh.VerdictMoved:
 			continue // the next host is asked
 		case end == askLost:
 			return relay.Admission{Verdict: relay.AdmitSend}, "no-reply"
@@ -114,6 +115,9 @@
 			return relay.Admission{Verdict: relay.AdmitRefused, RetryAfter: reply.RetryAfter}, "refused"
 		}
 	}
+	if ask.Cold > 0 { // nothing is sent to a cold server without admission
+		return relay.Admission{Verdict: relay.AdmitRefused, RetryAfter: lostAdmitterPause / 2}, "no-admitter"
+	}
 	return relay.Admission{Verdict: relay.AdmitSend}, "no-admitter"
 }
 
@@ -130,6 +134,7 @@
 	a.lastNum++
 	p := &pendingAsk{ip: ip, objective: ask.Objective, deadline: ask.Deadline, replies: make(chan mesh.AskReply, 4), Ask: mesh.Ask{
 		Num: a.lastNum, Server: ask.Server.ID, Born: ask.Server.Born, Slots: ask.Server.Slots, Priority: max(ask.Priority, 0), RouteMean: ask.RouteMean,
+		Cold: ask.Cold, ColdRate: ask.ColdRate, AtOnce: !ask.Keyed,
 	}}
 	a.asks[p.Num] = p
 	a.sendAsk(now, p)
@@ -258,9 +263,17 @@
 
 // ask handles an ask as the admitter. a.mu is held.
 func (a *admission) ask(now clock.Time, ip string, r mesh.Ask) {
+	// Either host may not have learned yet that the server is cold.
+	if left, rate := a.host.relay.ColdLimit(r.Server); rate > 0 {
+		if r.ColdRate == 0 || rate < r.ColdRate {
+			r.ColdRate = rate
+		}
+		r.Cold = max(r.Cold, left)
+	}
 	a.route(now, a.state.Ask(now, admit.Request{
 		ID: admit.ID{Host: ip, Num: r.Num}, Server: fleet.Incarnation{ID: r.Server, Born: r.Born}, Slots: r.Slots, Priority: r.Priority,
 		Objective: now.Add(r.ObjectiveIn), Deadline: now.Add(r.DeadlineIn), RouteMean: r.RouteMean,
+		Cold: r.Cold, ColdRate: r.ColdRate, AtOnce: r.AtOnce,
 	}))
 	select {
 	case a.wake <- struct{}{}:
--- a/internal/mesh/admission.go
+++ b/internal/mesh/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -27,6 +28,11 @@
 	ObjectiveIn clock.Span  `cbor:"6,keyasint,omitempty"` // negative: it has passed
 	DeadlineIn  clock.Span  `cbor:"7,keyasint,omitempty"`
 	RouteMean   clock.Span  `cbor:"8,keyasint,omitempty"` // mean service time of the route
+	// Cold is how much longer the server is cold, and ColdRate how many requests per
+	// second it tolerates until then.
+	Cold     clock.Span `cbor:"9,keyasint,omitempty"`
+	ColdRate float64    `cbor:"10,keyasint,omitempty"`
+	AtOnce   bool       `cbor:"11,keyasint,omitempty"` // refused if it can't be admitted at once
 }
 
 // Verdict is the admitter's decision on a request.
@@ -73,6 +79,11 @@
 			return fmt.Errorf("ask for server %q with %d slots, priority %d, objective in %d ms, deadline in %d ms, mean of %d ms", a.Server, a.Slots, a.Priority, a.ObjectiveIn, a.DeadlineIn, a.RouteMean)
 		}
 	}
+	for _, a := range m.Asks {
+		if a.Cold < 0 || a.Cold > maxRemaining || !(a.ColdRate >= 0) || math.IsInf(a.ColdRate, 0) {
+			return fmt.Errorf("ask for server %q that is cold for %d ms and tolerates %v requests per second", a.Server, a.Cold, a.ColdRate)
+		}
+	}
 	for _, r := range m.AskReplies {
 		if r.Verdict < 0 || r.Verdict >= numVerdicts || r.RetryAfter < 0 || r.RetryAfter > maxRemaining {
 			return fmt.Errorf("reply with verdict %d, retry after %d ms", r.Verdict, r.RetryAfter)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -330,7 +330,7 @@
 		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
-		if !s.admits(r) && s.full(sv) {
+		if !s.needsAdmission(r) && s.full(sv) {
 			return nil
 		}
 		return sv
@@ -349,7 +349,7 @@
 	least := math.Inf(1)
 	for i := range group {
 		sv := group[(i+s.rotation)%len(group)]
-		if sv.avoided(now) || slices.Contains(r.Tried, sv.ID) {
+		if sv.unavailable(now) || slices.Contains(r.Tried, sv.ID) {
 			continue
 		}
 		if s.shouldExplore(now, sv) {
@@ -392,7 +392,7 @@
 		}
 		s.begin(sv)
 		sv.explored = true
-		acts = append(acts, Start{ID: r.ID, Server: sv.Server, Admit: s.admits(r)})
+		acts = append(acts, Start{ID: r.ID, Server: sv.Server, Admit: s.needsAdmission(r)})
 	}
 	clear(x.queue[len(left):])
 	x.queue = left
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -62,7 +62,7 @@
 // rest of a pause that its owner has asked for is added, and what its owner has said
 // to have queued.
 func (s *State) expectedWait(now clock.Time, x *service, r *Request, at int) clock.Span {
-	if s.admits(r) {
+	if s.needsAdmission(r) {
 		return s.waitForOwner(now, r)
 	}
 	ahead, group, pause, waiting := at, s.pool(now, r.Service), clock.Span(0), 0
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -45,6 +45,7 @@
 	failureRate      float64 // moving average of failed requests, 0 to 1
 	connFailures     int     // consecutive connection failures
 	avoidUntil       clock.Time
+	declinedUntil    clock.Time // see Decline
 	warmupUntil      clock.Time
 	warmupToldAt     clock.Time // when a health response last told warmupUntil; 0: never
 	explored         bool       // some host has sent it a request
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -9,6 +9,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/place"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // goneRetryDelay is the delay before a request is placed again whose server has left or
@@ -28,6 +29,9 @@
 	Objective clock.Time
 	Deadline  clock.Time
 	RouteMean clock.Span // mean service time of its route
+	Cold      clock.Span // how much longer the server is cold; 0: it isn't
+	ColdRate  float64    // requests per second that it tolerates while it is cold
+	Keyed     bool       // no other server may run it
 }
 
 // AdmitVerdict is the decision on an Ask.
@@ -65,7 +69,8 @@
 	defer cancel()
 	r.mu.Lock()
 	began := r.cfg.Clock.Now()
-	ask := Ask{Server: sv, Priority: c.route.Priority, Objective: c.started.Add(c.route.Objective), Deadline: c.deadline, RouteMean: r.routeMean(c.route.Name)}
+	left, rate := r.coldLeft(sv.ID)
+	ask := Ask{Server: sv, Priority: c.route.Priority, Objective: c.started.Add(c.route.Objective), Deadline: c.deadline, RouteMean: r.routeMean(c.route.Name), Cold: left, ColdRate: rate, Keyed: c.keyed()}
 	wait := admissionWait{server: sv.Incarnation(), cancel: cancel}
 	r.admissionWaits[c] = wait
 	if r.moved(c, wait) {
@@ -81,10 +86,16 @@
 	if adm.Verdict == AdmitSend {
 		return resp, true, false
 	}
+	if adm.Verdict == AdmitRefused && !ask.Keyed {
+		r.mu.Lock()
+		r.placement.Decline(r.cfg.Clock.Now(), sv.ID, adm.RetryAfter)
+		r.mu.Unlock()
+	}
 	c.reportResult(sv, place.Result{Cancelled: true})
 	switch {
 	case ctx.Err() != nil:
 		return c.expire(ctx), false, true
+	case adm.Verdict == AdmitRefused && !ask.Keyed: // another server may run it
 	case adm.Verdict == AdmitRefused:
 		return c.refuseUnlessRun(reasonNotAdmitted, adm.RetryAfter), false, true
 	case adm.Verdict == AdmitGone:
@@ -121,8 +132,47 @@
 	if p := r.pools[w.server.ID]; p == nil || p.server.Born != w.server.Born {
 		return true
 	}
+	return c.keyed() && r.placement.Owner(c.service, c.meta.Key) != w.server.ID
+}
+
+// keyed reports whether only the owner of its key may run the request.
+func (c *call) keyed() bool {
 	svc, _ := c.cfg.Service(c.service)
-	return svc.Keyed && c.meta.HasKey && r.placement.Owner(c.service, c.meta.Key) != w.server.ID
+	return svc.Keyed && c.meta.HasKey
+}
+
+// coldLeft returns how much longer a server is cold, and how many requests per second it
+// tolerates until then, or 0 if it isn't cold or tolerates any number. r.mu is held.
+func (r *Relay) coldLeft(id keys.Server) (left clock.Span, rate float64) {
+	c, p := r.activeConfig.Load(), r.pools[id]
+	if c == nil || p == nil {
+		return 0, 0
+	}
+	if svc, _ := c.Service(p.server.Service); svc.ColdRate > 0 {
+		if left = r.placement.ColdLeft(r.cfg.Clock.Now(), id); left > 0 {
+			return left, svc.ColdRate
+		}
+	}
+	return 0, 0
+}
+
+// ColdLimit returns how much longer a server is cold, and how many requests per second
+// it tolerates until then, or 0 if it isn't cold or tolerates any number.
+func (r *Relay) ColdLimit(id keys.Server) (left clock.Span, rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coldLeft(id)
+}
+
+// needsAdmission reports whether a request that placement has started has to be admitted
+// first.
+func (c *call) needsAdmission(st place.Start) bool {
+	svc, _ := c.cfg.Service(c.service)
+	if st.Admit || c.relay.cfg.Admitter == nil || svc.ColdRate <= 0 {
+		return st.Admit
+	}
+	_, rate := c.relay.ColdLimit(st.Server.ID)
+	return rate > 0
 }
 
 // refuseUnlessRun responds that the request has not run, or with 502 if an earlier
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -93,7 +93,7 @@
 		}
 		start := act.(place.Start)
 		sv := start.Server
-		if start.Admit {
+		if c.needsAdmission(start) {
 			if resp, send, final := c.admit(ctx, sv); final {
 				return resp
 			} else if !send {
