--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -60,6 +60,8 @@
 	host *Host
 	self string // address of this host
 	wake chan struct{}
+	// transmit sends a message to a host.
+	transmit func(ip string, m mesh.Message)
 
 	mu        sync.Mutex
 	state     *admit.State // as an admitter
@@ -77,6 +79,7 @@
 		host: h, self: h.cfg.Settings.IP, wake: make(chan struct{}, 1), state: admit.New(rand.Uint64()), asks: make(map[uint64]*pendingAsk),
 		// Asks of an earlier process of this host have other numbers.
 		lastNum: uint64(rand.Uint32()) << 16, lostUntil: make(map[string]clock.Time), outbox: make(map[string]*mesh.Message),
+		transmit: func(ip string, m mesh.Message) { h.send([]string{ip}, m) },
 	}
 	a.state.SetColdBound(h.cfg.Settings.ColdOver, h.cfg.Settings.ColdSlack)
 	a.updateAdmitters()
@@ -368,7 +371,7 @@
 		part.Asks, m.Asks = cut(m.Asks)
 		part.AskReplies, m.AskReplies = cut(m.AskReplies)
 		part.AskDones, m.AskDones = cut(m.AskDones)
-		a.host.send([]string{ip}, part)
+		a.transmit(ip, part)
 	}
 }
 
