front: the list of possible admitters is made anew only after a change

Cause: each host went through all known hosts four times a second.

Change: a heartbeat that may change the list marks it; without one the period grows with the number of hosts.

Result: BenchmarkAdmission, an admission at another host with the encoding of its messages: 7.4, 7.2 and 6.9 us with 12, 100 and 4,000 hosts, 37 allocations each. Tests of front, relay and admit pass.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -404,16 +404,18 @@
 	return !a.state.Idle()
 }
 
-// updateAdmitters determines which hosts may be admitters.
+// updateAdmitters determines which hosts may be admitters, if that may have changed.
 func (a *admission) updateAdmitters() {
 	now := a.host.clock.Now()
-	list := a.host.members.candidates(now)
+	list, ok := a.host.members.candidates(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.stopped {
-		list = append(list, newCandidate(a.host.cfg.Settings.Host, a.self, a.host.cfg.Settings.DC))
+	if ok {
+		if !a.stopped {
+			list = append(list, newCandidate(a.host.cfg.Settings.Host, a.self, a.host.cfg.Settings.DC))
+		}
+		a.admitters.set(list)
 	}
-	a.admitters.set(list)
 	for ip, until := range a.lostUntil {
 		if now >= until {
 			delete(a.lostUntil, ip)
@@ -437,6 +439,7 @@
 func (a *admission) stop() {
 	a.mu.Lock()
 	a.stopped = true
+	a.host.members.noteCandidates()
 	a.route(a.host.clock.Now(), a.state.Stop())
 	a.flush()
 	a.updateAdmitters()
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -293,3 +293,39 @@
 	n.is.True(most.Load() <= int64(maxAdmitters*(admitServer.Slots+1)))
 	n.eventuallyIdle()
 }
+
+// BenchmarkAdmission asks for the admission of a request at another host and ends it,
+// with the encoding of the messages. The time must not grow with the number of hosts.
+func BenchmarkAdmission(b *testing.B) {
+	for _, n := range []int{12, 100, 4000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			hosts := make(map[string]*Host)
+			for i := range 2 {
+				h := New(Config{Settings: Settings{Host: keys.Host(fmt.Sprintf("h%d", i)), IP: fmt.Sprintf("10.0.0.%d", i+1), DC: "north"}, Log: zap.NewNop()})
+				hosts[h.admission.self] = h
+				h.admission.transmit = func(ip string, m mesh.Message) {
+					data, _ := mesh.Encode(m)
+					got, _ := mesh.Decode(data)
+					hosts[ip].admission.handle(h.admission.self, got)
+				}
+				for j := range n {
+					h.members.handleHeartbeat(h.clock.Now()+1, &mesh.Heartbeat{
+						From: keys.Host(fmt.Sprintf("o%d", j)), IP: fmt.Sprintf("10.1.%d.%d", j/250, j%250), DC: "south", Incarnation: 1, Admits: true, Interval: 100_000,
+					})
+				}
+				h.members.handleHeartbeat(h.clock.Now()+1, &mesh.Heartbeat{From: "h1", IP: "10.0.0.2", DC: "north", Incarnation: 1, Admits: true, Interval: 100_000})
+				h.admission.updateAdmitters()
+			}
+			a := hosts["10.0.0.1"].admission
+			sv := admitServer
+			for a.admitters.of(sv)[0] == a.self {
+				sv.ID += "x"
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now := a.host.clock.Now()
+				a.Admit(b.Context(), relay.Ask{Server: sv, Objective: now.Add(500), Deadline: now.Add(2000), RouteMean: 50, Keyed: true}).Done(place.Result{Duration: 5, Load: 1, HasLoad: true})
+			}
+		})
+	}
+}
--- a/internal/front/admitter.go
+++ b/internal/front/admitter.go
@@ -18,6 +18,10 @@
 	maxAdmitters = 3
 	// maxRanked is the most servers whose ranking is kept.
 	maxRanked = 1 << 15
+	// candidatesPeriodPerHost is the time between two lists of the candidates, per known
+	// host, if no heartbeat has told of a change: a host is missed after a time that grows
+	// with the number of hosts as well.
+	candidatesPeriodPerHost = 3 * clock.Millisecond
 )
 
 // candidate is a host that may be an admitter.
@@ -104,14 +108,26 @@
 	return candidate{name: name, ip: ip, dc: dc, hash: xxhash.Sum64String(string(name))}
 }
 
-// candidates returns the active hosts that act as admitters, without this one.
-func (ms *members) candidates(now clock.Time) (list []candidate) {
+// candidates returns the active hosts that act as admitters, without this one. ok is
+// false if they can't have changed since the last call.
+func (ms *members) candidates(now clock.Time) (list []candidate, ok bool) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
+	if !ms.candidatesChanged && now.Sub(ms.candidatesAt) < candidatesPeriodPerHost*clock.Span(len(ms.all)) {
+		return nil, false
+	}
+	ms.candidatesChanged, ms.candidatesAt = false, now
 	for _, m := range ms.all {
 		if m.admits && !m.leaving && m.active(now) {
 			list = append(list, newCandidate(m.name, m.ip, m.dc))
 		}
 	}
-	return list
+	return list, true
+}
+
+// noteCandidates has the next call of candidates list them.
+func (ms *members) noteCandidates() {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.candidatesChanged = true
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -94,6 +94,9 @@
 	group        group // of this host
 	groupChanged bool  // the hosts of the data centre have changed
 
+	candidatesChanged bool       // a host may have become, or ceased to be, a candidate
+	candidatesAt      clock.Time // when they were last listed
+
 	lastStanding standing
 	standingAt   clock.Time // when it was determined
 
@@ -141,6 +144,7 @@
 	}
 	first = m.incarnation != b.Incarnation
 	ms.groupChanged = ms.groupChanged || m.dc != b.DC || m.leaving != b.Leaving
+	ms.candidatesChanged = ms.candidatesChanged || m.leaving != b.Leaving || m.admits != b.Admits || m.dc != b.DC || m.ip != b.IP || !m.active(now)
 	sooner := b.Reach > m.reach || !m.active(now)
 	ms.setIP(m, b.IP)
 	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
