place, ramp, relay, platform: slow start, cold servers and their reports

Cause: a server that has started, recovered or come back to the list got as much load at once as all others; a cold one differed by a constant factor in the choice only, and nothing bounded the rate at which it got requests. A load header with a fourth figure was dropped as a whole, and the warm-up in health responses wasn't read.

Change: services with a warm-up have a slow-start window for each server (ramp.Window), which replaces the constant factor. An expected wait counts a cold server with its rate. The load header is read figure by figure, with the slowdown as the fourth; a warm-up in a health response counts over an older registration. Response times are divided by the slowdown before they count towards a server's speed, and a fresh slowdown is a weight in the choice. Metrics for cold servers, servers in slow start, held requests, load headers by number of figures and invalid ones.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -115,6 +115,7 @@
 	if reply.Pause > 0 {
 		r.host.relay.PauseServer(in, reply.Pause)
 	}
+	r.host.relay.WarmupStated(in, reply.Warmup, reply.HasWarmup, reply.BadWarmup)
 }
 
 func outcomeName(o owner.Outcome) string {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -62,7 +62,11 @@
 	Handover string     // state for the next owner of a released range
 	Leaving  bool       // the server is about to end
 	Pause    clock.Span // for which the server wants no requests
-	LastConn uint64     // number of the last connection that was open when the call was sent; 0: not sent
+	// Warmup is how much longer the server is cold, if it has stated that.
+	Warmup    clock.Span
+	HasWarmup bool
+	BadWarmup bool   // it has stated an invalid one
+	LastConn  uint64 // number of the last connection that was open when the call was sent; 0: not sent
 }
 
 // Granter grants key ranges to backend servers and has them release the ranges. The
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -123,6 +123,8 @@
 	Cancelled  bool       // not completed, without a cause at the server
 	Load       int        // requests at the server when it sent the response, without this one
 	HasLoad    bool       // the server has told Load
+	Slowdown   float64    // how long work takes there at the moment, 1: the usual time; 0: unknown
+	TimedOut   bool       // no response until the deadline; Cancelled is set as well
 }
 
 // peer is the last load report of another host.
@@ -154,6 +156,7 @@
 	stopped      bool
 	hostCount    int                  // hosts that send to the same servers
 	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
+	ramp         rampConfig
 }
 
 // New returns the state of a host in a data centre. idleConns returns the
@@ -162,7 +165,7 @@
 	return &State{
 		dc: dc, idleConns: idleConns, rng: rand.New(rand.NewPCG(rand.Uint64(), 0)), servers: make(map[keys.Server]*server), busy: make(map[*server]bool), serversOf: make(map[keys.Service][]*server),
 		leavingOf: make(map[keys.Service][]*server), notices: make(map[keys.Server]notice),
-		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
+		ramp: rampConfig{over: 1}, services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
 }
 
@@ -187,6 +190,7 @@
 				inFlight = x.localInFlight
 			}
 			x = &server{localInFlight: inFlight, serviceTimeRatio: 1}
+			s.startRamp(now, x, sv)
 		}
 		x.register(now, sv)
 		x.Server, x.notice, x.peerInFlight = sv, s.noticeOf(sv), 0
@@ -196,6 +200,7 @@
 		s.servers[sv.ID] = x
 		s.order = append(s.order, sv.ID)
 	}
+	s.ramp.listed = true
 	s.groupServers()
 	s.forgetNotices(now)
 	for _, p := range s.peers {
@@ -278,6 +283,7 @@
 	if ref, ok := s.blocked(now, &r); ok {
 		return []Action{ref}
 	}
+	s.countHeld(now, &r)
 	x := s.service(r.Service)
 	if wait := s.expectedWait(now, x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, RetryAfter: retryAfter(wait)}}
@@ -296,6 +302,8 @@
 	if res.HasLoad {
 		sv.toldLoad, sv.toldLoadAt = res.Load, now
 	}
+	sv.recordSlowdown(now, res.Slowdown)
+	s.observeRamp(now, sv, res)
 	switch {
 	case res.Cancelled:
 	case res.ConnFailed:
@@ -311,7 +319,7 @@
 		sv.failureRate -= failureWeight * sv.failureRate
 		sv.connFailures = 0
 		if res.RouteMean > 0 {
-			sv.serviceTimeRatio += serviceTimeWeight * (float64(res.Duration)/float64(res.RouteMean) - sv.serviceTimeRatio)
+			s.recordSpeed(sv, res)
 		}
 		x := s.service(sv.Service)
 		x.meanMs += 0.02 * (float64(res.Duration) - x.meanMs)
@@ -328,15 +336,17 @@
 		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
-		if s.full(sv) {
+		if s.full(sv) || !s.admits(now, sv, true) {
 			return nil
 		}
 		return sv
 	}
 	s.rotation++
 	best = s.pickFrom(now, r, s.pool(now, r.Service))
-	if best == nil && len(s.shareOf[r.Service]) > 0 {
-		best = s.pickOverflow(now, r)
+	if (best == nil || s.isCold(now, best)) && len(s.shareOf[r.Service]) > 0 {
+		if sv := s.pickOverflow(now, r); sv != nil {
+			best = sv
+		}
 	}
 	return best
 }
@@ -389,6 +399,7 @@
 			continue
 		}
 		s.begin(sv)
+		s.sent(now, sv)
 		sv.explored = true
 		acts = append(acts, Start{ID: r.ID, Server: sv.Server})
 	}
@@ -401,6 +412,7 @@
 // which servers have room, and refuses those that have waited too long or whose
 // servers have asked for a pause.
 func (s *State) Tick(now clock.Time) (acts []Action) {
+	s.coldHosts(now)
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
 			s.removePeerLoad(p)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -68,14 +68,16 @@
 		if sv == nil {
 			return 0 // unknown how long the key will have no owner
 		}
-		ahead, group, pause, waiting = s.aheadFor(x, sv, at), []*server{sv}, sv.pauseLeft(now), s.toldWaiting(now, sv)
+		ahead, group, pause, waiting = s.aheadFor(x, sv, at), []*server{sv}, max(sv.pauseLeft(now), s.allowanceWait(now, sv, s.aheadFor(x, sv, at))), s.toldWaiting(now, sv)
+	} else {
+		pause = s.groupWait(now, s.candidates(now, r.Service), at)
 	}
 	slots := 0.0
 	for _, sv := range group {
 		if !r.Keyed && now < sv.notice.pausedUntil {
 			continue
 		}
-		slots += float64(sv.Slots) / max(sv.serviceTimeRatio, 0.1)
+		slots += s.slotsOf(now, sv) / max(sv.serviceTimeRatio, 0.1)
 	}
 	if slots == 0 || ahead+waiting == 0 {
 		return pause
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -20,7 +20,7 @@
 	// idle connection. Opening one takes time at the server and may hold a slot.
 	connectCost = 0.25
 	// warmupFactor multiplies the service time ratio of a server during its
-	// warm-up.
+	// warm-up, if its service has no slow start.
 	warmupFactor = 2.0
 	// failureCost is added to the score of a server whose every request fails,
 	// and in proportion below that.
@@ -49,6 +49,8 @@
 	warmupToldAt     clock.Time // when a health response last told warmupUntil; 0: never
 	explored         bool       // some host has sent it a request
 	notice           notice
+	ramp             rampState
+	slowdown         slowdown
 }
 
 // connLimit returns how many requests this host may have in flight at a server
@@ -72,12 +74,12 @@
 // score estimates the time that a request would take at a server, in units of
 // a mean request of the service. ok is false if the server has no room.
 func (s *State) score(now clock.Time, sv *server) (x float64, ok bool) {
-	if s.full(sv) {
+	if s.full(sv) || !s.admits(now, sv, false) {
 		return 0, false
 	}
 	n := sv.load()
-	x = max(sv.serviceTimeRatio, 0.1)
-	if now < sv.warmupUntil {
+	x = max(sv.serviceTimeRatio, 0.1) * sv.slowdownWeight(now)
+	if now < sv.warmupUntil && !s.isCold(now, sv) {
 		x *= warmupFactor
 	}
 	if n >= sv.Slots {
@@ -90,6 +92,9 @@
 	if s.idleConns(sv.ID) == 0 {
 		x += connectCost
 	}
+	if s.isCold(now, sv) {
+		x += coldCost
+	}
 	return x, true
 }
 
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -82,7 +82,7 @@
 	all := s.serversOf[r.Service]
 	for range min(overflowChoices, len(all)) {
 		sv := all[s.rng.IntN(len(all))]
-		if sv.avoided(now) || sv.localInFlight >= overflowInFlight || s.full(sv) || now < sv.warmupUntil || sv.toldFull(now) {
+		if sv.avoided(now) || sv.localInFlight >= overflowInFlight || s.full(sv) || now < sv.warmupUntil || !s.admits(now, sv, false) || sv.toldFull(now) {
 			continue
 		}
 		if sv.DC == s.dc {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -251,6 +251,7 @@
 	switch {
 	case ctx.Err() != nil && res.Err != nil, errors.Is(res.Err, link.ErrAbandoned):
 		result.outcome, result.placement.Cancelled = cancelled, true
+		result.placement.TimedOut = res.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	case errors.Is(res.Err, link.ErrDial):
 		result.outcome, result.placement.ConnFailed = dialFailed, true
 	case errors.Is(res.Err, link.ErrMismatched), errors.Is(res.Err, link.ErrMalformed):
@@ -263,6 +264,7 @@
 	}
 	result.reply = c.relay.cfg.Codec.Reply(res.Status, res.Header)
 	result.placement.Load, result.placement.HasLoad = result.reply.Load, result.reply.HasLoad
+	result.placement.Slowdown = result.reply.Slowdown
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -33,6 +33,15 @@
 	// it sent the response, without this one.
 	Load    int
 	HasLoad bool // the header has Load
+	// Slowdown is how long work takes at the server at the moment, where 1 is the usual
+	// time; 0: unknown.
+	Slowdown    float64
+	LoadFigures int  // number of figures about the load
+	BadLoad     bool // one of them is missing or invalid
+	// Warmup is how much longer the server is cold, if it has stated that.
+	Warmup    clock.Span
+	HasWarmup bool
+	BadWarmup bool // the header has an invalid Warmup
 }
 
 // Codec reads and writes the HTTP headers of a platform.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -20,6 +20,7 @@
 	mismatched  prometheus.Counter
 	callersLeft *prometheus.CounterVec
 	tickDelay   prometheus.Histogram
+	coldMetrics
 }
 
 // NewMetrics registers the relay's metrics.
@@ -43,6 +44,7 @@
 	m.tickDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "laburnummux_tick_delay_seconds", Help: "How late the process is: the delay of a timer that expires 20 to 100 times a second.", Buckets: prometheus.ExponentialBuckets(0.002, 4, 7),
 	})
+	m.coldMetrics = newColdMetrics(reg)
 	reg.MustRegister(m.requests, m.latency, m.sends, m.connsOpened, m.mismatched, m.callersLeft, m.tickDelay)
 	return m
 }
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -21,7 +21,11 @@
 // newPool returns the pool for a process of a server.
 func (r *Relay) newPool(sv fleet.Server) *pool {
 	p := &pool{Pool: link.NewPool(sv.Addr, r.responses), server: sv}
-	p.Observe(func(status int, h http.Header) { r.applyNotices(sv.Incarnation(), r.cfg.Codec.Reply(status, h)) })
+	p.Observe(func(status int, h http.Header) {
+		reply := r.cfg.Codec.Reply(status, h)
+		r.countLoad(sv.Incarnation(), reply)
+		r.applyNotices(sv.Incarnation(), reply)
+	})
 	return p
 }
 
@@ -33,6 +37,7 @@
 	if reply.Pause > 0 {
 		r.PauseServer(in, reply.Pause)
 	}
+	r.WarmupStated(in, reply.Warmup, reply.HasWarmup, reply.BadWarmup)
 }
 
 // Paused reports whether a process of a server has asked this host for a pause that
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,11 +65,14 @@
 	DC          keys.DataCentre
 	RetryBudget quota.Config
 	// DrainTimeout is the time after which a leaving server must get no requests.
-	DrainTimeout  clock.Span
-	Log           *zap.Logger
-	Metrics       *Metrics
-	LoadChanged   func() // called when the number of requests in flight may have changed
-	ServerLeaving func() // called when a server is leaving that wasn't before
+	DrainTimeout clock.Span
+	// ColdOver and ColdSlack bound the requests to a cold server, see
+	// place.State.SetColdBound.
+	ColdOver, ColdSlack float64
+	Log                 *zap.Logger
+	Metrics             *Metrics
+	LoadChanged         func() // called when the number of requests in flight may have changed
+	ServerLeaving       func() // called when a server is leaving that wasn't before
 }
 
 // Relay forwards the requests that one host receives.
@@ -106,6 +109,8 @@
 	*link.Pool
 	server  fleet.Server // as in the last list
 	leaving bool         // the server has told this host that it is leaving
+	// badHeader is set once an invalid header was reported.
+	badHeader bool
 }
 
 // New returns a Relay without a configuration.
@@ -117,6 +122,7 @@
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
+	r.placement.SetColdBound(cfg.ColdOver, cfg.ColdSlack)
 	return r
 }
 
@@ -223,6 +229,7 @@
 		}
 	}
 	r.placement.SetHosts(r.hostCount, conns)
+	r.placement.SetRamps(r.serviceRamps())
 }
 
 // SetShare sets the part of the data centre's servers that this host uses for
@@ -296,6 +303,7 @@
 		}
 		if time.Since(swept) >= sweepPeriod {
 			swept = time.Now()
+			r.cfg.Metrics.observeCold(r.placement.ColdCounts(r.cfg.Clock.Now()))
 			for _, p := range r.pools {
 				p.Sweep(ctx, swept, r.healthPath(p.server))
 			}
