place, owner: false slowdowns gain little, and cold servers get no ranges

Cause: a server that reports a slowdown of 5 with each response would have seemed five times as fast as it is. The assigner gave ranges to cold servers as to all others.

Change: a reported slowdown counts relative to what the server reports on average, within 0.5 to 5, and changes the measured service time by at most 1.5. The assigner takes new owners from the servers that aren't cold, if there are any; a cold owner keeps its ranges, and a cold server without ranges isn't part of the balance. Health responses that change whether a server is cold reach the assigner.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -117,7 +117,7 @@
 	s := cfg.Settings
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
-		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
+		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, WarmupChanged: h.warmupChanged, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Metrics:     relay.NewMetrics(cfg.Registry),
 	})
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -276,6 +276,7 @@
 	r.host.mu.Lock()
 	list, up := r.host.fleet.List(), r.host.storeUp
 	r.host.mu.Unlock()
+	r.host.setWarmups(list)
 	for i, sv := range list {
 		if sv.Draining || !r.host.relay.Leaving(sv) {
 			continue
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -157,7 +157,7 @@
 
 // divideEvenly divides a table without owners into one range per server.
 func (a *Assigner) divideEvenly(s keys.Service) {
-	ids := a.usableServers(s)
+	ids := a.newOwners(s)
 	if len(ids) == 0 {
 		return
 	}
@@ -175,7 +175,7 @@
 func (a *Assigner) leastLoaded(s keys.Service, rs *rangeState) (best keys.Server) {
 	loads, _ := a.serverLoads(s)
 	least := math.Inf(1)
-	for _, id := range a.usableServers(s) {
+	for _, id := range a.newOwners(s) {
 		// A new incarnation of the same server holds no leases and may get it.
 		if id == rs.Server && rs.releasing && a.servers[id].Born == rs.Born {
 			continue
@@ -193,7 +193,7 @@
 // rebalance starts to move ranges from the most loaded servers to the least
 // loaded, by the fast and by the slow estimate of the load.
 func (a *Assigner) rebalance(now clock.Time, s keys.Service) {
-	ids := a.usableServers(s)
+	ids := a.balanced(s)
 	if len(ids) < 2 || a.storeOutage || now < a.firstListAt.Add(firstAssignDelay) {
 		return
 	}
@@ -226,10 +226,14 @@
 		capacity += a.capacity(id)
 	}
 	mean := total / capacity
+	targets := a.targets(ids)
+	if len(targets) == 0 {
+		return moving
+	}
 	ratio := func(id keys.Server) float64 { return loads[id] / a.capacity(id) / mean }
 	for ; moving < maxMoves; moving++ {
 		hot := slices.MaxFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
-		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
+		idle := slices.MinFunc(targets, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.hasRanges(s, idle)
 		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, loads[hot], mean) {
 			return moving
@@ -319,7 +323,7 @@
 		return nil, 0, idle
 	}
 	fast := hot
-	for _, id := range a.usableServers(s) {
+	for _, id := range a.newOwners(s) {
 		if a.capacity(id) > a.capacity(fast)*minSpeedup {
 			fast = id
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -150,6 +150,7 @@
 	record            Record
 	tables            map[keys.Service][]*rangeState
 	servers           map[keys.Server]fleet.Server
+	coldUntil         map[keys.Server]clock.Time // end of the warm-up of cold servers
 	fastLoads         map[keys.Service]*loadEstimate
 	slowLoads         map[keys.Service]*loadEstimate
 	loads             map[keys.Service]*loadEstimate // the one of the two that decisions use
@@ -177,7 +178,7 @@
 // fences of the former assigner.
 func New(cfg Config, now clock.Time, rec Record) *Assigner {
 	a := &Assigner{
-		cfg: cfg, record: rec, tables: make(map[keys.Service][]*rangeState), servers: make(map[keys.Server]fleet.Server),
+		cfg: cfg, record: rec, tables: make(map[keys.Service][]*rangeState), servers: make(map[keys.Server]fleet.Server), coldUntil: make(map[keys.Server]clock.Time),
 		fastLoads: make(map[keys.Service]*loadEstimate), slowLoads: make(map[keys.Service]*loadEstimate),
 		serviceTimeRatios: make(map[keys.Server]*serviceTimeRatio), startedAt: now,
 		now: now, failedAt: make(map[keys.Server]clock.Time), replaced: make(map[keys.Server]replacement),
@@ -386,7 +387,7 @@
 			continue
 		}
 		dest := rs.dest
-		if !a.usable(s, dest) {
+		if !a.usable(s, dest) || a.avoidsAsOwner(s, dest) {
 			dest = a.leastLoaded(s, rs)
 		}
 		if dest == "" {
--- a/internal/owner/servers.go
+++ b/internal/owner/servers.go
@@ -14,6 +14,7 @@
 		a.firstListAt = now
 	}
 	clear(a.servers)
+	a.setCold(now, servers)
 	byAddr := make(map[string]keys.Server)
 	for _, sv := range servers {
 		a.servers[sv.ID] = sv
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -319,7 +319,7 @@
 		sv.failureRate -= failureWeight * sv.failureRate
 		sv.connFailures = 0
 		if res.RouteMean > 0 {
-			s.recordSpeed(sv, res)
+			sv.recordSpeed(res)
 		}
 		x := s.service(sv.Service)
 		x.meanMs += 0.02 * (float64(res.Duration) - x.meanMs)
--- a/internal/place/ramp.go
+++ b/internal/place/ramp.go
@@ -170,7 +170,7 @@
 		w.Halve(now)
 	case res.Cancelled, res.Failed, res.RouteMean <= 0:
 	default:
-		w.Respond(now, float64(res.Duration)/float64(res.RouteMean)/s.slowdownOf(sv, res)/max(sv.serviceTimeRatio, 0.1))
+		w.Respond(now, float64(res.Duration)/float64(res.RouteMean)/sv.slowdown.relative(res.Slowdown)/max(sv.serviceTimeRatio, 0.1))
 	}
 }
 
--- a/internal/place/slowdown.go
+++ b/internal/place/slowdown.go
@@ -1,6 +1,9 @@
 package place
 
-import "github.com/laburnummux/laburnummux/internal/clock"
+import (
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/pkg/keys"
+)
 
 const (
 	// minSlowdown and maxSlowdown bound the slowdown that a server reports.
@@ -15,6 +18,9 @@
 	// of a server. It is the mean of a machine that is three times slower a quarter of
 	// the time.
 	maxSlowdownGain = 1.5
+	// minSlowdownWeight bounds how much a server is preferred because it reports to be
+	// faster than usual.
+	minSlowdownWeight = 0.6
 )
 
 // slowdown is what a server reports about how long its work takes at the moment.
@@ -46,20 +52,25 @@
 	return min(max(min(max(x, minSlowdown), maxSlowdown)/d.mean, minSlowdown), maxSlowdown)
 }
 
-// slowdownOf returns by what a response time is divided before it counts towards the
-// speed of its server.
-func (s *State) slowdownOf(sv *server, res Result) float64 { return sv.slowdown.relative(res.Slowdown) }
+// Slowdown returns by what a response time of a server is divided that reports a
+// slowdown with it, before it counts towards the server's speed.
+func (s *State) Slowdown(id keys.Server, reported float64) float64 {
+	if sv := s.servers[id]; sv != nil {
+		return sv.slowdown.relative(reported)
+	}
+	return 1
+}
 
 // recordSpeed adds a response time, relative to the mean of its route, to the measured
 // speed of a server.
-func (s *State) recordSpeed(sv *server, res Result) {
+func (sv *server) recordSpeed(res Result) {
 	raw := float64(res.Duration) / float64(res.RouteMean)
 	d := &sv.slowdown
 	if d.rawRatio == 0 {
 		d.rawRatio = sv.serviceTimeRatio
 	}
 	d.rawRatio += serviceTimeWeight * (raw - d.rawRatio)
-	sv.serviceTimeRatio += serviceTimeWeight * (raw/s.slowdownOf(sv, res) - sv.serviceTimeRatio)
+	sv.serviceTimeRatio += serviceTimeWeight * (raw/sv.slowdown.relative(res.Slowdown) - sv.serviceTimeRatio)
 	if d.mean != 0 {
 		sv.serviceTimeRatio = min(max(sv.serviceTimeRatio, d.rawRatio/maxSlowdownGain), d.rawRatio*maxSlowdownGain)
 	}
@@ -71,5 +82,5 @@
 	if sv.slowdown.last == 0 || now.Sub(sv.slowdown.lastAt) > slowdownAge {
 		return 1
 	}
-	return sv.slowdown.relative(sv.slowdown.last)
+	return max(sv.slowdown.relative(sv.slowdown.last), minSlowdownWeight)
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -213,7 +213,7 @@
 	r.mu.Lock()
 	result.placement.Duration = took
 	if result.outcome == answered && !result.placement.Failed {
-		result.placement.RouteMean = r.recordServiceTime(c, sv.ID, took)
+		result.placement.RouteMean = r.recordServiceTime(c, sv.ID, took, result.reply.Slowdown)
 	}
 	r.mu.Unlock()
 	c.reportResult(sv, result.placement)
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -27,12 +27,17 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	was := r.placement.ColdLeft(now, in.ID) > 0
 	r.deliver(r.placement.SetWarmup(now, in, left))
-	if is := r.placement.ColdLeft(now, in.ID) > 0; is != was {
-		r.cfg.Log.Info("warm-up by health response", zap.String("server", string(in.ID)), zap.Int64("ms", int64(left)))
+	is := r.placement.ColdLeft(now, in.ID) > 0
+	r.mu.Unlock()
+	if is == was {
+		return
+	}
+	r.cfg.Log.Info("warm-up by health response", zap.String("server", string(in.ID)), zap.Int64("ms", int64(left)))
+	if r.cfg.WarmupChanged != nil {
+		r.cfg.WarmupChanged()
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,9 @@
 	Metrics             *Metrics
 	LoadChanged         func() // called when the number of requests in flight may have changed
 	ServerLeaving       func() // called when a server is leaving that wasn't before
+	// WarmupChanged is called when a health response tells that a server is cold, or no
+	// longer is.
+	WarmupChanged func()
 }
 
 // Relay forwards the requests that one host receives.
@@ -386,7 +389,7 @@
 
 // recordServiceTime adds a completed request to the mean of its route and to the
 // service times of its server. It returns the mean.
-func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span) (mean clock.Span) {
+func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span, slowdown float64) (mean clock.Span) {
 	m, ok := r.routeMeans[c.route.Name]
 	if !ok {
 		m = float64(took)
@@ -399,7 +402,7 @@
 		r.serviceTimes[id] = p
 	}
 	p.N++
-	p.Ratio += float64(took) / max(m, 1)
+	p.Ratio += float64(took) / max(m, 1) / r.placement.Slowdown(id, slowdown)
 	return clock.Span(m)
 }
 
