--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -6,8 +6,11 @@
 )
 
 // SetAdmission says whether requests are admitted to servers by the servers' admitters
-// (see package admit).
-func (s *State) SetAdmission(on bool) { s.admission = on }
+// (see package admit). Then no host has a share of a cold server's rate of its own.
+func (s *State) SetAdmission(on bool) {
+	s.admission = on
+	s.SetColdAdmitted(on)
+}
 
 // needsAdmission reports whether the admitter of its owner decides when a request is sent. The
 // load that this host knows of is then of no use: most of the owner's requests come from
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,11 +65,17 @@
 	DC          keys.DataCentre
 	RetryBudget quota.Config
 	// DrainTimeout is the time after which a leaving server must get no requests.
-	DrainTimeout  clock.Span
-	Log           *zap.Logger
-	Metrics       *Metrics
-	LoadChanged   func() // called when the number of requests in flight may have changed
-	ServerLeaving func() // called when a server is leaving that wasn't before
+	DrainTimeout clock.Span
+	// ColdOver and ColdSlack bound the requests to a cold server, see
+	// place.State.SetColdBound.
+	ColdOver, ColdSlack float64
+	Log                 *zap.Logger
+	Metrics             *Metrics
+	LoadChanged         func() // called when the number of requests in flight may have changed
+	ServerLeaving       func() // called when a server is leaving that wasn't before
+	// WarmupChanged is called when a health response tells that a server is cold, or no
+	// longer is.
+	WarmupChanged func()
 	// Admitter is asked before a request is sent where placement says so; nil: requests
 	// are sent without admission.
 	Admitter Admitter
@@ -111,6 +117,8 @@
 	*link.Pool
 	server  fleet.Server // as in the last list
 	leaving bool         // the server has told this host that it is leaving
+	// badHeader is set once an invalid header was reported.
+	badHeader bool
 }
 
 // New returns a Relay without a configuration.
@@ -123,6 +131,7 @@
 		admissionWaits: make(map[*call]admissionWait),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
+	r.placement.SetColdBound(cfg.ColdOver, cfg.ColdSlack)
 	r.placement.SetAdmission(cfg.Admitter != nil)
 	return r
 }
@@ -232,6 +241,7 @@
 		}
 	}
 	r.placement.SetHosts(r.hostCount, conns)
+	r.placement.SetRamps(r.serviceRamps())
 }
 
 // SetShare sets the part of the data centre's servers that this host uses for
@@ -305,6 +315,7 @@
 		}
 		if time.Since(swept) >= sweepPeriod {
 			swept = time.Now()
+			r.cfg.Metrics.observeCold(r.placement.ColdCounts(r.cfg.Clock.Now()))
 			for _, p := range r.pools {
 				p.Sweep(ctx, swept, r.healthPath(p.server))
 			}
@@ -387,7 +398,7 @@
 
 // recordServiceTime adds a completed request to the mean of its route and to the
 // service times of its server. It returns the mean.
-func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span) (mean clock.Span) {
+func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span, slowdown float64) (mean clock.Span) {
 	m, ok := r.routeMeans[c.route.Name]
 	if !ok {
 		m = float64(took)
@@ -400,7 +411,7 @@
 		r.serviceTimes[id] = p
 	}
 	p.N++
-	p.Ratio += float64(took) / max(m, 1)
+	p.Ratio += float64(took) / max(m, 1) / r.placement.Slowdown(id, slowdown)
 	return clock.Span(m)
 }
 
