--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -128,6 +128,7 @@
 	stopped  bool
 	over     float64 // see SetColdBound
 	slack    float64
+	coldFrom clock.Time // see SetColdFrom
 }
 
 // New returns a State without servers.
@@ -158,6 +159,7 @@
 		return []Reply{s.refuse(r.ID, retryAfterMax/2)}
 	}
 	s.setCold(now, sv, r.Cold, r.ColdRate)
+	sv.meanMs += meanWeight * (r.mean() - sv.meanMs)
 	q := &request{Request: r, server: sv}
 	q.limit = sv.waitLimit(now, &r)
 	s.requests[r.ID] = q
@@ -273,7 +275,7 @@
 	if sv != nil {
 		s.drop(sv) // the hosts place the waiting requests again when they learn of the restart
 	}
-	sv = &server{id: l.ID, born: l.Born, ratio: 1}
+	sv = &server{id: l.ID, born: l.Born, ratio: 1, meanMs: r.mean()}
 	sv.update(l)
 	sv.listed = ok
 	s.servers[l.ID] = sv
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -218,7 +218,13 @@
 		}
 	}
 	is.True(n >= 43 && n <= 48)
-	replies := s.Ask(10_001, newRequest(1, 10_001, func(r *Request) { cold(r); r.AtOnce = true }))
+	s.SetColdFrom(20_000)
+	s.SetServers(10_000, nil)
+	for now := clock.Time(10_000); now < 20_200; now += 20 { // the host may have to wait for others to be known
+		is.Equal(len(admitted(s.Ask(now, newRequest(uint64(now), now, cold)))), 0)
+	}
+	is.True(len(admitted(s.Tick(20_220))) > 0)
+	replies := s.Ask(20_221, newRequest(1, 20_221, func(r *Request) { cold(r); r.AtOnce = true }))
 	_, refused := replies[len(replies)-1].(Refused)
 	is.True(refused)
 }
--- a/internal/admit/cold.go
+++ b/internal/admit/cold.go
@@ -25,6 +25,10 @@
 // it together.
 func (s *State) SetColdBound(over, slack float64) { s.over, s.slack = over, slack }
 
+// SetColdFrom has nothing admitted to cold servers before a time. A host that has just
+// started doesn't know the other hosts, and many may have started with it.
+func (s *State) SetColdFrom(at clock.Time) { s.coldFrom = at }
+
 // setCold records how much longer a server is cold. Hosts may have learned different
 // times; the latest end counts.
 func (s *State) setCold(now clock.Time, sv *server, left clock.Span, rate float64) {
@@ -36,7 +40,7 @@
 	if c.bucket == nil {
 		// It starts empty, as another host may have been the admitter until now.
 		c.rate = rate
-		c.bucket = ramp.NewBucket(now, s.coldRate(rate), coldBurst, false)
+		c.bucket = ramp.NewBucket(max(now, s.coldFrom), s.coldRate(rate), coldBurst, false)
 	} else if rate < c.rate {
 		c.rate = rate
 		c.bucket.SetRate(now, s.coldRate(rate), coldBurst)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -14,6 +14,9 @@
 	ratioWeight = 0.1
 	minRatio    = 0.2
 	maxRatio    = 8.0
+	// meanWeight is the weight of the latest request in the moving average of the
+	// routes' means.
+	meanWeight = 0.05
 	// lateShare is the share of the time until its deadline that a request may wait if it
 	// can't meet its objective. The rest is for its service, and for a retry if it is
 	// refused.
@@ -44,6 +47,7 @@
 	queue    []*request // in the order of compare at the last advance
 	admitted []*request
 	ratio    float64 // moving average of service time / mean of the route
+	meanMs   float64 // moving average of the routes' means
 	// foreign is the number of requests that were at the server at foreignAt besides
 	// the admitted ones: hosts that get no reply send without admission.
 	foreign   float64
@@ -107,7 +111,7 @@
 	if sv.foreign == 0 {
 		return 0
 	}
-	served := float64(now.Sub(sv.foreignAt)) * float64(sv.slots) / (float64(defaultMean) * sv.ratio)
+	served := float64(now.Sub(sv.foreignAt)) * float64(sv.slots) / (sv.meanMs * sv.ratio)
 	return max(sv.foreign-served, 0)
 }
 
@@ -144,7 +148,7 @@
 	for _, q := range sv.admitted {
 		work += q.mean()
 	}
-	work += sv.foreignLeft(now) * float64(defaultMean)
+	work += sv.foreignLeft(now) * sv.meanMs
 	left, bucket := sv.queue[:0], sv.limit(now)
 	for _, q := range sv.queue {
 		wait := sv.waitBehind(ahead, work)
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -25,6 +25,9 @@
 	queuedAskInterval = 100 * time.Millisecond
 	// lostAdmitterPause is how long a host that hasn't replied isn't asked.
 	lostAdmitterPause = clock.Second
+	// startQuiet is how long after its start a host admits nothing to cold servers. Until
+	// it knows the other hosts it takes itself for the admitter of all servers.
+	startQuiet = 1500 * clock.Millisecond
 	// admissionTick is the period in which the admitter refuses requests that have waited
 	// too long and ends reservations.
 	admissionTick = 20 * time.Millisecond
@@ -82,6 +85,7 @@
 		transmit: func(ip string, m mesh.Message) { h.send([]string{ip}, m) },
 	}
 	a.state.SetColdBound(h.cfg.Settings.ColdOver, h.cfg.Settings.ColdSlack)
+	a.state.SetColdFrom(h.clock.Now().Add(startQuiet))
 	a.updateAdmitters()
 	return a
 }
@@ -105,6 +109,9 @@
 			return relay.Admission{Verdict: relay.AdmitSend, Done: func(res place.Result) { a.finish(p, res) }}, "admitted"
 		}
 		a.giveUp(p, end)
+		if end == askLost {
+			a.host.metrics.admission.unanswered.Inc()
+		}
 		switch {
 		case end == askEnded:
 			return relay.Admission{Verdict: relay.AdmitEnded}, "ended"
--- a/internal/front/admission_metrics.go
+++ b/internal/front/admission_metrics.go
@@ -10,6 +10,8 @@
 type admissionMetrics struct {
 	asks *prometheus.CounterVec
 	wait prometheus.Histogram
+	// unanswered counts admitters that haven't replied; the next may have.
+	unanswered prometheus.Counter
 }
 
 func newAdmissionMetrics(reg prometheus.Registerer) *admissionMetrics {
@@ -21,7 +23,10 @@
 			Name: "laburnummux_admission_wait_seconds", Help: "Time that these requests waited for the result.", Buckets: prometheus.ExponentialBuckets(0.0005, 3, 8),
 		}),
 	}
-	reg.MustRegister(m.asks, m.wait)
+	m.unanswered = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "laburnummux_admission_unanswered_total", Help: "Asks to which the admitter of a server hasn't replied.",
+	})
+	reg.MustRegister(m.asks, m.wait, m.unanswered)
 	return m
 }
 
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -41,6 +41,7 @@
 		h := New(Config{Settings: Settings{Host: keys.Host(fmt.Sprintf("h%d", i)), IP: fmt.Sprintf("10.0.0.%d", i+1), DC: "north", ColdOver: 1.5, ColdSlack: 8}, Log: zap.NewNop()})
 		net.hosts[h.admission.self] = h
 		h.admission.transmit = func(ip string, m mesh.Message) { net.transmit(h.admission.self, ip, m) }
+		h.admission.state.SetColdFrom(0)
 		h.admission.setServers([]fleet.Server{admitServer})
 	}
 	for _, h := range net.hosts {
