--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -23,6 +23,7 @@
 
 	evacuated          prometheus.Gauge
 	evacuationsIgnored prometheus.Counter
+	admission    *admissionMetrics
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
@@ -40,6 +41,7 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_evacuated_datacentres", Help: "Data centres whose servers get no requests."})
 	m.evacuationsIgnored = prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_evacuations_ignored_total", Help: "Entries of evacuations without effect: of an unknown data centre, or too many."})
 	m.mesh = mesh.NewMetrics(reg)
+	m.admission = newAdmissionMetrics(reg)
 	reg.MustRegister(m.evacuated, m.evacuationsIgnored, m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -54,6 +54,7 @@
 	confirmationAge clock.Span // at its last heartbeat; negative: the store has never confirmed its state
 	interval        clock.Span // longest time until its next heartbeat, as it promised; 0: an earlier version
 	reach           mesh.Reach
+	admits          bool       // it acts as an admitter
 	dueAt           clock.Time // next heartbeat to it
 	sentAs          relation   // of the last heartbeat to it
 	index           int        // in members.due
@@ -95,6 +96,9 @@
 	group        group // of this host
 	groupChanged bool  // the hosts of the data centre have changed
 
+	candidatesChanged bool       // a host may have become, or ceased to be, a candidate
+	candidatesAt      clock.Time // when they were last listed
+
 	lastStanding standing
 	standingAt   clock.Time // when it was determined
 
@@ -146,10 +150,12 @@
 	}
 	first = m.incarnation != b.Incarnation
 	ms.groupChanged = ms.groupChanged || m.dc != b.DC || m.leaving != b.Leaving
+	ms.candidatesChanged = ms.candidatesChanged || m.leaving != b.Leaving || m.admits != b.Admits || m.dc != b.DC || m.ip != b.IP || !m.active(now)
 	sooner := b.Reach > m.reach || !m.active(now)
 	ms.setIP(m, b.IP)
 	m.incarnation, m.lastHeartbeat, m.lastSeen, m.leaving, m.interval, m.reach = b.Incarnation, now, now, b.Leaving, b.Interval, b.Reach
 	m.roleTerm, m.gaveUpTerm, m.tablesTerm, m.tablesVersion = b.Term, b.GaveUpTerm, b.TablesTerm, b.TablesVersion
+	m.admits = b.Admits
 	m.dc, m.configVersion, m.serversRev, m.confirmationAge, m.cores = b.DC, b.ConfigVersion, epoch.At(b.ServersEpoch, b.ServersRev), b.ConfirmationAge, b.Cores
 	m.evacRev = epoch.At(b.EvacEpoch, b.EvacRev)
 	if sooner {
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -136,12 +136,15 @@
 	Waiting any    `json:"waiting"`
 	// Evacuated are the evacuated data centres.
 	Evacuated []keys.DataCentre `json:"evacuated"`
+	// Admission has the requests of all hosts for the servers whose admitter this host is.
+	Admission any `json:"admission"`
 }
 
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
 	d := dumpJSON{Host: string(h.cfg.Settings.Host), Run: h.incarnation, Ready: h.isReady(), Term: h.role.term(), Servers: h.serverList(), Config: h.ConfigVersion()}
 	d.Busy, d.Waiting = h.relay.LocalLoad()
 	d.Evacuated = h.evacuatedDCs()
+	d.Admission = h.admission.queues()
 	h.members.mu.Lock()
 	d.Tables = h.members.tables
 	b, err := json.Marshal(d)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -40,6 +40,10 @@
 	// Members are all active hosts in the sender's list. They are sent to a host
 	// that has just started.
 	Members []Member `cbor:"5,keyasint,omitempty"`
+	// Admission of requests to servers. Hosts of earlier versions ignore these parts.
+	Asks       []Ask      `cbor:"6,keyasint,omitempty"`
+	AskReplies []AskReply `cbor:"7,keyasint,omitempty"`
+	AskDones   []AskDone  `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to the others periodically.
@@ -76,6 +80,7 @@
 	// centres, and EvacEpoch its epoch. They are 0 from hosts that don't know the list.
 	EvacRev   uint64 `cbor:"24,keyasint,omitempty"`
 	EvacEpoch uint64 `cbor:"25,keyasint,omitempty"`
+	Admits    bool   `cbor:"26,keyasint,omitempty"` // it acts as an admitter
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -162,7 +162,7 @@
 
 // divideEvenly divides a table without owners into one range per server.
 func (a *Assigner) divideEvenly(s keys.Service) {
-	ids := a.usableServers(s)
+	ids := a.newOwners(s)
 	if len(ids) == 0 {
 		return
 	}
@@ -180,7 +180,7 @@
 func (a *Assigner) leastLoaded(s keys.Service, rs *rangeState) (best keys.Server) {
 	loads, _ := a.serverLoads(s)
 	least := math.Inf(1)
-	for _, id := range a.usableServers(s) {
+	for _, id := range a.newOwners(s) {
 		// A new incarnation of the same server holds no leases and may get it, and so
 		// may one that has released the range, such as after an evacuation.
 		if id == rs.Server && rs.releasing && !rs.released && a.servers[id].Born == rs.Born {
@@ -199,7 +199,7 @@
 // rebalance starts to move ranges from the most loaded servers to the least
 // loaded, by the fast and by the slow estimate of the load.
 func (a *Assigner) rebalance(now clock.Time, s keys.Service) {
-	ids := a.usableServers(s)
+	ids := a.balanced(s)
 	if len(ids) < 2 || a.storeOutage || now < a.firstListAt.Add(firstAssignDelay) {
 		return
 	}
@@ -232,11 +232,15 @@
 		capacity += a.capacity(id)
 	}
 	mean := total / capacity
+	targets := a.targets(ids)
+	if len(targets) == 0 {
+		return moving
+	}
 	ratio := func(id keys.Server) float64 { return loads[id] / a.capacity(id) / mean }
 	sources := slices.Clone(ids) // servers that ranges may move away from
 	for limit := maxMoves(len(ids)); moving < limit; {
 		hot := slices.MaxFunc(sources, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
-		idle := slices.MinFunc(ids, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
+		idle := slices.MinFunc(targets, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.hasRanges(s, idle)
 		if ratio(idle) > 1 || !empty && !a.overloaded(s, hot, loads[hot], mean) {
 			return moving
@@ -340,7 +344,7 @@
 		return nil, 0, idle
 	}
 	fast := hot
-	for _, id := range a.usableServers(s) {
+	for _, id := range a.newOwners(s) {
 		if a.capacity(id) > a.capacity(fast)*minSpeedup {
 			fast = id
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -85,6 +85,7 @@
 type Start struct {
 	ID     uint64
 	Server fleet.Server
+	Admit  bool // to be sent only once the server's admitter has admitted it
 }
 
 // Refuse rejects a request without sending it to a server.
@@ -124,6 +125,8 @@
 	Cancelled  bool       // not completed, without a cause at the server
 	Load       int        // requests at the server when it sent the response, without this one
 	HasLoad    bool       // the server has told Load
+	Slowdown   float64    // how long work takes there at the moment, 1: the usual time; 0: unknown
+	TimedOut   bool       // no response until the deadline; Cancelled is set as well
 }
 
 // peer is the last load report of another host.
@@ -157,8 +160,10 @@
 	rng          *rand.Rand
 	rotation     int // start of the next scan of a group, so that ties are spread
 	stopped      bool
+	admission    bool                 // see SetAdmission
 	hostCount    int                  // hosts that send to the same servers
 	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
+	ramp         rampConfig
 }
 
 // New returns the state of a host in a data centre. idleConns returns the
@@ -167,7 +172,7 @@
 	return &State{
 		dc: dc, idleConns: idleConns, rng: rand.New(rand.NewPCG(rand.Uint64(), 0)), servers: make(map[keys.Server]*server), busy: make(map[*server]bool), serversOf: make(map[keys.Service][]*server),
 		leavingOf: make(map[keys.Service][]*server), notices: make(map[keys.Server]notice),
-		services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
+		ramp: rampConfig{over: 1}, services: make(map[keys.Service]*service), peers: make(map[keys.Host]*peer), tables: make(map[keys.Service]owner.Table),
 	}
 }
 
@@ -191,8 +196,10 @@
 			if x != nil {
 				inFlight = x.localInFlight
 			}
-			x = &server{localInFlight: inFlight, serviceTimeRatio: 1, warmupUntil: now.Add(sv.Warmup)}
+			x = &server{localInFlight: inFlight, serviceTimeRatio: 1}
+			s.startRamp(now, x, sv)
 		}
+		x.register(now, sv)
 		x.Server, x.notice, x.peerInFlight = sv, s.noticeOf(sv), 0
 		if x.localInFlight > 0 {
 			s.busy[x] = true
@@ -200,6 +207,7 @@
 		s.servers[sv.ID] = x
 		s.order = append(s.order, sv.ID)
 	}
+	s.ramp.listed = true
 	s.groupServers()
 	s.forgetNotices(now)
 	for _, p := range s.peers {
@@ -282,6 +290,7 @@
 	if ref, ok := s.blocked(now, &r); ok {
 		return []Action{ref}
 	}
+	s.countHeld(now, &r)
 	x := s.service(r.Service)
 	if wait := s.expectedWait(now, x, &r, x.position(&r)); now.Add(wait) > s.waitLimit(now, &r) {
 		return []Action{Refuse{ID: r.ID, Why: QueueFull, RetryAfter: retryAfter(wait)}}
@@ -300,6 +309,8 @@
 	if res.HasLoad {
 		sv.toldLoad, sv.toldLoadAt = res.Load, now
 	}
+	sv.recordSlowdown(now, res.Slowdown)
+	s.observeRamp(now, sv, res)
 	switch {
 	case res.Cancelled:
 	case res.ConnFailed:
@@ -315,7 +326,7 @@
 		sv.failureRate -= failureWeight * sv.failureRate
 		sv.connFailures = 0
 		if res.RouteMean > 0 {
-			sv.serviceTimeRatio += serviceTimeWeight * (float64(res.Duration)/float64(res.RouteMean) - sv.serviceTimeRatio)
+			sv.recordSpeed(res)
 		}
 		x := s.service(sv.Service)
 		x.meanMs += 0.02 * (float64(res.Duration) - x.meanMs)
@@ -332,15 +343,17 @@
 		if sv == nil || sv.gone(now) || sv.avoided(now) {
 			return nil
 		}
-		if s.full(sv) {
+		if !s.needsAdmission(r) && (s.full(sv) || !s.admits(now, sv, true)) {
 			return nil
 		}
 		return sv
 	}
 	s.rotation++
 	best = s.pickFrom(now, r, s.pool(now, r.Service))
-	if best == nil && len(s.shareOf[r.Service]) > 0 {
-		best = s.pickOverflow(now, r)
+	if (best == nil || s.isCold(now, best)) && len(s.shareOf[r.Service]) > 0 {
+		if sv := s.pickOverflow(now, r); sv != nil {
+			best = sv
+		}
 	}
 	return best
 }
@@ -351,7 +364,7 @@
 	least := math.Inf(1)
 	for i := range group {
 		sv := group[(i+s.rotation)%len(group)]
-		if sv.avoided(now) || slices.Contains(r.Tried, sv.ID) {
+		if sv.unavailable(now) || slices.Contains(r.Tried, sv.ID) {
 			continue
 		}
 		if s.shouldExplore(now, sv) {
@@ -393,8 +406,9 @@
 			continue
 		}
 		s.begin(sv)
+		s.sent(now, sv)
 		sv.explored = true
-		acts = append(acts, Start{ID: r.ID, Server: sv.Server})
+		acts = append(acts, Start{ID: r.ID, Server: sv.Server, Admit: s.needsAdmission(r)})
 	}
 	clear(x.queue[len(left):])
 	x.queue = left
@@ -405,6 +419,7 @@
 // which servers have room, and refuses those that have waited too long, or whose
 // servers have asked for a pause or are all evacuated.
 func (s *State) Tick(now clock.Time) (acts []Action) {
+	s.coldHosts(now)
 	for h, p := range s.peers {
 		if now.Sub(p.reportedAt) > peerMaxAge {
 			s.removePeerLoad(p)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -31,6 +31,7 @@
 	reasonAnswerLost   = "answer-lost"
 	reasonRejected     = "rejected"
 	reasonNoConnection = "no-connection"
+	reasonNotAdmitted  = "not-admitted"
 )
 
 // exclusiveRetryDelay is the delay before a request that the quarantine didn't
@@ -73,6 +74,8 @@
 	openedConn bool          // a connection was opened for it
 	leftAt     stage         // when its caller disconnected
 	lastErr    error
+	// admissionDone ends its admission to the server that it is placed on, or is nil.
+	admissionDone func(place.Result)
 }
 
 // run places and sends the request until there is a final response.
@@ -88,7 +91,15 @@
 		if ref, ok := act.(place.Refuse); ok {
 			return c.refuseByPlacement(ref)
 		}
-		sv := act.(place.Start).Server
+		start := act.(place.Start)
+		sv := start.Server
+		if c.needsAdmission(start) {
+			if resp, send, final := c.admit(ctx, sv); final {
+				return resp
+			} else if !send {
+				continue
+			}
+		}
 		c.relay.mu.Lock()
 		adm := c.relay.quarantine.Start(c.relay.cfg.Clock.Now(), sv.ID, sig)
 		c.relay.mu.Unlock()
@@ -164,6 +175,7 @@
 
 // reportResult reports the result of the request at a server to placement.
 func (c *call) reportResult(sv fleet.Server, res place.Result) {
+	c.endAdmission(res)
 	c.relay.mu.Lock()
 	c.relay.deliver(c.relay.placement.Done(c.relay.cfg.Clock.Now(), sv.ID, res))
 	c.relay.mu.Unlock()
@@ -213,7 +225,7 @@
 	r.mu.Lock()
 	result.placement.Duration = took
 	if result.outcome == answered && !result.placement.Failed {
-		result.placement.RouteMean = r.recordServiceTime(c, sv.ID, took)
+		result.placement.RouteMean = r.recordServiceTime(c, sv.ID, took, result.reply.Slowdown)
 	}
 	r.mu.Unlock()
 	c.reportResult(sv, result.placement)
@@ -251,6 +263,7 @@
 	switch {
 	case ctx.Err() != nil && res.Err != nil, errors.Is(res.Err, link.ErrAbandoned):
 		result.outcome, result.placement.Cancelled = cancelled, true
+		result.placement.TimedOut = res.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	case errors.Is(res.Err, link.ErrDial):
 		result.outcome, result.placement.ConnFailed = dialFailed, true
 	case errors.Is(res.Err, link.ErrMismatched), errors.Is(res.Err, link.ErrMalformed):
@@ -263,6 +276,7 @@
 	}
 	result.reply = c.relay.cfg.Codec.Reply(res.Status, res.Header)
 	result.placement.Load, result.placement.HasLoad = result.reply.Load, result.reply.HasLoad
+	result.placement.Slowdown = result.reply.Slowdown
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
@@ -366,10 +380,7 @@
 
 // refuseByPlacement ends a request that placement has refused.
 func (c *call) refuseByPlacement(ref place.Refuse) caller.Response {
-	if c.mayHaveRun {
-		return c.finish(caller.Response{Status: http.StatusBadGateway}, ref.Why.String())
-	}
-	return c.refuse(ref.Why.String(), ref.RetryAfter)
+	return c.refuseUnlessRun(ref.Why.String(), ref.RetryAfter)
 }
 
 // refuse responds that the request has not run and never will.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,11 +65,20 @@
 	DC          keys.DataCentre
 	RetryBudget quota.Config
 	// DrainTimeout is the time after which a leaving server must get no requests.
-	DrainTimeout  clock.Span
-	Log           *zap.Logger
-	Metrics       *Metrics
-	LoadChanged   func() // called when the number of requests in flight may have changed
-	ServerLeaving func() // called when a server is leaving that wasn't before
+	DrainTimeout clock.Span
+	// ColdOver and ColdSlack bound the requests to a cold server, see
+	// place.State.SetColdBound.
+	ColdOver, ColdSlack float64
+	Log                 *zap.Logger
+	Metrics             *Metrics
+	LoadChanged         func() // called when the number of requests in flight may have changed
+	ServerLeaving       func() // called when a server is leaving that wasn't before
+	// WarmupChanged is called when a health response tells that a server is cold, or no
+	// longer is.
+	WarmupChanged func()
+	// Admitter is asked before a request is sent where placement says so; nil: requests
+	// are sent without admission.
+	Admitter Admitter
 }
 
 // Relay forwards the requests that one host receives.
@@ -91,7 +100,9 @@
 	keyLoads      map[keys.Service]map[owner.Key]clock.Span // estimated service time since the last TakeObservations
 	serviceTimes  map[keys.Server]*owner.ServiceTime        // since the last TakeObservations
 	lastLoss      serverLoss
-	toldLeaving   bool // some pool may have leaving set
+	// admissionWaits are the requests that wait for their admission.
+	admissionWaits map[*call]admissionWait
+	toldLeaving    bool // some pool may have leaving set
 }
 
 // serverLoss is the loss of a server: it accepted no connection after one had
@@ -106,6 +117,8 @@
 	*link.Pool
 	server  fleet.Server // as in the last list
 	leaving bool         // the server has told this host that it is leaving
+	// badHeader is set once an invalid header was reported.
+	badHeader bool
 }
 
 // New returns a Relay without a configuration.
@@ -115,8 +128,11 @@
 		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
 		pools: make(map[keys.Server]*pool), responses: link.NewBudget(maxResponseBytes), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
+		admissionWaits: make(map[*call]admissionWait),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
+	r.placement.SetColdBound(cfg.ColdOver, cfg.ColdSlack)
+	r.placement.SetAdmission(cfg.Admitter != nil)
 	return r
 }
 
@@ -163,6 +179,7 @@
 		}
 	}
 	r.deliver(r.placement.SetServers(r.cfg.Clock.Now(), list))
+	r.cancelMoved()
 }
 
 // SetTable replaces the table of key owners of a keyed service.
@@ -170,6 +187,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.deliver(r.placement.SetTable(r.cfg.Clock.Now(), t))
+	r.cancelMoved()
 }
 
 // SetPeerLoad replaces the load report of another host.
@@ -223,6 +241,7 @@
 		}
 	}
 	r.placement.SetHosts(r.hostCount, conns)
+	r.placement.SetRamps(r.serviceRamps())
 }
 
 // SetShare sets the part of the data centre's servers that this host uses for
@@ -296,6 +315,7 @@
 		}
 		if time.Since(swept) >= sweepPeriod {
 			swept = time.Now()
+			r.cfg.Metrics.observeCold(r.placement.ColdCounts(r.cfg.Clock.Now()))
 			for _, p := range r.pools {
 				p.Sweep(ctx, swept, r.healthPath(p.server))
 			}
@@ -378,7 +398,7 @@
 
 // recordServiceTime adds a completed request to the mean of its route and to the
 // service times of its server. It returns the mean.
-func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span) (mean clock.Span) {
+func (r *Relay) recordServiceTime(c *call, id keys.Server, took clock.Span, slowdown float64) (mean clock.Span) {
 	m, ok := r.routeMeans[c.route.Name]
 	if !ok {
 		m = float64(took)
@@ -391,7 +411,7 @@
 		r.serviceTimes[id] = p
 	}
 	p.N++
-	p.Ratio += float64(took) / max(m, 1)
+	p.Ratio += float64(took) / max(m, 1) / r.placement.Slowdown(id, slowdown)
 	return clock.Span(m)
 }
 
