--- /dev/null
+++ b/cmd/laburnummux/body_test.go
@@ -0,0 +1,310 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/platform/fakes"
+)
+
+// The tests of this file send what misbehaving callers send to an entry host that
+// runs as a separate process. They check only what doesn't depend on the speed of
+// the machine: the process lives, its memory and descriptors stay below those of
+// its machine, and it still answers. They take up to 10 s each, as crowds that are
+// refused write until crowdTimeout.
+
+const (
+	// crowdMemoryMB is the memory of the smallest machine. crowdMaxBody and crowdBody
+	// are the limit of request bodies and the length of the crowd's: all of them
+	// together need twice the memory.
+	crowdMemoryMB = 144
+	crowdMaxBody  = 16 << 20
+	crowdBody     = 12 << 20
+	crowdSize     = 24
+	// crowdTimeout bounds the time in which a caller of a crowd sends, and idleWait is
+	// how long the crowd stays connected after that.
+	crowdTimeout = 8 * time.Second
+	idleWait     = time.Second
+	samplePeriod = 20 * time.Millisecond
+)
+
+// usage is the highest use of a process's resources.
+type usage struct {
+	memory int64 // resident, bytes
+	files  int
+}
+
+// sampler samples the usage of a process until it is stopped.
+type sampler struct {
+	pid  int
+	stop chan struct{}
+	done chan usage
+}
+
+func newSampler(pid int) *sampler {
+	s := &sampler{pid: pid, stop: make(chan struct{}), done: make(chan usage, 1)}
+	go s.run()
+	return s
+}
+
+func (s *sampler) run() {
+	var u usage
+	for {
+		u.memory = max(u.memory, residentBytes(s.pid))
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.pid)); err == nil {
+			u.files = max(u.files, len(entries))
+		}
+		select {
+		case <-s.stop:
+			s.done <- u
+			return
+		case <-time.After(samplePeriod):
+		}
+	}
+}
+
+// finish returns the highest usage.
+func (s *sampler) finish() usage {
+	close(s.stop)
+	return <-s.done
+}
+
+// residentBytes returns the highest resident memory of a process, or 0 if it has
+// ended.
+func residentBytes(pid int) int64 {
+	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(v)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// isAlive reports whether a process runs. One that has ended stays in the table of
+// processes, without memory, until the test waits for it.
+func isAlive(pid int) bool { return residentBytes(pid) > 0 }
+
+// bodyHead returns the head of a request with a body. length < 0 means chunks.
+func bodyHead(id string, length int) string {
+	framing := fmt.Sprintf("Content-Length: %d", length)
+	if length < 0 {
+		framing = "Transfer-Encoding: chunked"
+	}
+	return fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: %s\r\nLaburnummux-Attempt-Id: %s\r\nLaburnummux-Deadline-Ms: 8000\r\n%s\r\n\r\n", fakes.HostName, id, framing)
+}
+
+// sendRepeated sends n bytes in pieces.
+func sendRepeated(c net.Conn, n, piece int) {
+	buf := []byte(strings.Repeat("x", piece))
+	for n > 0 {
+		m, err := c.Write(buf[:min(n, piece)])
+		if err != nil {
+			return // the host has closed the connection, which it may
+		}
+		n -= m
+	}
+}
+
+// sendChunks sends n bytes in chunks of a size, without the last chunk.
+func sendChunks(c net.Conn, n, size int) {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size))
+	buf := strings.Repeat(chunk, max(1, (64<<10)/len(chunk)))
+	for sent := 0; sent < n; sent += len(buf) / len(chunk) * size {
+		if _, err := io.WriteString(c, buf); err != nil {
+			return // the host has closed the connection, which it may
+		}
+	}
+}
+
+// misbehaviour is what each caller of a crowd sends. Errors of writes are ignored: the
+// host may close the connection at any time.
+type misbehaviour struct {
+	name    string
+	padding int // bytes that are added to each response
+	maxBody int // limit of request bodies; 0: crowdMaxBody
+	send    func(c net.Conn, id string)
+}
+
+var misbehaviours = []misbehaviour{
+	{"whole, a byte short", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, crowdBody))
+		sendRepeated(c, crowdBody-1, 1<<20)
+	}},
+	{"in pieces, a byte short", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, crowdBody))
+		sendRepeated(c, crowdBody-1, 1000)
+	}},
+	{"large chunks", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, -1))
+		sendChunks(c, crowdBody, 256<<10)
+	}},
+	// Chunks of one byte take six bytes each on the wire, which are limited, too.
+	{"chunks of one byte", 0, 64 << 20, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, -1))
+		sendChunks(c, 10<<20, 1)
+	}},
+	{"chunks without end", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, -1))
+		sendChunks(c, math.MaxInt, 64<<10)
+	}},
+	{"announced over the limit", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, 1<<30))
+		sendRepeated(c, 2*crowdMaxBody, 1<<20)
+	}},
+	{"sent over the limit", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, -1))
+		sendChunks(c, crowdMaxBody+(1<<20), 64<<10)
+		io.WriteString(c, "0\r\n\r\n")
+	}},
+	{"pipelined bodies", 0, 0, func(c net.Conn, id string) {
+		for i := range 16 {
+			io.WriteString(c, bodyHead(fmt.Sprintf("%s-%d", id, i), crowdBody/16))
+			sendRepeated(c, crowdBody/16, 1<<20)
+		}
+	}},
+	{"headers without end", 0, 0, func(c net.Conn, id string) {
+		io.WriteString(c, "GET /browse/x HTTP/1.1\r\nHost: "+fakes.HostName+"\r\n")
+		for i := range 16 << 10 {
+			fmt.Fprintf(c, "%x:\r\n", i)
+		}
+	}},
+	{"responses that aren't read", 2 << 20, 0, func(c net.Conn, id string) {
+		for i := range 64 {
+			io.WriteString(c, frontRequest("browse", fmt.Sprintf("%s-%d", id, i)))
+		}
+	}},
+}
+
+// crowd is callers that send the same at once.
+type crowd struct {
+	host  *frontHost
+	conns []net.Conn
+}
+
+// connect opens the connections of a crowd, on which a request has been answered if
+// kept is set.
+func (h *frontHost) connect(t *testing.T, n int, kept bool) *crowd {
+	t.Helper()
+	cr := &crowd{host: h}
+	for i := range n {
+		var c net.Conn
+		if kept {
+			c = h.dial(t, "book", fmt.Sprintf("kept-%d", i))
+		} else {
+			var err error
+			if c, err = net.Dial("tcp", h.addr); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cr.conns = append(cr.conns, c)
+		t.Cleanup(func() { c.Close() })
+	}
+	return cr
+}
+
+// send has each caller send at once, and returns when all have sent or given up.
+func (cr *crowd) send(f func(c net.Conn, id string)) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(crowdTimeout)
+	for i, c := range cr.conns {
+		c.SetWriteDeadline(end)
+		wg.Go(func() { f(c, fmt.Sprintf("crowd-%d", i)) })
+	}
+	wg.Wait()
+}
+
+// Guards against callers that end the process of a host, or keep it from serving
+// others, by bodies, headers or responses that take more than its memory.
+func TestMisbehavingCallers(t *testing.T) {
+	for _, m := range misbehaviours {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/kept=%t", m.name, kept), func(t *testing.T) {
+				is := is.New(t)
+				const maxFDs = 1024
+				h := frontOptions{serviceTime: 100 * time.Millisecond, padding: m.padding, maxBody: cmp.Or(m.maxBody, crowdMaxBody), memoryMB: crowdMemoryMB, maxFDs: maxFDs}.start(t)
+				h.dial(t, "browse", "first").Close()
+				cr := h.connect(t, crowdSize, kept)
+				s := newSampler(h.cmd.Process.Pid)
+				cr.send(m.send)
+				time.Sleep(idleWait)
+				h.dial(t, "browse", "last").Close()
+				u := s.finish()
+				t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
+				is.True(isAlive(h.cmd.Process.Pid))
+				is.True(u.memory < crowdMemoryMB*1e6)
+				is.True(u.files < maxFDs)
+			})
+		}
+	}
+}
+
+// Guards against callers whose connections take all descriptors of a host.
+func TestManyConnections(t *testing.T) {
+	tests := []struct {
+		name string
+		send func(c net.Conn, id string)
+	}{
+		{"idle", func(net.Conn, string) {}},
+		{"incomplete header", func(c net.Conn, _ string) { io.WriteString(c, "GET /browse/x HTTP/1.1\r\nHost: h\r\n") }},
+		{"incomplete body", func(c net.Conn, id string) { io.WriteString(c, bodyHead(id, 1000)+"x") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			const maxFDs, conns = 400, 600
+			h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB, maxFDs: maxFDs}.start(t)
+			h.dial(t, "browse", "first").Close()
+			s := newSampler(h.cmd.Process.Pid)
+			cr := h.connect(t, conns, false)
+			cr.send(tt.send)
+			time.Sleep(idleWait)
+			h.dial(t, "browse", "last").Close()
+			u := s.finish()
+			t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
+			is.True(isAlive(h.cmd.Process.Pid))
+			is.True(u.memory < crowdMemoryMB*1e6)
+			is.True(u.files < maxFDs)
+		})
+	}
+}
+
+// Guards against a host without other work that refuses a body of the length that
+// its configuration allows, or takes more than the memory of the smallest machine
+// for it.
+func TestLongestBodyOnSmallestHost(t *testing.T) {
+	is := is.New(t)
+	const size = 64 << 20
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: size, memoryMB: crowdMemoryMB}.start(t)
+	h.dial(t, "browse", "first").Close()
+	c, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	_, err = io.WriteString(c, bodyHead("longest", size))
+	is.NoErr(err)
+	sendRepeated(c, size, 1<<20)
+	buf := make([]byte, 4096)
+	n, err := c.Read(buf)
+	is.NoErr(err)
+	memory := residentBytes(h.cmd.Process.Pid)
+	t.Logf("%d MB", memory/1e6)
+	is.True(strings.HasPrefix(string(buf[:n]), fmt.Sprintf("HTTP/1.1 %d", http.StatusOK)))
+	is.True(memory < crowdMemoryMB*1e6)
+}
--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -53,23 +53,39 @@
 // startFront starts a front with a server of a service without keys and one of a
 // keyed service, each with the given service time.
 func startFront(t *testing.T, serviceTime time.Duration) *frontHost {
+	t.Helper()
+	return frontOptions{serviceTime: serviceTime, maxBody: 1 << 20}.start(t)
+}
+
+// frontOptions has what differs between the entry hosts of tests.
+type frontOptions struct {
+	serviceTime time.Duration
+	padding     int // bytes that are added to each response
+	maxBody     int // limit of request bodies
+	memoryMB    int // memory of the machine; 0: the default of fakes.Settings
+	maxFDs      int // descriptors of the process; 0: unknown
+}
+
+// start starts a front with a server of a service without keys and one of a keyed
+// service.
+func (o frontOptions) start(t *testing.T) *frontHost {
 	t.Helper()
 	store := fakes.NewStore()
 	t.Cleanup(store.Close)
 	ip := lockFrontIP(t)
 	h := &frontHost{addr: net.JoinHostPort(ip, strconv.Itoa(fakes.CallerPort))}
 	for _, service := range []string{"catalogue", "ledger"} {
-		sv := fakes.NewServer(fakes.ServerConfig{ID: service + "-1", Service: service, Zone: "north", Slots: 16, Keyed: service == "ledger", ServiceTime: serviceTime})
+		sv := fakes.NewServer(fakes.ServerConfig{ID: service + "-1", Service: service, Zone: "north", Slots: 16, Keyed: service == "ledger", ServiceTime: o.serviceTime, Padding: o.padding})
 		t.Cleanup(sv.Close)
 		store.Put("servers", service+"-1", sv.Registration())
 		h.servers = append(h.servers, sv)
 	}
-	store.Put("config", "main", fakes.Configuration(1, []string{"catalogue"}, []string{"ledger"}, []fakes.Route{
+	store.Put("config", "main", fakes.WithMaxBody(fakes.Configuration(1, []string{"catalogue"}, []string{"ledger"}, []fakes.Route{
 		{Name: "browse", Kind: "safe", Service: "catalogue", Timeout: "5s"}, {Name: "book", Kind: "unsafe", Service: "catalogue", Timeout: "5s"},
 		{Name: "history", Kind: "safe", Service: "ledger", Timeout: "5s"},
-	}))
+	}), o.maxBody))
 	file := filepath.Join(t.TempDir(), "node.conf")
-	cfg := fakes.Settings{Name: "north-1", Zone: "north", IP: ip, Seed: ip, Store: store.Addr()}
+	cfg := fakes.Settings{Name: "north-1", Zone: "north", IP: ip, Seed: ip, Store: store.Addr(), MemoryMB: o.memoryMB, MaxFDs: o.maxFDs}
 	if err := cfg.Write(file); err != nil {
 		t.Fatal(err)
 	}
