front: one memory budget for bodies of requests and responses, and a bound of connections

Cause: each caller's body was read into a doubling buffer without a common bound, kept until the responses of earlier pipelined requests were written, and complete responses that callers read slowly were in no budget. Connections had no bound. Change: internal/budget (from internal/link) bounds headers and bodies of requests and bodies of responses together, half of the machine's memory; beyond it the longest unfinished one of the caller address or server with the most is given up (408 without progress for 1 s, else 503), before it is forwarded. internal/segment holds bodies in segments without copies. Callers' connections are bounded by memory and limits.max_fds. A body in short chunks may take up to seven times the limit on the wire; before, it was cut at one. A body that takes over 30 s gets 408. White-box tests of the budget follow its interface; their checks are the same.

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,289 @@
+// Package budget bounds the memory of all bodies that a process holds: requests of
+// callers, responses of servers, and responses that callers read slowly.
+//
+// Each body has a Hold in the account of the caller address or server that it comes
+// from or goes to. When the bodies exceed the budget, a body of the account with the
+// most is given up: the longest of those without progress, or else the longest.
+// Bodies that are kept, such as those of requests that were sent to a server, are
+// never given up.
+//
+// # Usage
+//
+//	b := budget.New(64 << 20)
+//	h := b.NewHold(address, func() { conn.SetReadDeadline(past) })
+//	defer h.Close()
+//	for h.Add(len(segment)) { /* read the segment */ }
+//	if h.Keep() { /* complete */ }
+package budget
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// smallBytes is the length up to which a body may use the reserve, which is
+	// 1/reserveShare of the budget: long bodies that are kept must not have all short
+	// ones refused.
+	smallBytes   = 64 << 10
+	reserveShare = 16
+	// StallTime is the time without progress after which a body is given up before
+	// others of its account.
+	StallTime = time.Second
+	// calmShare is the part of the budget below which the pressure has ended.
+	calmShare = 2
+)
+
+// Budget bounds the memory of the bodies that share it.
+type Budget struct {
+	mu       sync.Mutex
+	released *sync.Cond // bytes were released, or a hold was given up
+	max      int64
+	used     int64
+	leaving  int64 // bytes of given up holds that aren't closed, part of used
+	accounts map[any]*account
+	open     int // holds that aren't closed
+	pressed  bool
+	pressure func(bool)
+}
+
+// account has the open holds of a caller address or server.
+type account struct {
+	id    any
+	bytes int64 // of holds that aren't given up
+	holds map[*Hold]struct{}
+}
+
+// New returns a Budget of a number of bytes.
+func New(maxBytes int64) *Budget {
+	b := &Budget{max: maxBytes, accounts: make(map[any]*account), pressure: func(bool) {}}
+	b.released = sync.NewCond(&b.mu)
+	return b
+}
+
+// OnPressure has a function called when bodies begin to be given up for want of
+// memory, and when that has ended. It must not block or use the Budget. OnPressure is
+// called before the first hold is opened.
+func (b *Budget) OnPressure(f func(on bool)) { b.pressure = f }
+
+// Used returns the bytes of all holds.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Open returns the number of holds that aren't closed.
+func (b *Budget) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
+// Hold is the memory of one body.
+type Hold struct {
+	budget   *Budget
+	closed   bool
+	account  *account
+	bytes    int64
+	kept     bool
+	givenUp  bool
+	stalled  bool // it was given up without progress for StallTime
+	progress time.Time
+	giveUp   func()
+}
+
+// NewHold returns a hold in an account. giveUp is called when the body is given up
+// and has to end its reading or writing; it must not block or use the Budget.
+func (b *Budget) NewHold(id any, giveUp func()) *Hold {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := &Hold{budget: b, giveUp: giveUp, progress: time.Now()}
+	b.join(h, id)
+	b.open++
+	return h
+}
+
+// join adds a hold to an account. b.mu is held.
+func (b *Budget) join(h *Hold, id any) {
+	a := b.accounts[id]
+	if a == nil {
+		a = &account{id: id, holds: make(map[*Hold]struct{})}
+		b.accounts[id] = a
+	}
+	a.holds[h] = struct{}{}
+	a.bytes += h.bytes
+	h.account = a
+}
+
+// leave removes a hold from its account. b.mu is held.
+func (b *Budget) leave(h *Hold) {
+	if h.account == nil {
+		return
+	}
+	a := h.account
+	h.account = nil
+	delete(a.holds, h)
+	a.bytes -= h.bytes
+	if len(a.holds) == 0 {
+		delete(b.accounts, a.id)
+	}
+}
+
+// Add adds a number of bytes, which may be negative. It waits until bodies that were
+// given up have released theirs. It reports whether the body may go on.
+func (h *Hold) Add(n int64) bool {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.givenUp {
+		return false
+	}
+	h.progress = time.Now()
+	h.bytes += n
+	h.account.bytes += n
+	b.used += n
+	if n < 0 {
+		b.notifyReleased()
+	}
+	limit := b.max
+	if h.bytes <= smallBytes {
+		limit += b.max / reserveShare
+	}
+	for !h.givenUp && b.used > limit {
+		if b.used-b.leaving > limit {
+			if v := b.victim(); v != nil {
+				b.end(v)
+			} else {
+				b.end(h) // it is kept, and so are all others
+			}
+			continue
+		}
+		b.released.Wait()
+	}
+	return !h.givenUp
+}
+
+// Progress records that the body was read or written further without a change of its
+// memory.
+func (h *Hold) Progress() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.progress = time.Now()
+}
+
+// victim returns the hold that is to be given up, or nil if all are kept. b.mu is
+// held.
+func (b *Budget) victim() (v *Hold) {
+	now := time.Now()
+	var most int64
+	for _, a := range b.accounts {
+		if v != nil && a.bytes <= most {
+			continue
+		}
+		if longest := a.victim(now); longest != nil {
+			v, most = longest, a.bytes
+		}
+	}
+	return v
+}
+
+// victim returns the hold of the account that is to be given up first.
+func (a *account) victim(now time.Time) (v *Hold) {
+	for h := range a.holds {
+		if h.kept {
+			continue
+		}
+		h.stalled = now.Sub(h.progress) > StallTime
+		if v == nil || h.stalled && !v.stalled || h.stalled == v.stalled && h.bytes > v.bytes {
+			v = h
+		}
+	}
+	return v
+}
+
+// end gives a hold up for want of memory. b.mu is held.
+func (b *Budget) end(h *Hold) {
+	if !b.pressed {
+		b.pressed = true
+		b.pressure(true)
+	}
+	b.cancel(h)
+}
+
+// cancel gives a hold up. b.mu is held.
+func (b *Budget) cancel(h *Hold) {
+	h.givenUp = true
+	b.leaving += h.bytes
+	b.leave(h)
+	h.giveUp()
+	b.released.Broadcast()
+}
+
+// Cancel gives the body up, unless it is kept or closed.
+func (h *Hold) Cancel() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.account != nil && !h.kept {
+		h.budget.cancel(h)
+	}
+}
+
+// Keep protects a complete body from being given up. It returns false if it was given
+// up before.
+func (h *Hold) Keep() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.kept = true
+	return !h.givenUp
+}
+
+// Move moves a body that was kept to another account, where it may be given up.
+func (h *Hold) Move(id any, giveUp func()) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.account == nil {
+		return
+	}
+	h.budget.leave(h)
+	h.kept, h.giveUp, h.progress = false, giveUp, time.Now()
+	h.budget.join(h, id)
+}
+
+// GivenUp reports whether the body was given up, and whether it had made no progress
+// for StallTime.
+func (h *Hold) GivenUp() (givenUp, stalled bool) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.givenUp, h.givenUp && h.stalled
+}
+
+// Close releases the bytes. It may be called again, and for nil.
+func (h *Hold) Close() {
+	if h == nil {
+		return
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed {
+		return
+	}
+	h.closed = true
+	b.open--
+	b.leave(h)
+	b.used -= h.bytes
+	if h.givenUp {
+		b.leaving -= h.bytes
+	}
+	b.notifyReleased()
+}
+
+// notifyReleased wakes the holds that wait for bytes. b.mu is held.
+func (b *Budget) notifyReleased() {
+	b.released.Broadcast()
+	if b.pressed && b.used < b.max/calmShare {
+		b.pressed = false
+		b.pressure(false)
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -23,7 +23,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 // Request is a caller's request with its complete body.
@@ -33,7 +35,7 @@
 	Path             string
 	Host             string
 	Header           http.Header
-	Body             []byte
+	Body             segment.Body
 	HasContentLength bool // the request had a Content-Length, even if 0, or was chunked
 	RemoteAddr       string
 	// Left reports whether the caller has disconnected. The ctx of the request may
@@ -46,9 +48,10 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
-	Close  bool // close the connection after the response
-	Abort  bool // close the connection without a response
+	Body   segment.Body
+	Hold   *budget.Hold // memory of Body, which is released when it is written; may be nil
+	Close  bool         // close the connection after the response
+	Abort  bool         // close the connection without a response
 }
 
 // Config has the dependencies of a Server. The ctx of Handle is cancelled when
@@ -57,6 +60,11 @@
 	Handle func(ctx context.Context, r *Request) Response
 	Limits func() intent.Limits
 	Log    *zap.Logger
+	// Budget bounds the memory of requests until their response, and of responses
+	// until they are written. nil: a budget of 1 GiB.
+	Budget   *budget.Budget
+	MaxConns int      // most open connections; 0: no limit
+	Metrics  *Metrics // may be nil
 }
 
 // Server serves the requests of callers' connections.
@@ -68,7 +76,12 @@
 }
 
 // New returns a Server without connections.
-func New(cfg Config) *Server { return &Server{cfg: cfg, conns: make(map[*conn]struct{})} }
+func New(cfg Config) *Server {
+	if cfg.Budget == nil {
+		cfg.Budget = budget.New(defaultBudget)
+	}
+	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+}
 
 // Run accepts connections until the listener is closed.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
@@ -82,16 +95,19 @@
 			time.Sleep(10 * time.Millisecond) // file descriptors may be exhausted
 			continue
 		}
-		c := &conn{server: s, netConn: nc, exchanges: make(chan *exchange, maxExchanges)}
+		c := &conn{server: s, netConn: nc, address: addressOf(nc), exchanges: make(chan *exchange, maxExchanges)}
+		c.since.Store(time.Now().UnixNano())
 		if c.socket, err = socketOf(nc); err != nil {
 			s.cfg.Log.Warn("cannot use connection", zap.Error(err))
 			nc.Close()
 			continue
 		}
 		c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
+		if !s.admit(c) {
+			c.cancel()
+			nc.Close()
+			continue
+		}
 		go c.run()
 	}
 }
@@ -105,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.pending.Load() == 0 && !c.reading.Load() {
+		if c.isIdle() {
 			c.netConn.Close()
 		}
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 // echo responds with the target and the body of the request. Requests under
@@ -36,7 +37,7 @@
 			return Response{Abort: true}
 		}
 	}
-	return Response{Status: 200, Header: http.Header{}, Body: []byte(r.Target + string(r.Body))}
+	return Response{Status: 200, Header: http.Header{}, Body: segment.Of([]byte(r.Target + r.Body.String()))}
 }
 
 func start(t *testing.T, e *echo) (s *Server, c net.Conn) {
@@ -184,7 +185,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() { l.Close() })
 	handle := func(context.Context, *Request) Response {
-		return Response{Status: 200, Header: http.Header{}, Body: body}
+		return Response{Status: 200, Header: http.Header{}, Body: segment.Of(body)}
 	}
 	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: 300}
 	s := New(Config{Handle: handle, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()})
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -15,7 +15,9 @@
 	"syscall"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 const (
@@ -35,7 +37,11 @@
 	server    *Server
 	netConn   net.Conn
 	socket    syscall.RawConn // of netConn
+	address   string          // of the caller, without the port
 	reader    *bufio.Reader
+	hold      *budget.Hold      // memory of the request that is being read; of run
+	inHead    bool              // its header is being read; of run
+	since     atomic.Int64      // when the last request began or was answered, Unix ns
 	limited   *io.LimitedReader // source of reader
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -49,21 +55,23 @@
 
 // exchange is a request and its response, which is set when done is closed.
 type exchange struct {
-	req      *Request
-	isHead   bool // the request's method is HEAD
-	close    bool // close the connection after the response
+	req      *Request     // nil when done is closed
+	hold     *budget.Hold // memory of req
+	isHead   bool         // the request's method is HEAD
+	close    bool         // close the connection after the response
 	response Response
 	done     chan struct{}
 }
 
 func (c *conn) run() {
-	c.limited = &io.LimitedReader{R: c.netConn, N: 1}
+	c.limited = &io.LimitedReader{R: source{c}, N: 1}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
 	written := make(chan struct{})
 	go c.loop(written)
 	for c.awaitPending(maxPipelined) {
 		ex, err := c.readExchange()
 		if err != nil {
+			err = c.endRequest(err)
 			c.handleReadError(err)
 			break
 		}
@@ -73,6 +81,7 @@
 		if c.closing.Load() {
 			// The request follows a response that closes the connection. The caller
 			// sends it again on another connection.
+			ex.hold.Close()
 			c.endPending()
 			break
 		}
@@ -98,6 +107,11 @@
 // run handles the request and closes done.
 func (ex *exchange) run(c *conn) {
 	ex.response = c.server.cfg.Handle(c.ctx, ex.req)
+	ex.req = nil // the response may wait for those of earlier requests
+	ex.hold.Close()
+	if h := ex.response.Hold; h != nil {
+		h.Move(c.address, c.endWrite)
+	}
 	close(ex.done)
 }
 
@@ -105,6 +119,7 @@
 // response.
 type protocolError struct {
 	status int
+	header http.Header // of the response
 	err    error
 }
 
@@ -121,7 +136,7 @@
 		}
 		return
 	}
-	ex := &exchange{done: make(chan struct{}), close: true, response: Response{Status: pe.status, Close: true}}
+	ex := &exchange{done: make(chan struct{}), close: true, response: Response{Status: pe.status, Header: pe.header, Close: true}}
 	close(ex.done)
 	c.pending.Add(1)
 	c.exchanges <- ex
@@ -159,24 +174,35 @@
 		return nil, err
 	}
 	c.reading.Store(true)
-	if err = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderWait.Std())); err != nil {
+	c.since.Store(time.Now().UnixNano())
+	if err = c.beginRequest(); err != nil {
+		return nil, err
+	}
+	if err = c.setReadDeadline(time.Now().Add(limits.HeaderWait.Std())); err != nil {
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
 		switch {
 		case c.limited.N <= 0:
-			return nil, &protocolError{http.StatusRequestHeaderFieldsTooLarge, err}
+			return nil, &protocolError{status: http.StatusRequestHeaderFieldsTooLarge, err: err}
 		case isDisconnect(err):
 			return nil, err
 		}
-		return nil, &protocolError{http.StatusBadRequest, err}
+		return nil, &protocolError{status: http.StatusBadRequest, err: err}
 	}
+	c.inHead = false
 	c.limited.N = limits.BodyBytes + int64(limits.HeaderBytes) + readBufferBytes
+	if r.ContentLength < 0 {
+		c.limited.N += chunkOverhead * limits.BodyBytes
+	}
 	body, err := c.readBody(r, limits.BodyBytes)
 	if err != nil {
 		return nil, err
 	}
+	if !c.hold.Keep() {
+		return nil, errGivenUp
+	}
 	req := &Request{
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, Body: body,
 		HasContentLength: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != "",
@@ -186,7 +212,7 @@
 	if raw, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(raw, "/") {
 		req.Path = raw
 	}
-	return &exchange{req: req, isHead: r.Method == http.MethodHead, close: r.Close, done: make(chan struct{})}, nil
+	return &exchange{req: req, hold: c.takeHold(), isHead: r.Method == http.MethodHead, close: r.Close, done: make(chan struct{})}, nil
 }
 
 // isDisconnect reports whether err means that the connection is closed, broken
@@ -215,29 +241,30 @@
 	}
 }
 
-func (c *conn) readBody(r *http.Request, maxBytes int64) (b []byte, err error) {
+func (c *conn) readBody(r *http.Request, maxBytes int64) (b segment.Body, err error) {
 	if r.ContentLength > maxBytes {
-		return nil, &protocolError{http.StatusRequestEntityTooLarge, fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength)}
+		return b, &protocolError{status: http.StatusRequestEntityTooLarge, err: fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength)}
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return b, nil
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, err
+			return b, err
 		}
 	}
-	if err = c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, err
+	if err = c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return b, err
 	}
-	b, err = io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
+	b, err = segment.Read(r.Body, r.ContentLength, maxBytes, c.hold.Add)
+	var ne net.Error
 	switch {
-	case err != nil && isDisconnect(err):
-		return nil, err
-	case err != nil:
-		return nil, &protocolError{http.StatusBadRequest, err}
-	case int64(len(b)) > maxBytes:
-		return nil, &protocolError{http.StatusRequestEntityTooLarge, fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
+	case errors.Is(err, segment.ErrTooLong):
+		return b, &protocolError{status: http.StatusRequestEntityTooLarge, err: fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
+	case errors.As(err, &ne) && ne.Timeout():
+		return b, &protocolError{status: http.StatusRequestTimeout, err: err}
+	case err != nil && !isDisconnect(err):
+		return b, &protocolError{status: http.StatusBadRequest, err: err}
 	}
-	return b, nil
+	return b, err
 }
--- /dev/null
+++ b/internal/caller/memory.go
@@ -0,0 +1,147 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/segment"
+)
+
+const (
+	// defaultBudget is the bytes of requests and responses without Config.Budget.
+	defaultBudget = 1 << 30
+	// headByteCost and headLineCost are the memory that a header is counted with: a
+	// short line takes many times its length as an entry of http.Header, and the
+	// relay makes a copy of the entries.
+	headByteCost = 3
+	headLineCost = 192
+	// chunkOverhead is how many bytes a body in chunks takes at most for each of its
+	// bytes: a chunk of one byte has a line with its length and two line ends.
+	chunkOverhead = 6
+	// retryAfter is when the caller of a request that was given up for want of memory
+	// may send it again, in seconds.
+	retryAfter = 1
+)
+
+// errGivenUp ends the reading of a request that was given up for want of memory.
+var errGivenUp = errors.New("caller: request given up: requests exceed the limit for their memory")
+
+// headCost returns the memory that bytes of a header are counted with.
+func headCost(p []byte) int64 {
+	return headByteCost*int64(len(p)) + headLineCost*int64(bytes.Count(p, []byte{'\n'}))
+}
+
+// source is the source of a connection's reader. It counts the memory of headers as
+// they are received.
+type source struct{ conn *conn }
+
+// Read implements io.Reader.
+func (s source) Read(p []byte) (n int, err error) {
+	c := s.conn
+	n, err = c.netConn.Read(p)
+	switch {
+	case c.hold == nil || n == 0:
+	case !c.inHead:
+		c.hold.Progress()
+	case !c.hold.Add(headCost(p[:n])):
+		return 0, errGivenUp
+	}
+	return n, err
+}
+
+// beginRequest begins to count the memory of a request. Its first bytes are buffered.
+func (c *conn) beginRequest() error {
+	c.hold = c.server.cfg.Budget.NewHold(c.address, c.endRead)
+	c.inHead = true
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil && !c.hold.Add(headCost(buffered)) {
+		err = errGivenUp
+	}
+	return err
+}
+
+// endRead ends the reading of a request.
+func (c *conn) endRead() {
+	c.netConn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed
+}
+
+// endWrite ends the writing of a response.
+func (c *conn) endWrite() { c.netConn.Close() }
+
+// setReadDeadline sets the deadline of a request that is being read. It returns
+// errGivenUp if the request was given up, as the later deadline would undo endRead.
+func (c *conn) setReadDeadline(t time.Time) error {
+	if err := c.netConn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	if givenUp, _ := c.hold.GivenUp(); givenUp {
+		return errGivenUp
+	}
+	return nil
+}
+
+// takeHold returns the hold of the request that was read. It is nil after an error.
+func (c *conn) takeHold() (h *budget.Hold) {
+	h, c.hold = c.hold, nil
+	return h
+}
+
+// endRequest ends the reading of a request that has failed, and releases its memory.
+// It returns the error with the status that the caller gets.
+func (c *conn) endRequest(err error) error {
+	h := c.takeHold()
+	if h == nil {
+		return err
+	}
+	defer h.Close()
+	m := c.server.cfg.Metrics
+	givenUp, stalled := h.GivenUp()
+	var pe *protocolError
+	switch {
+	case givenUp && stalled:
+		m.countGivenUp(reasonStalled)
+		return &protocolError{status: http.StatusRequestTimeout, err: errGivenUp}
+	case givenUp:
+		m.countGivenUp(reasonMemory)
+		return &protocolError{
+			status: http.StatusServiceUnavailable, err: errGivenUp, header: http.Header{"Retry-After": {strconv.Itoa(retryAfter)}},
+		}
+	case !errors.As(err, &pe):
+	case pe.status == http.StatusRequestEntityTooLarge:
+		m.countGivenUp(reasonTooLong)
+	case pe.status == http.StatusRequestTimeout:
+		m.countGivenUp(reasonTimeout)
+	}
+	return err
+}
+
+// writeBody writes a long body without a copy, segment by segment.
+func (c *conn) writeBody(body segment.Body, h *budget.Hold) error {
+	for _, s := range body.Segments() {
+		if _, err := c.netConn.Write(s); err != nil {
+			return err
+		}
+		if h != nil {
+			h.Progress()
+		}
+	}
+	return nil
+}
+
+// release releases the memory of the exchange's response, which is written or
+// dropped.
+func (ex *exchange) release(m *Metrics) {
+	h := ex.response.Hold
+	if h == nil {
+		return
+	}
+	if givenUp, _ := h.GivenUp(); givenUp {
+		m.countGivenUp(reasonResponse)
+	}
+	ex.response.Body, ex.response.Hold = segment.Body{}, nil
+	h.Close()
+}
--- /dev/null
+++ b/internal/caller/metrics.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+)
+
+// Reasons why bodies were given up and connections closed.
+const (
+	reasonMemory   = "memory"   // request; it was the longest of the caller address with most
+	reasonStalled  = "stalled"  // request; as above, and it made no progress
+	reasonTimeout  = "timeout"  // request; it took too long
+	reasonTooLong  = "too-long" // request; it exceeds the limit
+	reasonResponse = "response" // response; the caller read it slowly, and has most
+
+	reasonIdle       = "idle"       // closed without a request
+	reasonIncomplete = "incomplete" // closed with an incomplete request
+	reasonRefused    = "refused"    // closed at once: all others have requests in progress
+)
+
+// Metrics has the metrics of the memory of bodies and of callers' connections.
+type Metrics struct {
+	givenUp *prometheus.CounterVec
+	conns   *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics of a Server and of its budget.
+func NewMetrics(reg prometheus.Registerer, b *budget.Budget) *Metrics {
+	m := &Metrics{
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnummux_bodies_given_up_total", Help: "Callers' requests that were not read to their end and responses that were not written to theirs, by reason.",
+		}, []string{"reason"}),
+		conns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnummux_caller_connections_closed_total", Help: "Callers' connections closed because there were too many, by reason.",
+		}, []string{"reason"}),
+	}
+	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "laburnummux_body_bytes", Help: "Memory of the headers and bodies of callers' requests, and of servers' responses.",
+	}, func() float64 { return float64(b.Used()) })
+	reg.MustRegister(m.givenUp, m.conns, held)
+	return m
+}
+
+func (m *Metrics) countGivenUp(reason string) {
+	if m != nil {
+		m.givenUp.WithLabelValues(reason).Inc()
+	}
+}
+
+func (m *Metrics) countConn(reason string) {
+	if m != nil {
+		m.conns.WithLabelValues(reason).Inc()
+	}
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 const (
@@ -30,11 +32,14 @@
 			// The request follows one whose response has closed the connection.
 			// To the caller it looks as if it hadn't been read.
 			<-ex.done
+			ex.release(c.server.cfg.Metrics)
 			c.endPending()
 			continue
 		}
 		<-ex.done
 		closed = c.writeResponse(ex)
+		ex.release(c.server.cfg.Metrics)
+		c.since.Store(time.Now().UnixNano())
 		c.endPending()
 		if closed {
 			c.finish(ex)
@@ -71,7 +76,7 @@
 		c.closing.Store(true)
 	}
 	var b bytes.Buffer
-	b.Grow(256 + min(len(resp.Body), maxCopiedBytes))
+	b.Grow(256 + int(min(resp.Body.Len(), maxCopiedBytes)))
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
 	noBody := resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
 	for name, values := range resp.Header {
@@ -83,7 +88,7 @@
 		}
 	}
 	if !noBody {
-		n := strconv.Itoa(len(resp.Body))
+		n := strconv.FormatInt(resp.Body.Len(), 10)
 		if ex.isHead && resp.Header.Get("Content-Length") != "" {
 			n = resp.Header.Get("Content-Length")
 		}
@@ -95,11 +100,13 @@
 	b.WriteString("\r\n")
 	body := resp.Body
 	if ex.isHead || noBody {
-		body = nil
+		body = segment.Body{}
 	}
-	if len(body) <= maxCopiedBytes {
-		b.Write(body)
-		body = nil
+	if body.Len() <= maxCopiedBytes {
+		for _, s := range body.Segments() {
+			b.Write(s)
+		}
+		body = segment.Body{}
 	}
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return true
@@ -107,10 +114,8 @@
 	if _, err := c.netConn.Write(b.Bytes()); err != nil {
 		return true
 	}
-	if len(body) > 0 {
-		if _, err := c.netConn.Write(body); err != nil {
-			return true
-		}
+	if c.writeBody(body, resp.Hold) != nil {
+		return true
 	}
 	return closed
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -115,13 +115,17 @@
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
 	s := cfg.Settings
+	bodies := h.newBodyBudget()
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
 		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
-		Metrics:     relay.NewMetrics(cfg.Registry),
+		Metrics:     relay.NewMetrics(cfg.Registry), Budget: bodies,
+	})
+	h.callers = caller.New(caller.Config{
+		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
+		Budget: bodies, MaxConns: s.maxCallerConns(), Metrics: caller.NewMetrics(cfg.Registry, bodies),
 	})
-	h.callers = caller.New(caller.Config{Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log})
 	h.members = newMembers(s)
 	h.role = newAssignerRole(h)
 	return h
--- /dev/null
+++ b/internal/front/memory.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+)
+
+const (
+	// bodyShare is the share of a process's memory for the bodies of callers' requests
+	// and servers' responses. It is below heapShare, as connections, state and garbage
+	// need room, and above the longest body on the smallest machine (64 MiB of 144 MB).
+	bodyShare = 0.5
+	// defaultBodyBytes is used if the memory is unknown.
+	defaultBodyBytes = 1 << 30
+	// connShare is the share of a process's memory for callers' connections, each of
+	// which is counted with connBytes: two goroutines, a buffer and the socket.
+	connShare = 0.125
+	connBytes = 16 << 10
+	// reservedFDs are the descriptors that aren't used for connections. Callers'
+	// connections get one in connFDs of the others, as requests in progress and idle
+	// connections to servers need some, too.
+	reservedFDs = 200
+	connFDs     = 2
+	// minCallerConns is the least bound of callers' connections.
+	minCallerConns = 16
+)
+
+// newBodyBudget returns the budget of the bodies of requests and responses. It logs
+// when they begin to exceed it, and when they are well below it again.
+func (h *Host) newBodyBudget() *budget.Budget {
+	b := budget.New(h.cfg.Settings.bodyBytes())
+	b.OnPressure(func(on bool) {
+		if on {
+			h.log.Warn("bodies exceed the limit for their memory: giving up the longest", zap.Int64("bytes", h.cfg.Settings.bodyBytes()))
+		} else {
+			h.log.Info("bodies are below the limit for their memory again")
+		}
+	})
+	return b
+}
+
+// bodyBytes returns the bytes for the bodies of requests and responses.
+func (s Settings) bodyBytes() int64 {
+	if s.Memory <= 0 {
+		return defaultBodyBytes
+	}
+	return int64(float64(s.Memory) * bodyShare)
+}
+
+// maxCallerConns returns the bound of callers' connections, or 0 if there is none.
+func (s Settings) maxCallerConns() (n int) {
+	if s.Memory > 0 {
+		n = max(int(float64(s.Memory)*connShare)/connBytes, minCallerConns)
+	}
+	if s.MaxFDs > 0 {
+		byFDs := max((s.MaxFDs-reservedFDs)/connFDs, minCallerConns)
+		if n == 0 || byFDs < n {
+			n = byFDs
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/front/memory_test.go
@@ -0,0 +1,31 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against limits that refuse a body that the configuration allows on the
+// smallest machine, that exceed the machine, or that apply if it is unknown.
+func TestLimitsOfMachine(t *testing.T) {
+	tests := []struct {
+		memory    int64
+		fds       int
+		bodyBytes int64
+		conns     int
+	}{
+		{0, 0, defaultBodyBytes, 0},
+		{144e6, 0, 72e6, 1098},
+		{144e6, 3075, 72e6, 1098},
+		{536e6, 3075, 268e6, 1437},
+		{0, 400, defaultBodyBytes, 100},
+		{1e6, 100, 5e5, minCallerConns},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		s := Settings{Memory: tt.memory, MaxFDs: tt.fds}
+		is.Equal(s.bodyBytes(), tt.bodyBytes)
+		is.Equal(s.maxCallerConns(), tt.conns)
+	}
+}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -22,6 +22,7 @@
 	Store      string   // address of the store
 	Cores      float64  // processor, in cores of standard speed
 	Memory     int64    // bytes above which the process is killed; 0: unknown
+	MaxFDs     int      // most descriptors of the process; 0: unknown
 
 	DrainTimeout clock.Span // longest time until a draining server gets no new requests
 	ApplyTimeout clock.Span // longest time until an accepted configuration is in force
--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 const (
@@ -17,8 +19,6 @@
 	// maxSkippedBytes bounds the body of a mismatched response that is skipped to
 	// get to the response that belongs to the request.
 	maxSkippedBytes = 1 << 20
-	// minBodyBuffer is the first size of the buffer for a body.
-	minBodyBuffer = 4 << 10
 )
 
 var (
@@ -28,7 +28,7 @@
 
 // readBody reads the body of a response until ctx ends. Its errors wrap ErrConnLost
 // or ErrMalformed.
-func readBody(ctx context.Context, resp *http.Response, maxBytes int64, h *hold) (b []byte, err error) {
+func readBody(ctx context.Context, resp *http.Response, maxBytes int64, h *hold) (b segment.Body, err error) {
 	defer func() {
 		switch {
 		case err == nil:
@@ -39,48 +39,16 @@
 		}
 	}()
 	if resp.Body == http.NoBody {
-		return nil, nil
-	}
-	if resp.ContentLength > maxBytes {
-		return nil, errBodyTooLong
+		return b, nil
 	}
-	for {
-		if len(b) == cap(b) {
-			length := resp.ContentLength
-			if length < 0 {
-				length = maxBytes
-			}
-			if b, err = growBuffer(b, length, h); err != nil {
-				return nil, err
-			}
-		}
-		n, err := resp.Body.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case int64(len(b)) > maxBytes:
-			return nil, errBodyTooLong
-		case err == io.EOF:
-			return b, nil
-		case err != nil && !h.add(0):
-			return nil, errGivenUp
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// growBuffer returns a buffer with the content of b and more capacity, for a body
-// of at most maxBytes. The buffer grows with the bytes received, as a length may
-// be declared of which nothing is sent.
-func growBuffer(b []byte, maxBytes int64, h *hold) ([]byte, error) {
-	size := min(max(2*int64(cap(b)), minBodyBuffer), maxBytes+1) // one more to read the end of the body
-	if !h.add(size) {
-		return nil, errGivenUp
+	b, err = segment.Read(resp.Body, resp.ContentLength, maxBytes, h.Add)
+	switch {
+	case errors.Is(err, segment.ErrTooLong):
+		return b, errBodyTooLong
+	case errors.Is(err, segment.ErrGivenUp), err != nil && !h.Add(0):
+		return b, errGivenUp
 	}
-	grown := make([]byte, len(b), size)
-	copy(grown, b)
-	h.add(-int64(cap(b)))
-	return grown, nil
+	return b, err
 }
 
 // skipBody reads and drops the body of a mismatched response.
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -137,7 +137,7 @@
 			for range 2 {
 				res := send(p)
 				is.NoErr(res.Err)
-				is.Equal(string(res.Body), tt.body)
+				is.Equal(res.Body.String(), tt.body)
 			}
 			is.Equal(s.connCount.Load(), int32(1))
 		})
@@ -171,7 +171,7 @@
 			res, took := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 			is.True(errors.Is(res.Err, tt.want))
 			is.True(res.Sent)
-			is.Equal(len(res.Body), 0)
+			is.Equal(res.Body.Len(), int64(0))
 			is.True(took < 4*time.Second)
 			if strings.HasPrefix(tt.name, "mismatched") {
 				is.True(s.written.Load() < 16<<20)
@@ -214,7 +214,7 @@
 		for _, want := range []string{"abc", long} {
 			res := send(sp)
 			is.NoErr(res.Err)
-			is.Equal(string(res.Body), want)
+			is.Equal(res.Body.String(), want)
 		}
 	}
 	t.Logf("heap: %d KiB before, %d KiB at its peak", before>>10, peak>>10)
@@ -223,8 +223,8 @@
 	for range connCount {
 		is.True((<-results).Err != nil)
 	}
-	is.Equal(budget.used, int64(0))
-	is.Equal(len(budget.holds), 0)
+	is.Equal(budget.Used(), int64(0))
+	is.Equal(budget.Open(), 0)
 }
 
 // sending is a request that is sent concurrently with others.
@@ -269,20 +269,21 @@
 func TestWaitForMemory(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(100)
-	p := NewPool("a", b)
-	leaving := b.newHold(t.Context(), p, func() {})
-	is.True(leaving.add(80))
+	leaving := newHold(t.Context(), NewPool("a", b), func() {})
+	is.True(leaving.Add(80))
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	ended := make(chan struct{})
-	waiting := b.newHold(ctx, NewPool("b", b), func() { close(ended) })
-	is.True(!waiting.add(60)) // gives up the other one, and waits
-	is.True(leaving.givenUp)
+	waiting := newHold(ctx, NewPool("b", b), func() { close(ended) })
+	is.True(!waiting.Add(60)) // gives up the other one, and waits
+	givenUp, _ := leaving.GivenUp()
+	is.True(givenUp)
 	<-ended
 	waiting.close()
+	is.Equal(b.Used(), int64(80))
 	leaving.close()
-	is.Equal(b.used, int64(0))
-	is.Equal(b.leaving, int64(0))
+	is.Equal(b.Used(), int64(0))
+	is.Equal(b.Open(), 0)
 }
 
 // Guards against an idle connection that receives bytes until it expires: they
@@ -322,7 +323,7 @@
 			s := newRawServer(t, tt.response)
 			res, _ := sendWithin(NewPool(s.listener.Addr().String(), NewBudget(100<<20)))
 			is.NoErr(res.Err)
-			is.Equal(len(res.Body), tt.length)
+			is.Equal(res.Body.Len(), int64(tt.length))
 		})
 	}
 }
--- a/internal/link/fuzz_test.go
+++ b/internal/link/fuzz_test.go
@@ -40,9 +40,9 @@
 		var res Result
 		r := Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "me" }, Confusable: noResponse}
 		p.exchange(t.Context(), newConn(bytesConn{reader: bytes.NewReader(b)}), r, maxBodyBytes, &res)
-		is.Equal(budget.used, int64(0))
+		is.Equal(budget.Used(), int64(0))
 		if res.Err != nil {
-			is.Equal(len(res.Body), 0)
+			is.Equal(res.Body.Len(), int64(0))
 			return
 		}
 		// The response that belongs to the request, as net/http reads it.
@@ -57,7 +57,7 @@
 			}
 			is.Equal(res.Status, want.StatusCode)
 			is.Equal(res.Header, want.Header)
-			is.True(bytes.Equal(res.Body, body))
+			is.True(bytes.Equal(res.Body.Append(nil), body))
 			return
 		}
 	})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -30,6 +30,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
 const (
@@ -89,7 +92,7 @@
 	Target           string // path and query as the caller sent them
 	Host             string
 	Header           http.Header
-	Body             []byte
+	Body             segment.Body
 	HasContentLength bool // send a Content-Length even if the body is empty
 	// ID identifies the request, or the kind of request if responses don't identify
 	// it further.
@@ -103,7 +106,10 @@
 	// Abandoned reports whether nobody waits for the response any more. It is called
 	// right before the request is sent. May be nil: then only ctx decides.
 	Abandoned func() bool
-	NewConn   bool // send it on a new connection only
+	// KeepHold has the memory of a response without an error counted until Result.Hold
+	// is closed, and not only until the response is complete.
+	KeepHold bool
+	NewConn  bool // send it on a new connection only
 	// LastConn is the highest number of a connection that may carry the request;
 	// 0 means any, and a new one is opened if none is idle. The request waits for one
 	// that is in use.
@@ -116,8 +122,9 @@
 	Status  int
 	Proto   string
 	Header  http.Header
-	Body    []byte
-	NewConn bool // a new connection was opened
+	Body    segment.Body
+	Hold    *budget.Hold // see Request.KeepHold
+	NewConn bool         // a new connection was opened
 	// Waited is how long the new connection was left unused, see Pool.dial.
 	Waited time.Duration
 	// LastConn is the number of the last connection that was open when the request
@@ -400,8 +407,8 @@
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
-	if len(r.Body) <= maxInlineBytes {
-		_, err := c.Write(append(head, r.Body...))
+	if r.Body.Len() <= maxInlineBytes {
+		_, err := c.Write(r.Body.Append(head))
 		wrote <- err
 	} else {
 		w := &writer{conn: c, head: head, body: r.Body, done: wrote}
@@ -414,9 +421,20 @@
 	}
 	p.observe(resp.StatusCode, resp.Header)
 	// The body isn't closed: that would read it to its end.
-	h := p.cfg.Budget.newHold(ctx, p, func() { c.Close() })
-	defer h.close()
+	h := newHold(ctx, p, func() { c.Close() })
+	defer func() {
+		if res.Hold == nil {
+			h.close()
+		}
+	}()
 	body, err := readBody(ctx, resp, maxBytes, h)
+	if err == nil && r.KeepHold {
+		if !h.keep() {
+			err = fmt.Errorf("%w: %w", ErrMalformed, errGivenUp)
+		} else {
+			res.Hold = h.Hold
+		}
+	}
 	if err != nil {
 		res.Err = err
 		return false
@@ -491,12 +509,12 @@
 type writer struct {
 	conn *conn
 	head []byte
-	body []byte
+	body segment.Body
 	done chan<- error
 }
 
 func (w *writer) run() {
-	bufs := net.Buffers{w.head, w.body}
+	bufs := append(net.Buffers{w.head}, w.body.Segments()...)
 	_, err := bufs.WriteTo(w.conn.Conn)
 	w.done <- err
 }
@@ -504,10 +522,10 @@
 // encodeHead returns the request line and the header.
 func (r Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + int(min(r.Body.Len(), maxInlineBytes)))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if len(r.Body) > 0 || r.HasContentLength {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if r.Body.Len() > 0 || r.HasContentLength {
+		b.WriteString("Content-Length: " + strconv.FormatInt(r.Body.Len(), 10) + "\r\n")
 	}
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -110,7 +110,7 @@
 			s := newRawServer(t, tt.response)
 			res := send(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 			is.True(errors.Is(res.Err, tt.want))
-			is.Equal(string(res.Body), tt.body)
+			is.Equal(res.Body.String(), tt.body)
 			is.Equal(res.MismatchedResponses, tt.skipped)
 			is.True(res.Sent)
 		})
@@ -165,7 +165,7 @@
 	}
 	res := send(p)
 	is.NoErr(res.Err)
-	is.Equal(string(res.Body), "abc")
+	is.Equal(res.Body.String(), "abc")
 }
 
 // Guards against the wait for a close that counts as a part of the server's time: a
@@ -197,7 +197,7 @@
 				s := newRawServer(t, head[:n])
 				res := send(NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2)))
 				is.True(errors.Is(res.Err, ErrConnLost) || errors.Is(res.Err, ErrMalformed))
-				is.Equal(len(res.Body), 0)
+				is.Equal(res.Body.Len(), int64(0))
 				is.True(res.Sent) // it may have run
 			}
 			s := newRawServer(t, head+tt.body)
@@ -217,7 +217,7 @@
 	res := send(p)
 	is.NoErr(res.Err)
 	is.True(res.NewConn)
-	is.Equal(string(res.Body), "abc")
+	is.Equal(res.Body.String(), "abc")
 	is.Equal(s.connCount.Load(), int32(2))
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -113,7 +113,7 @@
 
 // signature identifies the request if a caller sends it again with another ID.
 func (c *call) signature() retry.Signature {
-	return retry.Signature{Op: c.req.Method + " " + c.req.Host, Key: keys.Hash(xxhash.Sum64String(c.req.Target)), Body: xxhash.Sum64(c.req.Body)}
+	return retry.Signature{Op: c.req.Method + " " + c.req.Host, Key: keys.Hash(xxhash.Sum64String(c.req.Target)), Body: c.req.Body.Sum64()}
 }
 
 // awaitPlacement submits the request for placement and waits for the decision. It
@@ -195,6 +195,7 @@
 		ID: c.meta.ID, Matches: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).ID == c.meta.ID },
 		Confusable: func(status int, h http.Header) bool { return r.cfg.Codec.Reply(status, h).NotRun },
 		Abandoned:  c.req.Left,
+		KeepHold:   true,
 	})
 	end := r.cfg.Clock.Now()
 	took := clock.Span((time.Since(began) - res.Waited).Milliseconds())
@@ -217,7 +218,11 @@
 	}
 	r.mu.Unlock()
 	c.reportResult(sv, result.placement)
-	return c.nextStep(ctx, sv, res, result)
+	resp, final = c.nextStep(ctx, sv, res, result)
+	if resp.Hold == nil {
+		res.Hold.Close() // the response isn't passed on
+	}
+	return resp, final
 }
 
 // endAttempt reports the end of an attempt without a crash to the quarantine.
@@ -292,7 +297,7 @@
 		return resp, false
 	case answered:
 		if !result.placement.Failed || !idempotent || c.pause(result.reply) > 0 || !c.takeRetry() {
-			return c.finish(caller.Response{Status: res.Status, Header: endToEnd(res.Header), Body: res.Body}, reasonAnswered), true
+			return c.finish(caller.Response{Status: res.Status, Header: endToEnd(res.Header), Body: res.Body, Hold: res.Hold}, reasonAnswered), true
 		}
 		c.mayHaveRun = true
 		return resp, false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,8 +53,8 @@
 	// minSendTime is the least time until the deadline with which a request is
 	// still sent.
 	minSendTime = 5 * clock.Millisecond
-	// maxResponseBytes bounds the memory of all responses that are being read. A
-	// process has 284 MB for these, the copies of complete ones, and the rest.
+	// maxResponseBytes bounds the memory of all responses that are being read without
+	// Config.Budget.
 	maxResponseBytes = 100 << 20
 )
 
@@ -68,8 +68,9 @@
 	DrainTimeout  clock.Span
 	Log           *zap.Logger
 	Metrics       *Metrics
-	LoadChanged   func() // called when the number of requests in flight may have changed
-	ServerLeaving func() // called when a server is leaving that wasn't before
+	Budget        *link.Budget // bounds the memory of responses; nil: 100 MiB
+	LoadChanged   func()       // called when the number of requests in flight may have changed
+	ServerLeaving func()       // called when a server is leaving that wasn't before
 }
 
 // Relay forwards the requests that one host receives.
@@ -110,10 +111,13 @@
 
 // New returns a Relay without a configuration.
 func New(cfg Config) *Relay {
+	if cfg.Budget == nil {
+		cfg.Budget = link.NewBudget(maxResponseBytes)
+	}
 	r := &Relay{
 		cfg: cfg, retryBudget: quota.New(cfg.Clock.Now(), cfg.RetryBudget),
 		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
-		pools: make(map[keys.Server]*pool), responses: link.NewBudget(maxResponseBytes), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
+		pools: make(map[keys.Server]*pool), responses: cfg.Budget, requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
