--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -120,13 +120,17 @@
 	s := cfg.Settings
 	h.members = newMembers(s)
 	h.admission = newAdmission(h)
+	bodies := h.newBodyBudget()
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
 		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, WarmupChanged: h.warmupChanged, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
-		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission,
+		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission, Budget: bodies,
+	})
+	h.callers = caller.New(caller.Config{
+		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
+		Budget: bodies, MaxConns: s.maxCallerConns(), Metrics: caller.NewMetrics(cfg.Registry, bodies),
 	})
-	h.callers = caller.New(caller.Config{Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log})
 	h.role = newAssignerRole(h)
 	return h
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,8 +53,8 @@
 	// minSendTime is the least time until the deadline with which a request is
 	// still sent.
 	minSendTime = 5 * clock.Millisecond
-	// maxResponseBytes bounds the memory of all responses that are being read. A
-	// process has 284 MB for these, the copies of complete ones, and the rest.
+	// maxResponseBytes bounds the memory of all responses that are being read without
+	// Config.Budget.
 	maxResponseBytes = 100 << 20
 )
 
@@ -79,6 +79,7 @@
 	// Admitter is asked before a request is sent where placement says so; nil: requests
 	// are sent without admission.
 	Admitter Admitter
+	Budget   *link.Budget // bounds the memory of responses; nil: 100 MiB
 }
 
 // Relay forwards the requests that one host receives.
@@ -123,10 +124,13 @@
 
 // New returns a Relay without a configuration.
 func New(cfg Config) *Relay {
+	if cfg.Budget == nil {
+		cfg.Budget = link.NewBudget(maxResponseBytes)
+	}
 	r := &Relay{
 		cfg: cfg, retryBudget: quota.New(cfg.Clock.Now(), cfg.RetryBudget),
 		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
-		pools: make(map[keys.Server]*pool), responses: link.NewBudget(maxResponseBytes), requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
+		pools: make(map[keys.Server]*pool), responses: cfg.Budget, requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
 		admissionWaits: make(map[*call]admissionWait),
 	}
