proxy: a response with an invalid status isn't passed on

http.ReadResponse accepts a status of 000, 020 or +20, and passes 600 to 999 and 101 on. In serve, 000, 020, +20 and 099 reached WriteHeader, which panics: the caller got no response but a closed connection. 600, 999 and 101 reached the caller. Send now returns ConnLost for a status outside 200 to 599, as for a header that isn't HTTP, so only idempotent requests are sent again. Informational responses before the final one are skipped as before.

front already rejects these in link.readResponse (502, at most one send of a non-idempotent request); the tests in platform and link hold that. With the check taken out, 8 of the 16 rows of platform's test fail: the caller gets 600, 999, 101 or a status line that its client can't read.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -242,6 +242,10 @@
 	if err != nil {
 		return &Result{failure: classify(ctx, err, connected), err: fmt.Errorf("proxy.Send: %w", err)}
 	}
+	if !validStatus(resp.StatusCode) {
+		resp.Body.Close()
+		return &Result{failure: ConnLost, err: fmt.Errorf("proxy.Send: invalid status %d", resp.StatusCode)}
+	}
 	a := resp.Header.Get(answer.HeaderAttempt)
 	if a != "" && a != r.Attempt {
 		// Closing the body before its end closes the connection, too.
