--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -23,7 +23,7 @@
 
 	evacuated          prometheus.Gauge
 	evacuationsIgnored prometheus.Counter
-	admission    *admissionMetrics
+	admission          *admissionMetrics
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
