admit, front: random events, a bound on servers, and a longer pause for stopped admitters

Cause: nothing bounded the number of servers that hosts may ask for. A host that stops was asked again each second until its heartbeat arrived, which takes seconds from a host of another group.

Change: at most 16,384 servers have a queue; a host that says that it stops isn't asked for 5 s. TestRandomEvents checks that reservations are neither lost nor counted twice and that a request gets one final reply.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -42,6 +42,8 @@
 	maxQueue = 48
 	// maxRequests is the most requests that wait or are admitted at all servers.
 	maxRequests = 16384
+	// maxServers is the most servers that hosts have asked for.
+	maxServers = 16384
 	// spareAdmissions is the number of admitted requests beyond the server's slots. The
 	// next request then starts before the result of the last one has arrived here.
 	spareAdmissions = 1
@@ -258,7 +260,7 @@
 }
 
 // serverOf returns the server that a request is for, or nil if it names an earlier
-// process than the current one. A server that isn't listed yet is taken from the
+// process than the current one, or there are too many. A server that isn't listed yet is taken from the
 // request.
 func (s *State) serverOf(r *Request) *server {
 	sv := s.servers[r.Server.ID]
@@ -272,6 +274,9 @@
 	if !ok || l.Born < r.Server.Born {
 		l = Server{ID: r.Server.ID, Born: r.Server.Born, Slots: r.Slots}
 	}
+	if sv == nil && len(s.servers) >= maxServers {
+		return nil
+	}
 	if sv != nil {
 		s.drop(sv) // the hosts place the waiting requests again when they learn of the restart
 	}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -228,3 +228,67 @@
 	_, refused := replies[len(replies)-1].(Refused)
 	is.True(refused)
 }
+
+// Guards against reservations that are lost or counted twice, and against requests that
+// hang: whatever hosts send in whatever order, no server has more than its admissions, a
+// request gets one final reply, and nothing is left once all have ended.
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(1)
+		now, ended := clock.Time(0), make(map[ID]bool)
+		born := int64(7)
+		check := func(replies []Reply) {
+			for _, r := range replies {
+				switch r.(type) {
+				case Refused, Gone:
+					if ended[r.To()] {
+						t.Fatalf("%T for a request that has ended", r)
+					}
+					ended[r.To()] = true
+				}
+			}
+			requests := 0
+			for sv := range s.active {
+				requests += len(sv.queue) + len(sv.admitted)
+				if len(sv.admitted) > sv.slots+spareAdmissions || len(sv.queue) > maxQueue {
+					t.Fatalf("%d admitted, %d queued", len(sv.admitted), len(sv.queue))
+				}
+			}
+			if requests != len(s.requests) {
+				t.Fatalf("%d requests at servers, %d known", requests, len(s.requests))
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(clock.Span(rapid.IntRange(0, 200).Draw(t, "pause")))
+			id := ID{"h", uint64(rapid.IntRange(0, 30).Draw(t, "num"))}
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				if ended[id] {
+					continue // a host uses a number once
+				}
+				check(s.Ask(now, Request{
+					ID: id, Server: fleet.Incarnation{ID: "s1", Born: born + int64(rapid.IntRange(-1, 1).Draw(t, "born"))}, Slots: 2, Priority: int(id.Num % 3),
+					Objective: now.Add(clock.Span(rapid.IntRange(-100, 800).Draw(t, "objective"))), Deadline: now.Add(clock.Span(rapid.IntRange(0, 3000).Draw(t, "deadline"))),
+					RouteMean: clock.Span(rapid.IntRange(0, 300).Draw(t, "mean")),
+				}))
+			case 2:
+				ended[id] = true
+				check(s.Done(now, id, Result{Duration: clock.Span(rapid.IntRange(0, 900).Draw(t, "took")), Load: rapid.IntRange(0, 20).Draw(t, "load"), HasLoad: rapid.Bool().Draw(t, "told")}))
+			case 3:
+				check(s.Tick(now))
+			case 4:
+				born += int64(rapid.IntRange(0, 1).Draw(t, "restart"))
+				check(s.SetServers(now, []Server{{ID: "s1", Born: born, Slots: 2}}))
+			case 5:
+				check(s.SetServers(now, nil))
+			}
+		}
+		now = now.Add(10_000)
+		for range 3 {
+			check(s.Tick(now))
+		}
+		if len(s.requests) > 0 || !s.Idle() {
+			t.Fatalf("%d requests are left", len(s.requests))
+		}
+	})
+}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -25,6 +25,9 @@
 	queuedAskInterval = 100 * time.Millisecond
 	// lostAdmitterPause is how long a host that hasn't replied isn't asked.
 	lostAdmitterPause = clock.Second
+	// stoppedAdmitterPause is the same for a host that says it stops. Its heartbeats tell
+	// all hosts within that time.
+	stoppedAdmitterPause = 5 * clock.Second
 	// startQuiet is how long after its start a host admits nothing to cold servers. Until
 	// it knows the other hosts it takes itself for the admitter of all servers.
 	startQuiet = 1500 * clock.Millisecond
@@ -217,17 +220,17 @@
 		a.sendDone(now, p.ip, mesh.AskDone{Num: p.Num})
 	}
 	if end == askLost {
-		a.lose(now, p.ip)
+		a.lose(now, p.ip, lostAdmitterPause)
 	}
 	a.flush()
 }
 
 // lose has a host not asked for a while. a.mu is held.
-func (a *admission) lose(now clock.Time, ip string) {
+func (a *admission) lose(now clock.Time, ip string, pause clock.Span) {
 	if len(a.lostUntil) >= maxRanked {
 		clear(a.lostUntil)
 	}
-	a.lostUntil[ip] = now.Add(lostAdmitterPause)
+	a.lostUntil[ip] = now.Add(pause)
 }
 
 // finish ends the reservation of an admitted request.
@@ -326,7 +329,7 @@
 // wants any more is given back. a.mu is held.
 func (a *admission) deliver(now clock.Time, ip string, r mesh.AskReply) {
 	if r.Verdict == mesh.VerdictMoved {
-		a.lose(now, ip)
+		a.lose(now, ip, stoppedAdmitterPause)
 	}
 	p := a.asks[r.Num]
 	if p == nil || p.ip != ip {
