relay: an admitted request isn't sent to a server that leaves or has paused meanwhile

Cause: a request may wait for its admission for hundreds of ms. Placement had chosen the server before; one that began to leave or asked for a pause in between got the request after the bound.

Change: the server is checked again once the request is admitted. The field of heartbeats that says that a host admits gets the number 26, as another part uses 25.

Result: TestAdmission/the_server_asks_for_a_pause passes, and fails without the check. Tests of place, relay, front, admit and mesh pass.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -73,7 +73,7 @@
 	Interval clock.Span `cbor:"21,keyasint,omitempty"`
 	Reach    Reach      `cbor:"22,keyasint,omitempty"`
 	NoLoad   bool       `cbor:"23,keyasint,omitempty"` // InFlight and Queued aren't sent to the receiver
-	Admits   bool       `cbor:"25,keyasint,omitempty"` // it acts as an admitter
+	Admits   bool       `cbor:"26,keyasint,omitempty"` // it acts as an admitter
 }
 
 // Reach says which hosts exchange frequent heartbeats with a host, besides those of
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"slices"
+
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -38,3 +40,14 @@
 func (sv *server) unavailable(now clock.Time) bool {
 	return sv.avoided(now) || now < sv.declinedUntil
 }
+
+// Sendable reports whether a request that was started on a server and has waited for its
+// admission since may still be sent there: the server may have begun to leave, asked for
+// a pause or become unreachable meanwhile.
+func (s *State) Sendable(now clock.Time, id keys.Server, keyed bool) bool {
+	sv := s.servers[id]
+	if sv == nil || sv.gone(now) || sv.avoided(now) {
+		return false
+	}
+	return keyed || slices.Contains(s.candidates(now, sv.Service), sv)
+}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -82,10 +82,12 @@
 	adm := r.cfg.Admitter.Admit(waitCtx, ask)
 	r.mu.Lock()
 	delete(r.admissionWaits, c)
+	now := r.cfg.Clock.Now()
+	sendable := r.placement.Sendable(now, sv.ID, ask.Keyed)
 	r.mu.Unlock()
-	c.queueTime += r.cfg.Clock.Now().Sub(began)
+	c.queueTime += now.Sub(began)
 	c.admissionDone = adm.Done
-	if adm.Verdict == AdmitSend {
+	if adm.Verdict == AdmitSend && sendable {
 		return resp, true, false
 	}
 	if adm.Verdict == AdmitRefused && !ask.Keyed {
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -81,6 +81,12 @@
 			}
 			return Admission{Verdict: AdmitSend}
 		}, want{200, 1, []keys.Server{"a", "a"}, 0}},
+		{"the server asks for a pause", 2, 0, true, false, func(_ context.Context, r *Relay, n int) Admission {
+			if n == 1 {
+				r.applyNotices(r.pools["a"].server.Incarnation(), Reply{Pause: 100})
+			}
+			return Admission{Verdict: AdmitSend}
+		}, want{200, 1, []keys.Server{"a", "a"}, 0}},
 		{"gone, as the admitter knows", 2, 0, true, false, func(_ context.Context, _ *Relay, n int) Admission {
 			return Admission{Verdict: []AdmitVerdict{AdmitGone, AdmitSend}[n-1]}
 		}, want{200, 1, []keys.Server{"a", "a"}, 0}},
@@ -117,6 +123,7 @@
 			r.SetServers([]fleet.Server{{ID: "a", Service: "ledger", DC: "north", Addr: addr, Slots: 4, Warmup: tt.cold}, {ID: "b", Service: "ledger", DC: "north", Addr: addr, Slots: 4}})
 			r.SetShare(place.Share{Count: tt.shares, Hosts: 2})
 			r.SetTable(admissionTable("a"))
+			go func() { _ = r.Run(t.Context()) }() // ends pauses
 			resp := r.Handle(t.Context(), &caller.Request{Method: "GET", Target: "/x", Path: "/x", Host: "h", Header: http.Header{}, Left: func() bool { return tt.left }})
 			is.Equal(resp.Status, tt.want.status)
 			is.Equal(resp.Header.Get("Retry-After") != "", tt.want.status == 503)
