--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -26,3 +26,6 @@
 
 // warmupChanged has the assigner take account of a server that is cold, or no longer is.
 func (h *Host) warmupChanged() { h.role.notifyServersChanged() }
+
+// ColdServers returns the number of servers that are cold.
+func (h *Host) ColdServers() int { return h.relay.ColdServers() }
--- a/internal/place/ramp.go
+++ b/internal/place/ramp.go
@@ -19,7 +19,7 @@
 	allowanceAge = 250 * clock.Millisecond
 	// hostsRetention is how long the number of hosts counts after it fell: hosts that
 	// can't reach each other still send to the same servers.
-	hostsRetention = 60 * clock.Second
+	hostsRetention = 10 * clock.Minute
 	// hostsSettle is how long a host sends nothing to cold servers after it learned of
 	// many more hosts than before. After their start all take themselves for the only one.
 	hostsSettle = clock.Second
@@ -164,7 +164,8 @@
 	w := sv.ramp.window
 	switch {
 	case res.ConnFailed && w == nil:
-		sv.ramp.window = ramp.NewWindow(now, windowLimit(sv.Server)/2, windowLimit(sv.Server))
+		sv.ramp.window = ramp.NewWindow(now, windowLimit(sv.Server), windowLimit(sv.Server))
+		sv.ramp.window.Halve(now)
 	case w == nil:
 	case res.ConnFailed, res.Shed, res.TimedOut && res.Duration > lateResponse*s.usualTime(sv):
 		w.Halve(now)
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -16,6 +16,14 @@
 	return r.placement.ColdLeft(r.cfg.Clock.Now(), id)
 }
 
+// ColdServers returns the number of cold servers.
+func (r *Relay) ColdServers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cold, _, _ := r.placement.ColdCounts(r.cfg.Clock.Now())
+	return cold
+}
+
 // WarmupStated applies what a health response says about the warm-up of the process
 // that sent it: how long it lasts if ok is set, or that the statement is invalid.
 func (r *Relay) WarmupStated(in fleet.Incarnation, left clock.Span, ok, invalid bool) {
