place, front: a single failed connection starts no slow start

Cause: a full server closes new connections, and each such failure would have cut the server's window in half at this host, in addition to the back-off, at the time when capacity is short. The dump showed the warm-up as registered.

Change: the window starts with the second failure in a row. GET /dump shows what is left of each warm-up, as the host knows it.

--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// dumpedServers returns the servers for operators: with the remaining warm-up of each as
+// this host knows it.
+func (h *Host) dumpedServers() []fleet.Server {
+	list := h.serverList()
+	for i, sv := range list {
+		list[i].Warmup = h.relay.ColdLeft(sv.ID)
+	}
+	return list
+}
+
 // warmupChanged has the assigner take account of a server that is cold, or no longer is.
 func (h *Host) warmupChanged() { h.role.notifyServersChanged() }
 
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -137,7 +137,7 @@
 }
 
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
-	d := dumpJSON{Host: string(h.cfg.Settings.Host), Run: h.incarnation, Ready: h.isReady(), Term: h.role.term(), Servers: h.serverList(), Config: h.ConfigVersion()}
+	d := dumpJSON{Host: string(h.cfg.Settings.Host), Run: h.incarnation, Ready: h.isReady(), Term: h.role.term(), Servers: h.dumpedServers(), Config: h.ConfigVersion()}
 	d.Busy, d.Waiting = h.relay.LocalLoad()
 	h.members.mu.Lock()
 	d.Tables = h.members.tables
--- a/internal/place/ramp.go
+++ b/internal/place/ramp.go
@@ -163,7 +163,7 @@
 	}
 	w := sv.ramp.window
 	switch {
-	case res.ConnFailed && w == nil:
+	case res.ConnFailed && w == nil && sv.connFailures > 0:
 		sv.ramp.window = ramp.NewWindow(now, windowLimit(sv.Server), windowLimit(sv.Server))
 		sv.ramp.window.Halve(now)
 	case w == nil:
