owner: ranges for empty servers beside a hot key; smaller batches

Evacuations also released up to a quarter of all ranges in one tick, each without an owner while its call waits for processor time.

Change: an empty server then gets half of the widest range of any server; a quarter of the ranges that may move begin in a tick.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -243,6 +243,10 @@
 		if rs == nil && empty {
 			rs, part = a.splitHalf(s, hot)
 		}
+		if rs == nil && empty {
+			hot = a.widestOwner(s, hot)
+			rs, part = a.splitHalf(s, hot)
+		}
 		if rs == nil {
 			return moving
 		}
@@ -388,6 +392,19 @@
 	return a.split(s, best, mid, best.To), baseLoad * float64(best.To-mid) / float64(MaxKey)
 }
 
+// widestOwner returns the server with the widest range that can be divided. A server
+// without ranges gets a part of it if the most loaded server has none to give, such as
+// one with a single hot key. It returns id if there is no such server.
+func (a *Assigner) widestOwner(s keys.Service, id keys.Server) keys.Server {
+	widest := 1.0
+	for _, rs := range a.tables[s] {
+		if rs.Server != "" && a.movable(rs) && rs.width() > widest {
+			id, widest = rs.Server, rs.width()
+		}
+	}
+	return id
+}
+
 // subrange returns the narrowest sequence of loaded keys of a range with about
 // the wanted load: 0.6 to 1.5 times as much. sum is 0 if there is none.
 func (l *loadEstimate) subrange(rs *rangeState, want float64) (from, to Key, sum float64) {
--- a/internal/owner/evac.go
+++ b/internal/owner/evac.go
@@ -15,9 +15,10 @@
 	// owner.
 	evacuationShare    = 0.25
 	minEvacuationMoves = 24
-	// evacuationBatches is how many times fewer ranges begin to move together than may
-	// move at a time. The next owners are chosen by the load of all keys, which takes a
-	// walk over them.
+	// evacuationBatches is how many times fewer ranges begin to move in a tick than may
+	// move at a time: a range has no owner while its release waits for processor time. A
+	// tick has a whole batch or none, since the next owners are chosen by the load of all
+	// keys, which takes a walk over them.
 	evacuationBatches = 4
 	// slowMove is how long a range counts as moving. A server that doesn't respond,
 	// or has long work in progress, must not hold up the other ranges.
@@ -87,7 +88,7 @@
 		e.total = 0
 	}
 	limit := max(minEvacuationMoves, int(evacuationShare*float64(e.total)))
-	room := min(limit-e.moving, count)
+	room := min(limit-e.moving, count, limit/evacuationBatches)
 	if room <= 0 || room < min(limit/evacuationBatches, count) || a.storeOutage || a.writeInFlight && now.Sub(e.wroteAt) > slowWrite {
 		return
 	}
--- a/internal/owner/evac_test.go
+++ b/internal/owner/evac_test.go
@@ -315,3 +315,29 @@
 	y.runFor(clock.Second)
 	y.Equal(y.perServer[""], 0)
 }
+
+// Guards against servers that get no ranges after their evacuation because one key has
+// most of the load: the ranges of that key's server can't be divided.
+func TestRangesReturnBesideHotKey(t *testing.T) {
+	list := sites(30)
+	x := newEvacuationRun(t, divided(list, 1), list)
+	runLoaded := func(d clock.Span) {
+		for end := x.now.Add(d); x.now < end; {
+			x.assigner.AddLoads(x.now, svc, []KeyLoad{{Key: 9973, Time: 30}})
+			x.step()
+		}
+	}
+	runLoaded(3 * clock.Second)
+	x.assigner.SetEvacuated([]keys.DataCentre{"south"})
+	runLoaded(8 * clock.Second)
+	x.Equal(x.owned("south"), 0)
+	x.assigner.SetEvacuated(nil)
+	runLoaded(15 * clock.Second)
+	with := 0
+	for id := range x.perServer {
+		if id != "" && x.assigner.servers[id].DC == "south" {
+			with++
+		}
+	}
+	x.Equal(with, 10)
+}
