front, place, ramp: strong hosts admit first, and slow start ends without responses

Change: hosts with half of the largest processor of their data centre are ranked first as admitters; an asking host whose own timer fires late doesn't count that as a lost reply; slow start ends a warm-up time after the last failure.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -20,6 +20,9 @@
 	// askAttempts how often it is sent before its admitter counts as lost.
 	askRetransmit = 15 * time.Millisecond
 	askAttempts   = 3
+	// lateTimer is how late a timer has to fire for the host itself to have had no
+	// processor time. It then can't tell whether the admitter has replied.
+	lateTimer = 10 * time.Millisecond
 	// queuedAskInterval is the period in which a queued request is asked for again, so
 	// that the loss of its admitter is noticed.
 	queuedAskInterval = 100 * time.Millisecond
@@ -187,6 +190,7 @@
 func (a *admission) await(ctx context.Context, p *pendingAsk) (reply mesh.AskReply, end askEnd, queued bool) {
 	timer := time.NewTimer(askRetransmit)
 	defer timer.Stop()
+	due := time.Now().Add(askRetransmit)
 	for unanswered := 1; ; {
 		select {
 		case reply = <-p.replies:
@@ -195,17 +199,23 @@
 			}
 			queued, unanswered = true, 0
 			timer.Reset(queuedAskInterval)
+			due = time.Now().Add(queuedAskInterval)
 		case <-ctx.Done():
 			return reply, askEnded, queued
 		case <-timer.C:
-			if unanswered >= askAttempts {
+			switch late := time.Since(due) > lateTimer; {
+			case late && len(p.replies) > 0:
+				continue // a reply has arrived meanwhile
+			case !late && unanswered >= askAttempts:
 				return reply, askLost, queued
+			case !late:
+				unanswered++
 			}
-			unanswered++
 			a.mu.Lock()
 			a.sendAsk(a.host.clock.Now(), p)
 			a.flush()
 			timer.Reset(askRetransmit)
+			due = time.Now().Add(askRetransmit)
 		}
 	}
 }
@@ -422,7 +432,7 @@
 	defer a.mu.Unlock()
 	if ok {
 		if !a.stopped {
-			list = append(list, newCandidate(a.host.cfg.Settings.Host, a.self, a.host.cfg.Settings.DC))
+			list = append(list, newCandidate(a.host.cfg.Settings.Host, a.self, a.host.cfg.Settings.DC, a.host.cfg.Settings.Cores))
 		}
 		a.admitters.set(list)
 	}
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -138,7 +139,7 @@
 	is := is.New(t)
 	var all []candidate
 	for i := range 30 {
-		all = append(all, newCandidate(keys.Host(fmt.Sprintf("h%02d", i)), fmt.Sprintf("10.0.0.%d", i), []keys.DataCentre{"north", "south"}[i%2]))
+		all = append(all, newCandidate(keys.Host(fmt.Sprintf("h%02d", i)), fmt.Sprintf("10.0.0.%d", i), []keys.DataCentre{"north", "south"}[i%2], 1))
 	}
 	var a, b admitters
 	a.set(append([]candidate(nil), all...))
@@ -161,6 +162,28 @@
 	}
 }
 
+// Guards against admitters with a small part of the processor of others: on a quota they
+// reply too late. They are asked only if no other host is left.
+func TestStrongHostsAdmitFirst(t *testing.T) {
+	is := is.New(t)
+	var all []candidate
+	for i := range 12 {
+		cores := 0.16
+		if i%6 == 0 {
+			cores = 0.8
+		}
+		all = append(all, newCandidate(keys.Host(fmt.Sprintf("h%02d", i)), fmt.Sprintf("10.0.0.%d", i), "north", cores))
+	}
+	var a admitters
+	a.set(all)
+	for i := range 100 {
+		ips := a.of(fleet.Server{ID: keys.Server(fmt.Sprintf("s%d", i)), DC: "north"})
+		strong := []string{"10.0.0.0", "10.0.0.6"}
+		is.True(slices.Contains(strong, ips[0]) && slices.Contains(strong, ips[1]))
+		is.True(!slices.Contains(strong, ips[2]))
+	}
+}
+
 // Guards against requests that wait for an admitter that is lost, and against each of
 // them taking the time-out anew.
 func TestAdmitterLost(t *testing.T) {
--- a/internal/front/admitter.go
+++ b/internal/front/admitter.go
@@ -22,6 +22,10 @@
 	// host, if no heartbeat has told of a change: a host is missed after a time that grows
 	// with the number of hosts as well.
 	candidatesPeriodPerHost = 3 * clock.Millisecond
+	// strongCores is the least processor of the hosts that are ranked first, as a share
+	// of the largest in the data centre. A host whose processor quota is used up replies
+	// too late.
+	strongCores = 0.5
 )
 
 // candidate is a host that may be an admitter.
@@ -30,9 +34,13 @@
 	ip   string
 	dc   keys.DataCentre
 	hash uint64 // of its name
+	// cores is its processor; strong says that it is ranked before hosts with less.
+	cores  float64
+	strong bool
 }
 
-// admitters ranks the hosts as admitters of servers by rendezvous hash. All hosts with
+// admitters ranks the hosts as admitters of servers: those with much processor first,
+// by rendezvous hash among each other. All hosts with
 // the same list of hosts come to the same ranking, so that no message assigns it, and a
 // host that joins or leaves changes the admitter of few servers.
 type admitters struct {
@@ -44,6 +52,7 @@
 // set replaces the list of hosts.
 func (a *admitters) set(list []candidate) {
 	slices.SortFunc(list, func(x, y candidate) int { return cmp.Compare(x.name, y.name) })
+	markStrong(list)
 	if slices.Equal(list, a.all) && a.ranked != nil {
 		return
 	}
@@ -53,6 +62,17 @@
 	}
 }
 
+// markStrong marks the hosts that are ranked first in their data centre.
+func markStrong(list []candidate) {
+	most := make(map[keys.DataCentre]float64)
+	for _, c := range list {
+		most[c.dc] = max(most[c.dc], c.cores)
+	}
+	for i := range list {
+		list[i].strong = list[i].cores >= strongCores*most[list[i].dc]
+	}
+}
+
 // of returns the addresses of the first admitters of a server: hosts of its data centre,
 // or of all if it has none.
 func (a *admitters) of(sv fleet.Server) []string {
@@ -74,7 +94,8 @@
 	return ips
 }
 
-// rank returns the addresses of the hosts with the highest rendezvous hashes.
+// rank returns the addresses of the hosts with the highest rendezvous hashes, strong
+// ones first.
 func rank(id keys.Server, hosts []candidate) (ips []string) {
 	type ranked struct {
 		hash uint64
@@ -85,7 +106,10 @@
 	binary.LittleEndian.PutUint64(b[:8], xxhash.Sum64String(string(id)))
 	for _, c := range hosts {
 		binary.LittleEndian.PutUint64(b[8:], c.hash)
-		x := ranked{hash: xxhash.Sum64(b[:]), ip: c.ip}
+		x := ranked{hash: xxhash.Sum64(b[:]) >> 1, ip: c.ip}
+		if c.strong {
+			x.hash |= 1 << 63
+		}
 		for i := range best {
 			if best[i].ip == "" || x.hash > best[i].hash {
 				x, best[i] = best[i], x
@@ -104,8 +128,8 @@
 }
 
 // newCandidate returns a host as a candidate.
-func newCandidate(name keys.Host, ip string, dc keys.DataCentre) candidate {
-	return candidate{name: name, ip: ip, dc: dc, hash: xxhash.Sum64String(string(name))}
+func newCandidate(name keys.Host, ip string, dc keys.DataCentre, cores float64) candidate {
+	return candidate{name: name, ip: ip, dc: dc, hash: xxhash.Sum64String(string(name)), cores: cores}
 }
 
 // candidates returns the active hosts that act as admitters, without this one. ok is
@@ -119,7 +143,7 @@
 	ms.candidatesChanged, ms.candidatesAt = false, now
 	for _, m := range ms.all {
 		if m.admits && !m.leaving && m.active(now) {
-			list = append(list, newCandidate(m.name, m.ip, m.dc))
+			list = append(list, newCandidate(m.name, m.ip, m.dc, m.cores))
 		}
 	}
 	return list, true
--- a/internal/place/ramp.go
+++ b/internal/place/ramp.go
@@ -113,17 +113,24 @@
 	return rate * min(max(s.ramp.over, 0), 1), rate > 0
 }
 
-// ramps reports whether a server is in slow start, after it ended it if it is over.
+// ramps reports whether a server is in slow start, after it ended it if it is over:
+// when the window is open, and at the latest a warm-up time after the last failure. Where
+// many hosts use a server, each gets few responses to judge it by.
 func (s *State) ramps(now clock.Time, sv *server) bool {
 	w := sv.ramp.window
 	if w == nil && now < sv.warmupUntil && s.ramp.ramps[sv.Service].Warmup > 0 {
 		w = ramp.NewWindow(now, 1, windowLimit(sv.Server))
 		sv.ramp.window = w
 	}
-	if w != nil && w.Advance(now, sv.peerInFlight, s.usualTime(sv)) && now >= sv.warmupUntil {
-		sv.ramp.window, w = nil, nil
+	if w == nil {
+		return false
+	}
+	open := w.Advance(now, sv.peerInFlight, s.usualTime(sv)) || now.Sub(w.RestartedAt()) >= s.ramp.ramps[sv.Service].Warmup
+	if open && now >= sv.warmupUntil {
+		sv.ramp.window = nil
+		return false
 	}
-	return w != nil
+	return true
 }
 
 // admits reports whether a server may get another request as far as slow start and the
--- a/internal/place/ramp_test.go
+++ b/internal/place/ramp_test.go
@@ -266,3 +266,30 @@
 		})
 	}
 }
+
+// Guards against a server that stays in slow start for as long as this host gets no
+// responses of it: where many hosts use a server, each sends it few requests.
+func TestSlowStartEnds(t *testing.T) {
+	is := is.New(t)
+	const warmup = 3 * clock.Second
+	s := New("north", oneIdleConn)
+	s.SetRamps(map[keys.Service]Ramp{svc: {Warmup: warmup}})
+	s.SetServers(0, servers(1))
+	s.SetServers(100, servers(2)) // s1 is new
+	id := uint64(0)
+	startedAt := func(now clock.Time) (n int) {
+		for range 10 {
+			id++
+			for _, act := range s.Submit(now, newRequest(id, now)) {
+				if st, ok := act.(Start); ok && st.Server.ID == "s1" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	is.True(startedAt(200) < 2+serverQueueLen)
+	s.SetServers(300, servers(1))
+	s.SetServers(400, servers(2)) // back in the list, with nothing in flight
+	is.Equal(startedAt(400+clock.Time(warmup)), 2+serverQueueLen)
+}
--- a/internal/ramp/window.go
+++ b/internal/ramp/window.go
@@ -52,6 +52,7 @@
 	bad       bool    // the window was halved in this round
 	slow      bool    // a response was slow in this round
 	roundFrom clock.Time
+	restartAt clock.Time // when it was made or last halved
 	startedAt clock.Time // of the last request
 	started   bool
 }
@@ -59,12 +60,15 @@
 // NewWindow returns a window of a size that grows to limit.
 func NewWindow(now clock.Time, size, limit float64) *Window {
 	limit = max(limit, 1)
-	return &Window{size: min(max(size, minSize), limit), max: limit, edge: limit, pace: 1, roundFrom: now}
+	return &Window{size: min(max(size, minSize), limit), max: limit, edge: limit, pace: 1, roundFrom: now, restartAt: now}
 }
 
 // Size returns the number of requests that may be in flight.
 func (w *Window) Size() float64 { return w.size }
 
+// RestartedAt returns when the window was made, or last halved.
+func (w *Window) RestartedAt() clock.Time { return w.restartAt }
+
 // Allows reports whether another request may be sent, while inFlight are in flight. usual
 // is the usual service time, and hosts how many hosts send requests to the server, each
 // with a window of its own. The spacing is that of all of them together.
@@ -104,7 +108,7 @@
 	}
 	w.size = max(w.size/2, minSize)
 	w.edge = w.size
-	w.pace, w.bad, w.good, w.roundFrom = 1, true, 0, now
+	w.pace, w.bad, w.good, w.roundFrom, w.restartAt = 1, true, 0, now, now
 }
 
 // Advance ends a round that is over, and reports whether the window has reached its
