front: a request whose admitter is lost is admitted by the next host

Cause: after 45 ms without a reply a request was sent without admission, and the lost host was asked again after a second. Change: the next host is asked at once; the pause doubles up to 8 s until a message of the lost host arrives.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -26,8 +26,11 @@
 	// queuedAskInterval is the period in which a queued request is asked for again, so
 	// that the loss of its admitter is noticed.
 	queuedAskInterval = 100 * time.Millisecond
-	// lostAdmitterPause is how long a host that hasn't replied isn't asked.
-	lostAdmitterPause = clock.Second
+	// lostAdmitterPause is how long a host that hasn't replied isn't asked. It doubles up
+	// to maxLostAdmitterPause until a message of that host arrives: where hosts send few
+	// requests each, most would otherwise wait for its reply.
+	lostAdmitterPause    = clock.Second
+	maxLostAdmitterPause = 8 * clock.Second
 	// stoppedAdmitterPause is the same for a host that says it stops. Its heartbeats tell
 	// all hosts within that time.
 	stoppedAdmitterPause = 5 * clock.Second
@@ -63,6 +66,13 @@
 	replies   chan mesh.AskReply // latest replies
 }
 
+// lostAdmitter is a host that isn't asked until a time, as it hasn't replied or stops.
+type lostAdmitter struct {
+	until   clock.Time
+	pause   clock.Span
+	stopped bool
+}
+
 // admission asks the admitters of servers for the admission of this host's requests, and
 // is the admitter of some servers for all hosts.
 type admission struct {
@@ -77,7 +87,7 @@
 	admitters admitters
 	asks      map[uint64]*pendingAsk
 	lastNum   uint64
-	lostUntil map[string]clock.Time // of hosts that haven't replied
+	lost      map[string]lostAdmitter // hosts that haven't replied
 	stopped   bool
 	outbox    map[string]*mesh.Message // to be sent, by address
 	sending   bool                     // a goroutine sends the outbox
@@ -87,7 +97,7 @@
 	a := &admission{
 		host: h, self: h.cfg.Settings.IP, wake: make(chan struct{}, 1), state: admit.New(rand.Uint64()), asks: make(map[uint64]*pendingAsk),
 		// Asks of an earlier process of this host have other numbers.
-		lastNum: uint64(rand.Uint32()) << 16, lostUntil: make(map[string]clock.Time), outbox: make(map[string]*mesh.Message),
+		lastNum: uint64(rand.Uint32()) << 16, lost: make(map[string]lostAdmitter), outbox: make(map[string]*mesh.Message),
 		transmit: func(ip string, m mesh.Message) { h.send([]string{ip}, m) },
 	}
 	a.state.SetColdBound(h.cfg.Settings.ColdOver, h.cfg.Settings.ColdSlack)
@@ -110,7 +120,7 @@
 		if p == nil {
 			break
 		}
-		reply, end, queued := a.await(ctx, p)
+		reply, end := a.await(ctx, p)
 		if end == askReplied && reply.Verdict == mesh.VerdictAdmitted {
 			return relay.Admission{Verdict: relay.AdmitSend, Done: func(res place.Result) { a.finish(p, res) }}, "admitted"
 		}
@@ -121,10 +131,8 @@
 		switch {
 		case end == askEnded:
 			return relay.Admission{Verdict: relay.AdmitEnded}, "ended"
-		case end == askLost && (queued || ask.Cold > 0), end == askReplied && reply.Verdict == mesh.VerdictMoved:
+		case end == askLost, reply.Verdict == mesh.VerdictMoved:
 			continue // the next host is asked
-		case end == askLost:
-			return relay.Admission{Verdict: relay.AdmitSend}, "no-reply"
 		case reply.Verdict == mesh.VerdictGone:
 			return relay.Admission{Verdict: relay.AdmitGone}, "gone"
 		default:
@@ -161,7 +169,7 @@
 // admitterOf returns the address of the host to ask about a server, or "". a.mu is held.
 func (a *admission) admitterOf(now clock.Time, sv fleet.Server) string {
 	for _, ip := range a.admitters.of(sv) {
-		if now >= a.lostUntil[ip] {
+		if now >= a.lost[ip].until {
 			return ip
 		}
 	}
@@ -185,9 +193,8 @@
 	return r
 }
 
-// await waits for the final reply to an ask. queued reports whether the admitter has
-// queued it before.
-func (a *admission) await(ctx context.Context, p *pendingAsk) (reply mesh.AskReply, end askEnd, queued bool) {
+// await waits for the final reply to an ask.
+func (a *admission) await(ctx context.Context, p *pendingAsk) (reply mesh.AskReply, end askEnd) {
 	timer := time.NewTimer(askRetransmit)
 	defer timer.Stop()
 	due := time.Now().Add(askRetransmit)
@@ -195,19 +202,19 @@
 		select {
 		case reply = <-p.replies:
 			if reply.Verdict != mesh.VerdictQueued {
-				return reply, askReplied, queued
+				return reply, askReplied
 			}
-			queued, unanswered = true, 0
+			unanswered = 0
 			timer.Reset(queuedAskInterval)
 			due = time.Now().Add(queuedAskInterval)
 		case <-ctx.Done():
-			return reply, askEnded, queued
+			return reply, askEnded
 		case <-timer.C:
 			switch late := time.Since(due) > lateTimer; {
 			case late && len(p.replies) > 0:
 				continue // a reply has arrived meanwhile
 			case !late && unanswered >= askAttempts:
-				return reply, askLost, queued
+				return reply, askLost
 			case !late:
 				unanswered++
 			}
@@ -230,17 +237,39 @@
 		a.sendDone(now, p.ip, mesh.AskDone{Num: p.Num})
 	}
 	if end == askLost {
-		a.lose(now, p.ip, lostAdmitterPause)
+		a.lose(now, p.ip, false)
 	}
 	a.flush()
 }
 
 // lose has a host not asked for a while. a.mu is held.
-func (a *admission) lose(now clock.Time, ip string, pause clock.Span) {
-	if len(a.lostUntil) >= maxRanked {
-		clear(a.lostUntil)
+func (a *admission) lose(now clock.Time, ip string, stopped bool) {
+	if len(a.lost) >= maxRanked {
+		clear(a.lost)
+	}
+	l := a.lost[ip]
+	if now < l.until {
+		return // several requests have waited for it
+	}
+	switch {
+	case stopped:
+		l.pause = stoppedAdmitterPause
+	case l.pause == 0:
+		l.pause = lostAdmitterPause
+	default:
+		l.pause = min(2*l.pause, maxLostAdmitterPause)
+	}
+	l.until, l.stopped = now.Add(l.pause), stopped
+	a.lost[ip] = l
+}
+
+// heard has a host asked again that was lost, as a message of it has arrived.
+func (a *admission) heard(ip string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l, ok := a.lost[ip]; ok && !l.stopped {
+		delete(a.lost, ip)
 	}
-	a.lostUntil[ip] = now.Add(pause)
 }
 
 // finish ends the reservation of an admitted request.
@@ -267,6 +296,7 @@
 
 // handle handles the parts of a message that are about admission.
 func (a *admission) handle(ip string, m mesh.Message) {
+	a.heard(ip)
 	if len(m.Asks)+len(m.AskReplies)+len(m.AskDones) == 0 {
 		return
 	}
@@ -339,7 +369,7 @@
 // wants any more is given back. a.mu is held.
 func (a *admission) deliver(now clock.Time, ip string, r mesh.AskReply) {
 	if r.Verdict == mesh.VerdictMoved {
-		a.lose(now, ip, stoppedAdmitterPause)
+		a.lose(now, ip, true)
 	}
 	p := a.asks[r.Num]
 	if p == nil || p.ip != ip {
@@ -436,9 +466,9 @@
 		}
 		a.admitters.set(list)
 	}
-	for ip, until := range a.lostUntil {
-		if now >= until {
-			delete(a.lostUntil, ip)
+	for ip, l := range a.lost {
+		if now.Sub(l.until) > maxLostAdmitterPause {
+			delete(a.lost, ip)
 		}
 	}
 }
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -192,7 +192,8 @@
 	a := n.asker()
 	adm, took := n.admit(t.Context(), a, 0)
 	n.is.Equal(adm.Verdict, relay.AdmitSend)
-	n.is.True(adm.Done == nil) // without admission
+	n.is.True(adm.Done != nil) // by the next host
+	adm.Done(place.Result{Duration: 5})
 	n.is.True(took >= askAttempts*askRetransmit)
 	n.is.Equal(n.asks(n.order[0]), int64(askAttempts))
 	for range 20 {
