front: no request to an owner in the last 300 ms before the bound

Cause: requests were placed on owners in an evacuated data centre until 300 ms before the bound, and a connection may take 400 ms to open and 20 ms more until it is used, so the last could be sent after the bound.

Change: they are placed until 720 ms before it.

Measured: tests of packages front and owner pass; the end-to-end tests don't reach this time, as keys have moved long before.

--- a/internal/front/evac.go
+++ b/internal/front/evac.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// evacOwnerMargin is how long before the bound for evacuations owners of keys
-	// there get their last requests. It covers clocks that differ and requests that
-	// are being sent.
-	evacOwnerMargin = 300 * clock.Millisecond
+	// evacOwnerMargin is how long before the bound for evacuations the last requests are
+	// placed on owners of keys there. No request may be sent in the last 300 ms, and one
+	// that has been placed may open a connection before, which takes up to 420 ms.
+	evacOwnerMargin = 720 * clock.Millisecond
 	// evacReleaseTimeout is the timeout of releases of evacuated servers. It is longer
 	// than a lease, so that the ranges of a server that doesn't respond can move at once,
 	// and shorter than the usual one, so that they move within the bound.
