--- a/cmd/laburnummux/body_test.go
+++ b/cmd/laburnummux/body_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -308,3 +309,36 @@
 	is.True(strings.HasPrefix(string(buf[:n]), fmt.Sprintf("HTTP/1.1 %d", http.StatusOK)))
 	is.True(memory < crowdMemoryMB*1e6)
 }
+
+// Guards against complete bodies that wait for a server that doesn't respond and take
+// all of the memory, or the memory of requests to other servers.
+func TestBodiesAtHungServer(t *testing.T) {
+	is := is.New(t)
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB}.start(t)
+	h.dial(t, "history", "first").Close()
+	h.servers[0].Hang(true)
+	cr := h.connect(t, crowdSize, false)
+	s := newSampler(h.cmd.Process.Pid)
+	cr.send(func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, crowdBody))
+		sendRepeated(c, crowdBody, 1<<20)
+	})
+	time.Sleep(idleWait)
+	h.dial(t, "history", "last").Close()
+	u := s.finish()
+	t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
+	is.True(isAlive(h.cmd.Process.Pid))
+	is.True(u.memory < crowdMemoryMB*1e6)
+}
+
+// Guards against a host that doesn't end while callers are connected whose bodies stop
+// a byte short.
+func TestStopWithIncompleteBodies(t *testing.T) {
+	is := is.New(t)
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB}.start(t)
+	h.dial(t, "browse", "first").Close()
+	cr := h.connect(t, crowdSize, false)
+	cr.send(misbehaviours[0].send)
+	is.NoErr(h.cmd.Process.Signal(syscall.SIGTERM))
+	waitFor(t, func() bool { return !isAlive(h.cmd.Process.Pid) })
+}
