cmd: config-check for configurations of the users' platform

Cause: an operator learns of a mistake in config/main only when hosts ignore the version or send requests to other services than meant.

Change: laburnummux config-check FILE [--against FILE] [--json] reports, with file and line, what hosts reject, entries that never match, limits that contradict each other, and what differs from the version in force.

--- a/cmd/laburnummux/main.go
+++ b/cmd/laburnummux/main.go
@@ -21,6 +21,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			checkCommand(),
+			configCheckCommand(),
 			showCommand(),
 			serveCommand(),
 			frontCommand(),
--- a/internal/config/value.go
+++ b/internal/config/value.go
@@ -38,6 +38,9 @@
 // Members returns the fields of an object. It must not be modified.
 func (v Value) Members() []Member { return v.members }
 
+// Elements returns the elements of an array. It must not be modified.
+func (v Value) Elements() []Value { return v.elements }
+
 // Get returns the field of an object with the given name.
 func (v Value) Get(name string) (Value, bool) {
 	for _, m := range v.members {
