owner: more ranges move at a time to servers without any

Cause: four to eight ranges moved at a time, also when a whole data centre came back. Change: half as many ranges as there are servers without any, 16 at most.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -36,6 +36,10 @@
 	// ranges wait until the move is done, so only a small share of the keys may move.
 	minMoves       = 4
 	serversPerMove = 16
+	// maxJoinMoves bounds the ranges that move at a time to servers without any, half as
+	// many as there are of these. When a data centre comes back, the load of the others is
+	// several times their share.
+	maxJoinMoves = 16
 	// maxUnsplit is how many overloaded servers without a range that can move are passed
 	// over in a round. The search for a range takes time in proportion to the keys.
 	maxUnsplit = 4
@@ -238,7 +242,7 @@
 	}
 	ratio := func(id keys.Server) float64 { return loads[id] / a.capacity(id) / mean }
 	sources := slices.Clone(ids) // servers that ranges may move away from
-	for limit := maxMoves(len(ids)); moving < limit; {
+	for limit := a.maxMoves(s, ids); moving < limit; {
 		hot := slices.MaxFunc(sources, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		idle := slices.MinFunc(targets, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.hasRanges(s, idle)
@@ -278,9 +282,21 @@
 	return moving
 }
 
-// maxMoves returns the number of ranges that may move at a time in a service with n
+// maxMoves returns the number of ranges of a service that may move at a time among
 // servers.
-func maxMoves(n int) int { return max(minMoves, n/serversPerMove) }
+func (a *Assigner) maxMoves(s keys.Service, ids []keys.Server) int {
+	owners := make(map[keys.Server]bool, len(ids))
+	for _, rs := range a.tables[s] {
+		owners[rs.futureServer()] = true
+	}
+	empty := 0
+	for _, id := range ids {
+		if !owners[id] {
+			empty++
+		}
+	}
+	return max(minMoves, len(ids)/serversPerMove, min(empty/2, maxJoinMoves))
+}
 
 // hasRanges reports whether any range is assigned to a server or moving to it.
 func (a *Assigner) hasRanges(s keys.Service, id keys.Server) bool {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -357,6 +358,30 @@
 	h.True(loads["c"] > 1)
 }
 
+// Guards against servers of a data centre that stay without ranges for long after they
+// came back, while the others have all the load.
+func TestManyServersJoin(t *testing.T) {
+	var list []fleet.Server
+	for i := range 60 {
+		list = append(list, server(fmt.Sprintf("s%02d", i)))
+	}
+	h := newHarness(t, Record{Term: 1}, list[:30]...)
+	advance := func(d clock.Span) {
+		for end := h.now.Add(d); h.now < end; {
+			var loads []KeyLoad
+			for k := 0; k <= int(MaxKey); k += 128 {
+				loads = append(loads, KeyLoad{Key: Key(k), Time: 25}) // 51 busy slots of 60
+			}
+			h.assigner.AddLoads(h.now, svc, loads)
+			h.advance(250, "", Done)
+		}
+	}
+	advance(6 * clock.Second)
+	h.enqueue(h.assigner.SetServers(h.now, []keys.Service{svc}, list))
+	advance(1500)
+	h.True(len(h.keysPerServer()) >= 58)
+}
+
 // After a takeover a draining server is granted its range with a fence of the
 // new term before the range is released: after a release alone, the former
 // assigner could renew the lease there while another server owns the range.
