caller: callers refused for want of memory come back at different times

Cause: callers that are given up together retried together after 1 s. Change: Retry-After is 0.5 to 1.5 s at random. Measured: tests of caller, link, relay, front, budget and segment pass with the race detector.

--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,9 +27,11 @@
 	// its connection, unless the connection has other requests in progress. Counting
 	// each short request took 3 of 18 microseconds.
 	uncountedBytes = 8 << 10
-	// retryAfter is when the caller of a request that was given up for want of memory
-	// may send it again, in seconds.
-	retryAfter = 1
+	// minRetryAfter and maxRetryAfter bound when the caller of a request that was given
+	// up for want of memory may send it again, in seconds: callers that are refused
+	// together come back one by one.
+	minRetryAfter = 0.5
+	maxRetryAfter = 1.5
 )
 
 // errGivenUp ends the reading of a request that was given up for want of memory.
@@ -150,7 +153,7 @@
 	case givenUp:
 		m.countGivenUp(reasonMemory)
 		return &protocolError{
-			status: http.StatusServiceUnavailable, err: errGivenUp, header: http.Header{"Retry-After": {strconv.Itoa(retryAfter)}},
+			status: http.StatusServiceUnavailable, err: errGivenUp, header: http.Header{"Retry-After": {strconv.FormatFloat(minRetryAfter+rand.Float64()*(maxRetryAfter-minRetryAfter), 'f', 3, 64)}},
 		}
 	case !errors.As(err, &pe):
 	case pe.status == http.StatusRequestEntityTooLarge:
