--- a/cmd/laburnummux/body_test.go
+++ b/cmd/laburnummux/body_test.go
@@ -24,20 +24,20 @@
 // The tests of this file send what misbehaving callers send to an entry host that
 // runs as a separate process. They check only what doesn't depend on the speed of
 // the machine: the process lives, its memory and descriptors stay below those of
-// its machine, and it still answers. They take up to 10 s each, as crowds that are
-// refused write until crowdTimeout.
+// its machine, and it still answers. They take up to 10 s each, as clients that are
+// refused write until sendTimeout.
 
 const (
-	// crowdMemoryMB is the memory of the smallest machine. crowdMaxBody and crowdBody
-	// are the limit of request bodies and the length of the crowd's: all of them
-	// together need twice the memory.
-	crowdMemoryMB = 144
-	crowdMaxBody  = 16 << 20
-	crowdBody     = 12 << 20
-	crowdSize     = 24
-	// crowdTimeout bounds the time in which a caller of a crowd sends, and idleWait is
-	// how long the crowd stays connected after that.
-	crowdTimeout = 8 * time.Second
+	// hostMemoryMB is the memory of the smallest machine. bodyLimit and bodyBytes
+	// are the limit of request bodies and the length of each client's body: all
+	// of them together need twice the memory.
+	hostMemoryMB = 144
+	bodyLimit    = 16 << 20
+	bodyBytes    = 12 << 20
+	clientCount  = 24
+	// sendTimeout bounds the time in which a client sends, and idleWait is how long
+	// the clients stay connected after that.
+	sendTimeout  = 8 * time.Second
 	idleWait     = time.Second
 	samplePeriod = 20 * time.Millisecond
 )
@@ -135,27 +135,27 @@
 	}
 }
 
-// misbehaviour is what each caller of a crowd sends. Errors of writes are ignored: the
+// misbehaviour is what each caller of a group of clients sends. Errors of writes are ignored: the
 // host may close the connection at any time.
 type misbehaviour struct {
 	name    string
 	padding int // bytes that are added to each response
-	maxBody int // limit of request bodies; 0: crowdMaxBody
+	maxBody int // limit of request bodies; 0: bodyLimit
 	send    func(c net.Conn, id string)
 }
 
 var misbehaviours = []misbehaviour{
 	{"whole, a byte short", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, crowdBody))
-		sendRepeated(c, crowdBody-1, 1<<20)
+		io.WriteString(c, bodyHead(id, bodyBytes))
+		sendRepeated(c, bodyBytes-1, 1<<20)
 	}},
 	{"in pieces, a byte short", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, crowdBody))
-		sendRepeated(c, crowdBody-1, 1000)
+		io.WriteString(c, bodyHead(id, bodyBytes))
+		sendRepeated(c, bodyBytes-1, 1000)
 	}},
 	{"large chunks", 0, 0, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, -1))
-		sendChunks(c, crowdBody, 256<<10)
+		sendChunks(c, bodyBytes, 256<<10)
 	}},
 	// Chunks of one byte take six bytes each on the wire, which are limited, too.
 	{"chunks of one byte", 0, 64 << 20, func(c net.Conn, id string) {
@@ -168,17 +168,17 @@
 	}},
 	{"announced over the limit", 0, 0, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, 1<<30))
-		sendRepeated(c, 2*crowdMaxBody, 1<<20)
+		sendRepeated(c, 2*bodyLimit, 1<<20)
 	}},
 	{"sent over the limit", 0, 0, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, -1))
-		sendChunks(c, crowdMaxBody+(1<<20), 64<<10)
+		sendChunks(c, bodyLimit+(1<<20), 64<<10)
 		io.WriteString(c, "0\r\n\r\n")
 	}},
 	{"pipelined bodies", 0, 0, func(c net.Conn, id string) {
 		for i := range 16 {
-			io.WriteString(c, bodyHead(fmt.Sprintf("%s-%d", id, i), crowdBody/16))
-			sendRepeated(c, crowdBody/16, 1<<20)
+			io.WriteString(c, bodyHead(fmt.Sprintf("%s-%d", id, i), bodyBytes/16))
+			sendRepeated(c, bodyBytes/16, 1<<20)
 		}
 	}},
 	{"headers without end", 0, 0, func(c net.Conn, id string) {
@@ -194,17 +194,17 @@
 	}},
 }
 
-// crowd is callers that send the same at once.
-type crowd struct {
+// clients are callers that send the same at once.
+type clients struct {
 	host  *frontHost
 	conns []net.Conn
 }
 
-// connect opens the connections of a crowd, on which a request has been answered if
+// connect opens the connections of a group of clients, on which a request has been answered if
 // kept is set.
-func (h *frontHost) connect(t *testing.T, n int, kept bool) *crowd {
+func (h *frontHost) connect(t *testing.T, n int, kept bool) *clients {
 	t.Helper()
-	cr := &crowd{host: h}
+	cl := &clients{host: h}
 	for i := range n {
 		var c net.Conn
 		if kept {
@@ -215,19 +215,19 @@
 				t.Fatal(err)
 			}
 		}
-		cr.conns = append(cr.conns, c)
+		cl.conns = append(cl.conns, c)
 		t.Cleanup(func() { c.Close() })
 	}
-	return cr
+	return cl
 }
 
 // send has each caller send at once, and returns when all have sent or given up.
-func (cr *crowd) send(f func(c net.Conn, id string)) {
+func (cl *clients) send(f func(c net.Conn, id string)) {
 	var wg sync.WaitGroup
-	end := time.Now().Add(crowdTimeout)
-	for i, c := range cr.conns {
+	end := time.Now().Add(sendTimeout)
+	for i, c := range cl.conns {
 		c.SetWriteDeadline(end)
-		wg.Go(func() { f(c, fmt.Sprintf("crowd-%d", i)) })
+		wg.Go(func() { f(c, fmt.Sprintf("client-%d", i)) })
 	}
 	wg.Wait()
 }
@@ -240,17 +240,17 @@
 			t.Run(fmt.Sprintf("%s/kept=%t", m.name, kept), func(t *testing.T) {
 				is := is.New(t)
 				const maxFDs = 1024
-				h := frontOptions{serviceTime: 100 * time.Millisecond, padding: m.padding, maxBody: cmp.Or(m.maxBody, crowdMaxBody), memoryMB: crowdMemoryMB, maxFDs: maxFDs}.start(t)
+				h := frontOptions{serviceTime: 100 * time.Millisecond, padding: m.padding, maxBody: cmp.Or(m.maxBody, bodyLimit), memoryMB: hostMemoryMB, maxFDs: maxFDs}.start(t)
 				h.dial(t, "browse", "first").Close()
-				cr := h.connect(t, crowdSize, kept)
+				cl := h.connect(t, clientCount, kept)
 				s := newSampler(h.cmd.Process.Pid)
-				cr.send(m.send)
+				cl.send(m.send)
 				time.Sleep(idleWait)
 				h.dial(t, "browse", "last").Close()
 				u := s.finish()
 				t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
 				is.True(isAlive(h.cmd.Process.Pid))
-				is.True(u.memory < crowdMemoryMB*1e6)
+				is.True(u.memory < hostMemoryMB*1e6)
 				is.True(u.files < maxFDs)
 			})
 		}
@@ -271,17 +271,17 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			const maxFDs, conns = 400, 600
-			h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB, maxFDs: maxFDs}.start(t)
+			h := frontOptions{serviceTime: time.Millisecond, maxBody: bodyLimit, memoryMB: hostMemoryMB, maxFDs: maxFDs}.start(t)
 			h.dial(t, "browse", "first").Close()
 			s := newSampler(h.cmd.Process.Pid)
-			cr := h.connect(t, conns, false)
-			cr.send(tt.send)
+			cl := h.connect(t, conns, false)
+			cl.send(tt.send)
 			time.Sleep(idleWait)
 			h.dial(t, "browse", "last").Close()
 			u := s.finish()
 			t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
 			is.True(isAlive(h.cmd.Process.Pid))
-			is.True(u.memory < crowdMemoryMB*1e6)
+			is.True(u.memory < hostMemoryMB*1e6)
 			is.True(u.files < maxFDs)
 		})
 	}
@@ -293,7 +293,7 @@
 func TestLongestBodyOnSmallestHost(t *testing.T) {
 	is := is.New(t)
 	const size = 64 << 20
-	h := frontOptions{serviceTime: time.Millisecond, maxBody: size, memoryMB: crowdMemoryMB}.start(t)
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: size, memoryMB: hostMemoryMB}.start(t)
 	h.dial(t, "browse", "first").Close()
 	c, err := net.Dial("tcp", h.addr)
 	is.NoErr(err)
@@ -307,38 +307,38 @@
 	memory := residentBytes(h.cmd.Process.Pid)
 	t.Logf("%d MB", memory/1e6)
 	is.True(strings.HasPrefix(string(buf[:n]), fmt.Sprintf("HTTP/1.1 %d", http.StatusOK)))
-	is.True(memory < crowdMemoryMB*1e6)
+	is.True(memory < hostMemoryMB*1e6)
 }
 
 // Guards against complete bodies that wait for a server that doesn't respond and take
 // all of the memory, or the memory of requests to other servers.
 func TestBodiesAtHungServer(t *testing.T) {
 	is := is.New(t)
-	h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB}.start(t)
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: bodyLimit, memoryMB: hostMemoryMB}.start(t)
 	h.dial(t, "history", "first").Close()
 	h.servers[0].Hang(true)
-	cr := h.connect(t, crowdSize, false)
+	cl := h.connect(t, clientCount, false)
 	s := newSampler(h.cmd.Process.Pid)
-	cr.send(func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, crowdBody))
-		sendRepeated(c, crowdBody, 1<<20)
+	cl.send(func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, bodyBytes))
+		sendRepeated(c, bodyBytes, 1<<20)
 	})
 	time.Sleep(idleWait)
 	h.dial(t, "history", "last").Close()
 	u := s.finish()
 	t.Logf("%d MB, %d descriptors", u.memory/1e6, u.files)
 	is.True(isAlive(h.cmd.Process.Pid))
-	is.True(u.memory < crowdMemoryMB*1e6)
+	is.True(u.memory < hostMemoryMB*1e6)
 }
 
 // Guards against a host that doesn't end while callers are connected whose bodies stop
 // a byte short.
 func TestStopWithIncompleteBodies(t *testing.T) {
 	is := is.New(t)
-	h := frontOptions{serviceTime: time.Millisecond, maxBody: crowdMaxBody, memoryMB: crowdMemoryMB}.start(t)
+	h := frontOptions{serviceTime: time.Millisecond, maxBody: bodyLimit, memoryMB: hostMemoryMB}.start(t)
 	h.dial(t, "browse", "first").Close()
-	cr := h.connect(t, crowdSize, false)
-	cr.send(misbehaviours[0].send)
+	cl := h.connect(t, clientCount, false)
+	cl.send(misbehaviours[0].send)
 	is.NoErr(h.cmd.Process.Signal(syscall.SIGTERM))
 	waitFor(t, func() bool { return !isAlive(h.cmd.Process.Pid) })
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,8 +30,8 @@
 	// StallTime is the time without progress after which a body is given up before
 	// others of its account.
 	StallTime = time.Second
-	// calmShare is the part of the budget below which the pressure has ended.
-	calmShare = 2
+	// recoveredShare is the part of the budget below which the pressure has ended.
+	recoveredShare = 2
 )
 
 // Budget bounds the memory of the bodies that share it.
@@ -283,7 +283,7 @@
 // notifyReleased wakes the holds that wait for bytes. b.mu is held.
 func (b *Budget) notifyReleased() {
 	b.released.Broadcast()
-	if b.pressed && b.used < b.max/calmShare {
+	if b.pressed && b.used < b.max/recoveredShare {
 		b.pressed = false
 		b.pressure(false)
 	}
--- a/internal/ramp/window.go
+++ b/internal/ramp/window.go
@@ -6,23 +6,23 @@
 	// minSize is the smallest window. A server then gets a request after each four
 	// usual service times, which is enough to notice that it has recovered.
 	minSize = 0.25
-	// paceWeight is the weight of the latest response in the moving average of the
-	// response times. With exponential service times the average exceeds slowPace at
+	// ratioWeight is the weight of the latest response in the moving average of the
+	// response times. With exponential service times the average exceeds slowRatio at
 	// a usual server in less than one of a thousand responses.
-	paceWeight = 0.25
-	// slowPace is the average response time, relative to the expected one, above
+	ratioWeight = 0.25
+	// slowRatio is the average response time, relative to the expected one, above
 	// which a server is slow.
-	slowPace = 2.5
-	// usualPace is the average up to which a server responds at its usual speed. Above
+	slowRatio = 2.5
+	// usualRatio is the average up to which a server responds at its usual speed. Above
 	// it the window doesn't grow.
-	usualPace = 1.6
-	// maxPace bounds the weight of a single response.
-	maxPace = 8.0
+	usualRatio = 1.6
+	// maxRatio bounds the weight of a single response.
+	maxRatio = 8.0
 	// idleGrowth is the growth in a round without responses, up to one request at a time.
 	idleGrowth = 1.2
-	// careRounds is in how many rounds the window grows to its limit beyond the size at
+	// recoveryRounds is in how many rounds the window grows to its limit beyond the size at
 	// which the server failed before. Doubling there would make it fail again at once.
-	careRounds = 12
+	recoveryRounds = 12
 	// roundTimes is the length of a round in usual service times. Responses to the
 	// requests that were sent in one round come in the next one.
 	roundTimes = 2
@@ -47,7 +47,7 @@
 	size      float64
 	max       float64
 	edge      float64 // up to this size the window doubles
-	pace      float64 // moving average of the response times relative to the expected ones
+	ratio     float64 // moving average of the response times relative to the expected ones
 	good      int     // responses at the usual speed in this round
 	bad       bool    // the window was halved in this round
 	slow      bool    // a response was slow in this round
@@ -60,7 +60,7 @@
 // NewWindow returns a window of a size that grows to limit.
 func NewWindow(now clock.Time, size, limit float64) *Window {
 	limit = max(limit, 1)
-	return &Window{size: min(max(size, minSize), limit), max: limit, edge: limit, pace: 1, roundFrom: now, restartAt: now}
+	return &Window{size: min(max(size, minSize), limit), max: limit, edge: limit, ratio: 1, roundFrom: now, restartAt: now}
 }
 
 // Size returns the number of requests that may be in flight.
@@ -89,11 +89,11 @@
 // Respond records a response. ratio is its time relative to the one expected of the
 // server: its usual speed, and the slowdown that it reports.
 func (w *Window) Respond(now clock.Time, ratio float64) {
-	w.pace += paceWeight * (min(max(ratio, 0), maxPace) - w.pace)
+	w.ratio += ratioWeight * (min(max(ratio, 0), maxRatio) - w.ratio)
 	switch {
-	case w.pace > slowPace:
+	case w.ratio > slowRatio:
 		w.Halve(now)
-	case w.pace <= usualPace:
+	case w.ratio <= usualRatio:
 		w.good++
 	default:
 		w.slow = true
@@ -108,7 +108,7 @@
 	}
 	w.size = max(w.size/2, minSize)
 	w.edge = w.size
-	w.pace, w.bad, w.good, w.roundFrom, w.restartAt = 1, true, 0, now, now
+	w.ratio, w.bad, w.good, w.roundFrom, w.restartAt = 1, true, 0, now, now
 }
 
 // Advance ends a round that is over, and reports whether the window has reached its
@@ -130,7 +130,7 @@
 	case w.good > 0 && w.size < w.edge:
 		w.size = min(w.size*2, w.edge)
 	case w.good > 0:
-		w.size += w.max / careRounds
+		w.size += w.max / recoveryRounds
 	case w.size < 1:
 		// Without responses nothing shows whether the server has recovered. One request
 		// at a time does it no harm.
--- a/internal/ramp/window_test.go
+++ b/internal/ramp/window_test.go
@@ -52,7 +52,7 @@
 			case 3:
 				others := rapid.IntRange(0, 3).Draw(t, "others")
 				w.Advance(now, others, usual)
-				if grown := max(2*before, before+limit/careRounds, float64(others)); w.Size() > grown {
+				if grown := max(2*before, before+limit/recoveryRounds, float64(others)); w.Size() > grown {
 					t.Fatalf("grew from %.2f to %.2f in one round", before, w.Size())
 				}
 			}
@@ -63,7 +63,7 @@
 		// A server that responds at its usual speed gets the whole window soon, however
 		// often it failed before.
 		for rounds := 0; !w.Advance(now, 0, usual); rounds++ {
-			if rounds > careRounds+6 { // the average of the pace settles in a few
+			if rounds > recoveryRounds+6 { // the average of the ratios settles in a few
 				t.Fatalf("window of %.2f after %d rounds of good responses, limit %.2f", w.Size(), rounds, limit)
 			}
 			now = now.Add(maxRound)
