--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -31,10 +31,11 @@
 	// service and added to the observed one, so that keys without load are spread
 	// too.
 	baseLoad = 1.0
-	// minMoves is the number of ranges of a service that may move at a time, and
-	// serversPerMove the number of its servers for each further one. Requests for these
-	// ranges wait until the move is done, so only a small share of the keys may move.
+	// minMoves is the number of ranges of a service that may move at a time, maxMoves
+	// the same for a large service, with one for each serversPerMove servers. Requests
+	// for these ranges wait until the move is done, and each change is sent to all hosts.
 	minMoves       = 4
+	maxMoves       = 8
 	serversPerMove = 16
 	// maxJoinMoves bounds the ranges that move at a time to servers without any, half as
 	// many as there are of these. When a data centre comes back, the load of the others is
@@ -242,7 +243,7 @@
 	}
 	ratio := func(id keys.Server) float64 { return loads[id] / a.capacity(id) / mean }
 	sources := slices.Clone(ids) // servers that ranges may move away from
-	for limit := a.maxMoves(s, ids); moving < limit; {
+	for limit := a.moveLimit(s, ids); moving < limit; {
 		hot := slices.MaxFunc(sources, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		idle := slices.MinFunc(targets, func(x, y keys.Server) int { return cmp.Compare(ratio(x), ratio(y)) })
 		empty := !a.hasRanges(s, idle)
@@ -282,9 +283,9 @@
 	return moving
 }
 
-// maxMoves returns the number of ranges of a service that may move at a time among
+// moveLimit returns the number of ranges of a service that may move at a time among
 // servers.
-func (a *Assigner) maxMoves(s keys.Service, ids []keys.Server) int {
+func (a *Assigner) moveLimit(s keys.Service, ids []keys.Server) int {
 	owners := make(map[keys.Server]bool, len(ids))
 	for _, rs := range a.tables[s] {
 		owners[rs.futureServer()] = true
@@ -295,7 +296,7 @@
 			empty++
 		}
 	}
-	return max(minMoves, len(ids)/serversPerMove, min(empty/2, maxJoinMoves))
+	return max(minMoves, min(len(ids)/serversPerMove, maxMoves), min(empty/2, maxJoinMoves))
 }
 
 // hasRanges reports whether any range is assigned to a server or moving to it.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -112,11 +112,18 @@
 }
 
 // endAdmission ends the admission of the request, if it has one.
-func (c *call) endAdmission(res place.Result) {
-	if done := c.admissionDone; done != nil {
-		c.admissionDone = nil
-		done(res)
+func (c *call) endAdmission(id keys.Server, res place.Result) {
+	done := c.admissionDone
+	if done == nil {
+		return
 	}
+	c.admissionDone = nil
+	// A slowdown that the server reports has passed before the requests that wait now
+	// are served, so it doesn't count towards the server's speed.
+	c.relay.mu.Lock()
+	res.Duration = clock.Span(float64(res.Duration) / c.relay.placement.Slowdown(id, res.Slowdown))
+	c.relay.mu.Unlock()
+	done(res)
 }
 
 // cancelMoved ends the wait for an admission of the requests whose key has another owner
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
@@ -168,3 +169,20 @@
 	inFlight, _ := r.LocalLoad()
 	is.Equal(len(inFlight), 0)
 }
+
+// Guards against an admitter that takes a short slowdown of a server, which the server
+// reports, for its speed and refuses requests that could be served.
+func TestAdmissionWithoutSlowdown(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{Clock: clock.System(), Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry())})
+	sv := fleet.Server{ID: "a", Service: "ledger", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
+	r.SetServers([]fleet.Server{sv})
+	var got []clock.Span
+	c := &call{relay: r}
+	for _, x := range []float64{1, 3} {
+		c.admissionDone = func(res place.Result) { got = append(got, res.Duration) }
+		c.reportResult(sv, place.Result{Duration: 300, RouteMean: 100, Slowdown: x})
+	}
+	is.Equal(got[0], clock.Span(300))
+	is.True(got[1] < 150)
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -175,7 +175,7 @@
 
 // reportResult reports the result of the request at a server to placement.
 func (c *call) reportResult(sv fleet.Server, res place.Result) {
-	c.endAdmission(res)
+	c.endAdmission(sv.ID, res)
 	c.relay.mu.Lock()
 	c.relay.deliver(c.relay.placement.Done(c.relay.cfg.Clock.Now(), sv.ID, res))
 	c.relay.mu.Unlock()
