link: order the closes in the test of rejected connections

Cause: TestRejectedConnections needs the server to close a new connection within the 1 ms for which the pool leaves it unused. Without processor time for the server the close comes later, the request is sent and counts as such. Change: the test's Dial returns a connection once the server has closed it, and the first close comes after the request's first byte, in place of a pause of 20 ms. The checks are the same.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -124,10 +124,37 @@
 
 // rejecter is a server that accepts connections and closes the first ones at once, as
 // one with too many connections does. It responds on the others. The first close
-// comes after a request was sent.
+// comes after a request has been sent.
 type rejecter struct {
 	listener net.Listener
 	rejects  int
+	dialed   int
+	closed   chan struct{} // has a value for each connection closed at once
+}
+
+func newRejecter(t *testing.T, rejects int) *rejecter {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &rejecter{listener: l, rejects: rejects, closed: make(chan struct{}, rejects)}
+	go s.run()
+	return s
+}
+
+// dial opens a connection and returns it once the server has closed it, unless it is
+// the first one or one that the server keeps. Without that order the close can come
+// after the pool has stopped waiting for it, as the machine gives the server no time.
+func (s *rejecter) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := Dialer(dialTimeout).DialContext(ctx, network, addr)
+	n := s.dialed
+	s.dialed++
+	if err != nil || n == 0 || n >= s.rejects {
+		return c, err
+	}
+	<-s.closed
+	return c, nil
 }
 
 func (s *rejecter) run() {
@@ -137,11 +164,14 @@
 			return
 		}
 		if n == 0 {
-			time.Sleep(20 * time.Millisecond) // the request is under way
+			c.Read(make([]byte, 1)) // the request has been sent
 		}
 		if n < s.rejects {
 			c.(*net.TCPConn).SetLinger(0) // reset
 			c.Close()
+			if n > 0 {
+				s.closed <- struct{}{}
+			}
 			continue
 		}
 		rs := &rawServer{listener: s.listener, responses: []string{response("me", "abc")}}
@@ -154,12 +184,8 @@
 // that had reached no server. After the first one they count as not sent.
 func TestRejectedConnections(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	s := &rejecter{listener: l, rejects: 4}
-	go s.run()
-	p := NewPool(l.Addr().String(), NewBudget(maxBodyBytes*2))
+	s := newRejecter(t, 4)
+	p := New(Config{Addr: s.listener.Addr().String(), Budget: NewBudget(maxBodyBytes * 2), Dial: s.dial})
 	first := send(p)
 	is.True(errors.Is(first.Err, ErrConnLost))
 	is.True(first.Sent) // it can't be known
