owner: relieve overloaded servers that have many light ranges

Cause: a move needs one range, or a part of one, with about the load that should move. Change: such a server gives up the range with most load, if that is at least a tenth of what should move and at most 1.5 times as much.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -27,6 +27,10 @@
 	// minDeviations is the number of standard deviations by which a load must
 	// exceed its share, as loads are estimated from few requests.
 	minDeviations = 1.5
+	// minWantedShare and maxWantedShare bound the load of a complete range that is moved,
+	// as a share of the load that should move. Requests wait during a move, and far more
+	// than the wanted load would overload the destination.
+	minWantedShare, maxWantedShare = 0.1, 1.5
 	// baseLoad is a load, in busy slots, that is spread evenly over all keys of a
 	// service and added to the observed one, so that keys without load are spread
 	// too.
@@ -319,8 +323,8 @@
 }
 
 // splitLoad splits off the narrowest subrange of a server's keys that has about
-// the wanted load. It returns nil if there is none, or if the server already has
-// maxRangesPerServer movable ranges.
+// the wanted load. If there is none, or if the server already has maxRangesPerServer
+// movable ranges, it returns a complete range (see heaviestRange).
 func (a *Assigner) splitLoad(s keys.Service, id keys.Server, want float64) (best *rangeState, part float64) {
 	l := a.loads[s]
 	if l == nil || want <= 0 {
@@ -340,11 +344,29 @@
 		}
 	}
 	if best == nil || n >= maxRangesPerServer {
-		return nil, 0
+		return a.heaviestRange(s, id, want)
 	}
 	return a.split(s, best, from, to), part
 }
 
+// heaviestRange returns the movable range of a server with the most load, if it is a
+// part of the wanted load that is worth a move and not far more. A server with many
+// ranges may have no single one with about the wanted load, and would stay overloaded.
+func (a *Assigner) heaviestRange(s keys.Service, id keys.Server, want float64) (best *rangeState, load float64) {
+	for _, rs := range a.tables[s] {
+		if rs.Server != id || !a.movable(rs) {
+			continue
+		}
+		if x := a.rangeLoad(s, rs); x > load && x <= maxWantedShare*want {
+			best, load = rs, x
+		}
+	}
+	if load < minWantedShare*want {
+		return nil, 0
+	}
+	return best, load
+}
+
 // isolateHotKey separates a key that alone overloads its server from the other
 // keys. The key moves to a faster server if there is one; else the other
 // keys of its server move away, so that their requests don't queue behind it. It
@@ -466,7 +488,7 @@
 		}
 		// Moving far more than the wanted load would only overload the
 		// destination instead.
-		if acc < want*0.6 || acc > want*1.5 {
+		if acc < want*0.6 || acc > want*maxWantedShare {
 			continue
 		}
 		if d := float64(k - ks[lo]); d < best {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -382,6 +382,34 @@
 	h.True(len(h.keysPerServer()) >= 58)
 }
 
+// Guards against a server that stays overloaded as it has many ranges and none of them
+// alone has about the load that should move: with 12 ranges or more nothing moved.
+func TestManyRangesMove(t *testing.T) {
+	const count, width = 16, 1000
+	var table []Assignment
+	var loads []KeyLoad
+	for i := range 2 * count {
+		a := Assignment{From: Key(i * width), To: Key((i+1)*width - 1), Server: "a", Addr: "a:1", Born: 1, Fence: Fence(i + 1)}
+		if i%2 == 1 {
+			a.Server, a.Addr = "b", "b:1"
+		} else {
+			loads = append(loads, KeyLoad{Key: a.From, Time: 50}) // together 3.2 slots of two
+		}
+		table = append(table, a)
+	}
+	table[len(table)-1].To = MaxKey
+	h := newHarness(t, Record{Term: 1, Tables: map[keys.Service][]Assignment{svc: table}}, server("a"), server("b"))
+	h.assigner.FormerEnded(h.now)
+	h.advance(5*clock.Second, "", Done)
+	for range 40 {
+		h.assigner.AddLoads(h.now, svc, loads)
+		h.advance(250, "", Done)
+	}
+	got, _ := h.assigner.serverLoads(svc)
+	h.True(got["a"] < 2.2)
+	h.True(got["b"] > 1)
+}
+
 // After a takeover a draining server is granted its range with a fence of the
 // new term before the range is released: after a release alone, the former
 // assigner could renew the lease there while another server owns the range.
