mesh, front: tables and lists of hosts that are longer than a datagram

Cause: a complete table of owners is sent in one datagram of at most 65,507 bytes. One of more than about 2,850 ranges couldn't be encoded at all, so that no host got it after a start or a new term: a service of 419 servers can have 12 ranges for each. A list of all hosts ends at about 1,200 hosts for the same reason. Change: tables of more than 2,000 ranges are sent in parts of 500, which hosts put together; parts of an older version are dropped, and a lost one is sent again with the whole table. Several tables that are too long together, and lists of over 500 hosts, are sent in several messages. Shorter ones are sent as before, also to hosts of earlier versions.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -77,8 +77,9 @@
 	members     *members
 	role        *assignerRole
 	dropped     droppedMessages
-	announced   versions // in the last heartbeat; of the goroutine that sends heartbeats
-	group       group    // as the relay has it; of the goroutine that sends heartbeats
+	tableParts  tableAssemblies // used by the goroutine that receives messages
+	announced   versions        // in the last heartbeat; of the goroutine that sends heartbeats
+	group       group           // as the relay has it; of the goroutine that sends heartbeats
 
 	mu            sync.Mutex
 	settings      Settings
@@ -120,6 +121,7 @@
 	s := cfg.Settings
 	h.members = newMembers(s)
 	h.admission = newAdmission(h)
+	h.tableParts = make(tableAssemblies)
 	bodies := h.newBodyBudget()
 	h.relay = relay.New(relay.Config{
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
--- a/internal/front/publish.go
+++ b/internal/front/publish.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
-	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
 )
 
@@ -56,7 +55,7 @@
 		r.host.members.markTablesSent(now)
 	}
 	r.recentPublications = append(r.recentPublications, publication{sentAt: now, version: r.tablesVersion})
-	r.host.send(r.host.members.activeAddrs(now), mesh.Message{Tables: updates})
+	r.host.sendTables(r.host.members.activeAddrs(now), updates)
 }
 
 // tableChanges returns the differences between two versions of the tables. A
@@ -81,5 +80,5 @@
 		r.recentPublications = r.recentPublications[1:]
 	}
 	r.requiredVersion = max(r.requiredVersion, required)
-	r.host.send(r.host.members.outdatedAddrs(now, r.assigner.Term(), r.requiredVersion), mesh.Message{Tables: r.tables})
+	r.host.sendTables(r.host.members.outdatedAddrs(now, r.assigner.Term(), r.requiredVersion), r.tables)
 }
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/mesh"
+	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
+// maxMessageMembers is the most hosts in a list of hosts, so that it fits in a datagram.
+const maxMessageMembers = 500
+
 // receive handles the messages of other hosts.
 func (h *Host) receive(ctx context.Context) error {
 	return h.mesh.Run(ctx, h.handlePacket, h.logDecodeError)
@@ -73,13 +78,20 @@
 	if len(msg.Tables) > 0 {
 		h.applyTables(msg.Tables)
 	}
+	for _, p := range msg.TableParts {
+		if t, ok := h.tableParts.add(p); ok {
+			h.applyTables([]owner.Table{t})
+		}
+	}
 }
 
 // handleHeartbeat applies a heartbeat of another host.
 func (h *Host) handleHeartbeat(b *mesh.Heartbeat) {
 	now := h.clock.Now()
 	if h.members.handleHeartbeat(now, b) && h.members.sendsMemberList(now) {
-		h.send([]string{b.IP}, mesh.Message{Members: h.members.active(now)})
+		for list := range slices.Chunk(h.members.active(now), maxMessageMembers) {
+			h.send([]string{b.IP}, mesh.Message{Members: list})
+		}
 	}
 	h.relay.ServersLeave(b.LeavingServers)
 	if !b.NoLoad {
--- a/internal/mesh/check.go
+++ b/internal/mesh/check.go
@@ -43,7 +43,7 @@
 		return KindHeartbeat
 	case m.Report != nil:
 		return KindReport
-	case len(m.Tables) > 0:
+	case len(m.Tables) > 0, len(m.TableParts) > 0:
 		return KindTables
 	case len(m.Suspects) > 0:
 		return KindSuspects
@@ -78,6 +78,9 @@
 	if err := m.checkAdmissions(); err != nil {
 		return err
 	}
+	if err := m.checkTableParts(); err != nil {
+		return err
+	}
 	return checkMembers(m.Members)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,6 +44,9 @@
 	Asks       []Ask      `cbor:"6,keyasint,omitempty"`
 	AskReplies []AskReply `cbor:"7,keyasint,omitempty"`
 	AskDones   []AskDone  `cbor:"8,keyasint,omitempty"`
+	// TableParts are parts of tables that are too long for one message. Hosts of earlier
+	// versions, which can't get such tables, ignore them.
+	TableParts []TablePart `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to the others periodically.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -64,6 +64,10 @@
 		{"result", Message{AskDones: []AskDone{{Num: 1, Duration: 80, Load: 2, HasLoad: true}}}, true},
 		{"result with a time below zero", Message{AskDones: []AskDone{{Num: 1, Duration: -1}}}, false},
 		{"result with a load that can't be", Message{AskDones: []AskDone{{Num: 1, Load: maxInFlight + 1}}}, false},
+		{"part of a table", Message{TableParts: []TablePart{{Part: 1, Parts: 2}}}, true},
+		{"part that can't be", Message{TableParts: []TablePart{{Part: 2, Parts: 2}}}, false},
+		{"part below zero", Message{TableParts: []TablePart{{Part: -1, Parts: 2}}}, false},
+		{"too many parts", Message{TableParts: []TablePart{{Part: 0, Parts: maxTableParts + 1}}}, false},
 		{"suspects", Message{Suspects: []retry.SuspectRecord{{}}}, true},
 	}
 	for _, tt := range tests {
