admit: measure a server's speed without the wait for a slot; count more urgent requests

Cause: a server with two slots gets three admitted requests, and the third waits there for a slot. That wait counted as service time, so a full server seemed slower by up to half, and requests that it could serve in time were refused. Change: the admitter knows when a slot becomes free and leaves the wait before that out. The expected wait is divided by the share of the slots that more urgent requests leave, averaged over 1 s.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -119,6 +119,10 @@
 	limit      clock.Time // until which it may wait
 	admitted   bool
 	admittedAt clock.Time
+	// waits says that all slots were in use when it was admitted, so that it waits at the
+	// server for the next request that completes. waited is how long it has waited.
+	waits  bool
+	waited clock.Span
 }
 
 // State has the queues and reservations of the servers for which hosts ask this one.
@@ -163,6 +167,7 @@
 	}
 	s.setCold(now, sv, r.Cold, r.ColdRate)
 	sv.meanMs += meanWeight * (r.mean() - sv.meanMs)
+	sv.recordDemand(now, &r)
 	q := &request{Request: r, server: sv}
 	q.limit = sv.waitLimit(now, &r)
 	s.requests[r.ID] = q
@@ -183,11 +188,11 @@
 		return nil
 	}
 	sv := q.server
-	s.forget(q)
+	s.forget(now, q)
 	if q.admitted {
 		sv.record(now, q, res)
 		for _, lost := range sv.stale(now, res) {
-			s.forget(lost)
+			s.forget(now, lost)
 		}
 	}
 	return s.advance(now, sv, nil)
@@ -201,7 +206,7 @@
 func (s *State) Tick(now clock.Time) (replies []Reply) {
 	for sv := range s.active {
 		for _, q := range sv.expired(now) {
-			s.forget(q)
+			s.forget(now, q)
 		}
 		replies = append(replies, s.advance(now, sv, nil)...)
 	}
@@ -306,9 +311,9 @@
 }
 
 // forget removes a request.
-func (s *State) forget(q *request) {
+func (s *State) forget(now clock.Time, q *request) {
 	delete(s.requests, q.ID)
-	q.server.remove(q)
+	q.server.remove(now, q)
 	if q.server.idle() {
 		delete(s.active, q.server)
 	}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// Guards against a full server that seems slower than it is: the request that waits there
+// for a slot took half as long again, and requests that the server can serve in time were
+// refused.
+func TestServiceTimeOfFullServer(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	fill(s, 0)
+	num, running := uint64(200), []uint64{100, 101, 102}
+	for now := clock.Time(50); now < 5000; now += 50 {
+		s.Ask(now, newRequest(num, now, nil))
+		// Two slots, 100 ms each: one request completes every 50 ms, having spent 150 ms there.
+		duration := min(clock.Span(150), now.Sub(0)) // the first two didn't wait
+		s.Done(now, ID{"h", running[0]}, Result{Duration: duration})
+		running = append(running[1:], num)
+		num++
+	}
+	is.True(s.Queues()["s1"].Ratio < 1.1)
+}
+
 // Guards against the starvation of requests that are urgent or due soon by those that
 // came first, and against capacity spent on requests that are late anyway.
 func TestOrder(t *testing.T) {
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
@@ -24,6 +25,12 @@
 	// patience is the share of its expected wait that counts for a request that is
 	// already queued. The expected wait is an average, and a refusal is final.
 	patience = 0.5
+	// demandPeriod is the period over which the load of more urgent requests is averaged,
+	// demandLevels the number of priorities that are told apart. minShareLeft bounds the
+	// share of the slots that they leave to others.
+	demandPeriod = clock.Second
+	demandLevels = 8
+	minShareLeft = 0.25
 	// defaultMean is the assumed service time of a route that has none.
 	defaultMean = 100 * clock.Millisecond
 	// maxForeign is the most requests at a server that are believed to have been sent
@@ -57,6 +64,35 @@
 	foreign   float64
 	foreignAt clock.Time
 	cold      coldState
+	demand    [demandLevels]demand // by priority
+}
+
+// demand is the load of the requests of a priority, admitted or not.
+type demand struct {
+	slots float64 // moving average of the slots that they need
+	at    clock.Time
+}
+
+// after returns the load after more requests with the given service time have come.
+func (d demand) after(now clock.Time, serviceTime float64) demand {
+	d.slots *= math.Exp(-float64(now.Sub(d.at)) / float64(demandPeriod))
+	return demand{slots: d.slots + serviceTime/float64(demandPeriod), at: now}
+}
+
+// recordDemand adds a request to the load of its priority.
+func (sv *server) recordDemand(now clock.Time, r *Request) {
+	d := &sv.demand[min(r.Priority, demandLevels-1)]
+	*d = d.after(now, r.mean()*sv.ratio)
+}
+
+// shareLeft returns the share of the server's slots that more urgent requests leave to a
+// priority.
+func (sv *server) shareLeft(now clock.Time, priority int) float64 {
+	urgent := 0.0
+	for _, d := range sv.demand[:min(priority, demandLevels-1)] {
+		urgent += d.after(now, 0).slots
+	}
+	return max(1-urgent/float64(sv.slots), minShareLeft)
 }
 
 func (sv *server) update(l Server) { sv.slots, sv.listed = max(l.Slots, 1), true }
@@ -135,6 +171,7 @@
 	for bucket := sv.limit(now); n < len(sv.queue) && sv.hasRoom(now) && (bucket == nil || bucket.Take(now)); n++ {
 		q := sv.queue[n]
 		q.admitted, q.admittedAt = true, now
+		q.waits = sv.inUse(now) >= float64(sv.slots)
 		sv.admitted = append(sv.admitted, q)
 		replies = append(replies, Admitted{q.ID})
 	}
@@ -155,7 +192,8 @@
 	work += sv.foreignLeft(now) * sv.meanMs
 	left, bucket := sv.queue[:0], sv.limit(now)
 	for _, q := range sv.queue {
-		wait := sv.waitBehind(ahead, work)
+		// More urgent requests that come meanwhile are admitted before this one.
+		wait := clock.Span(float64(sv.waitBehind(ahead, work)) / sv.shareLeft(now, q.Priority))
 		if bucket != nil {
 			wait = max(wait, bucket.WaitFor(now, len(left)+1))
 		}
@@ -193,7 +231,9 @@
 // record applies the result of a request that has just been forgotten.
 func (sv *server) record(now clock.Time, q *request, res Result) {
 	if res.Duration > 0 {
-		sample := min(max(float64(res.Duration)/q.mean(), minRatio), maxRatio)
+		// The wait for a slot at the server isn't a part of its service time. With it a full
+		// server would seem slower by half, and requests that it can serve would be refused.
+		sample := min(max(float64(res.Duration-q.waited)/q.mean(), minRatio), maxRatio)
 		sv.ratio += ratioWeight * (sample - sv.ratio)
 	}
 	if res.HasLoad {
@@ -229,8 +269,9 @@
 	return out
 }
 
-// remove takes a request out of the queue or the reservations.
-func (sv *server) remove(q *request) {
+// remove takes a request out of the queue or the reservations. If the server was running
+// it, the one that has waited there for longest starts.
+func (sv *server) remove(now clock.Time, q *request) {
 	list := &sv.queue
 	if q.admitted {
 		list = &sv.admitted
@@ -238,4 +279,11 @@
 	if i := slices.Index(*list, q); i >= 0 {
 		*list = slices.Delete(*list, i, i+1)
 	}
+	if !q.admitted || q.waits {
+		return
+	}
+	if i := slices.IndexFunc(sv.admitted, func(r *request) bool { return r.waits }); i >= 0 {
+		next := sv.admitted[i]
+		next.waits, next.waited = false, now.Sub(next.admittedAt)
+	}
 }
