--- a/cmd/laburnummux/front.go
+++ b/cmd/laburnummux/front.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +32,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "metrics", Usage: "`PORT` of the metrics listener", Value: "9464"},
 			&cli.StringFlag{Name: "level", Usage: "minimum `LEVEL` of log lines", Value: "info"},
+			&cli.StringSliceFlag{Name: "disable", Usage: "comma-separated `LIST` of features to disable: " + strings.Join(front.FeatureNames(), ", "), Config: cli.StringConfig{TrimSpace: true}},
 		},
 		Action: runFront,
 	}
@@ -43,11 +45,16 @@
 		}
 	}()
 	signal.Ignore(syscall.SIGHUP) // must not end the process before the host handles it as a reload
+	disabled, err := front.ParseFeatures(cmd.StringSlice("disable"))
+	if err != nil {
+		return fmt.Errorf("--disable: %w", err)
+	}
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
+	settings.Disabled = disabled
 	settings.LimitMemory()
 	if port := cmd.String("metrics"); port != "" {
 		settings.Metrics = settings.IP + ":" + port
--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -60,10 +60,12 @@
 // frontOptions has what differs between the entry hosts of tests.
 type frontOptions struct {
 	serviceTime time.Duration
-	padding     int // bytes that are added to each response
-	maxBody     int // limit of request bodies
-	memoryMB    int // memory of the machine; 0: the default of fakes.Settings
-	maxFDs      int // descriptors of the process; 0: unknown
+	padding     int       // bytes that are added to each response
+	maxBody     int       // limit of request bodies
+	memoryMB    int       // memory of the machine; 0: the default of fakes.Settings
+	maxFDs      int       // descriptors of the process; 0: unknown
+	args        []string  // added to the command line
+	stdout      io.Writer // nil: discarded
 }
 
 // start starts a front with a server of a service without keys and one of a keyed
@@ -89,7 +91,8 @@
 	if err := cfg.Write(file); err != nil {
 		t.Fatal(err)
 	}
-	h.cmd = exec.Command(os.Args[0], "front", "--metrics", "", "--level", "error")
+	h.cmd = exec.Command(os.Args[0], append([]string{"front", "--metrics", "", "--level", "error"}, o.args...)...)
+	h.cmd.Stdout = o.stdout
 	h.cmd.Env = append(os.Environ(), runAsCommand+"=1", platform.SettingsVariable+"="+file)
 	if err := h.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -47,8 +47,11 @@
 
 // othersReachStore reports whether the store doesn't respond to this host while it
 // responds to another live one with enough processor for the assigner's role. Without
-// the store an assigner can't move keys.
+// the store an assigner can't move keys. It is false if the handover is disabled.
 func (h *Host) othersReachStore(now clock.Time) bool {
+	if h.cfg.Settings.disables(Handover) {
+		return false
+	}
 	h.mu.Lock()
 	o := h.outage
 	h.mu.Unlock()
@@ -67,6 +70,15 @@
 	return m != nil && h.Term > 0 && m.lastHeartbeat > after && m.incarnation == h.Incarnation && m.roleTerm == 0 && m.gaveUpTerm >= h.Term
 }
 
+// gaveUp returns the last term in which this process gave up the role, for the other
+// hosts, or 0 if there is none or the handover is disabled.
+func (r *assignerRole) gaveUp() uint64 {
+	if r.host.cfg.Settings.disables(Handover) {
+		return 0
+	}
+	return r.gaveUpTerm.Load()
+}
+
 // handOver gives up the role, and tells the other hosts in heartbeats, so that one of
 // them claims it at once. Servers keep their leases from this term meanwhile.
 func (r *assignerRole) handOver() {
--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -144,7 +144,7 @@
 	evac := h.members.ownEvacRev()
 	b.EvacRev, b.EvacEpoch = evac.Number(), evac.Epoch()
 	b.LeavingServers = h.relay.LeavingServers()
-	b.GaveUpTerm = h.role.gaveUpTerm.Load()
+	b.GaveUpTerm = h.role.gaveUp()
 	h.members.mu.Lock()
 	defer h.members.mu.Unlock()
 	if gossip {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -35,6 +35,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
@@ -118,15 +119,11 @@
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
 	s := cfg.Settings
+	s.registerFeatures(cfg.Registry)
 	h.members = newMembers(s)
 	h.admission = newAdmission(h)
 	bodies := h.newBodyBudget()
-	h.relay = relay.New(relay.Config{
-		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
-		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, WarmupChanged: h.warmupChanged, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
-		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
-		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission, Budget: bodies,
-	})
+	h.relay = relay.New(h.relayConfig(bodies))
 	h.callers = caller.New(caller.Config{
 		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
 		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerReadBuffer(), Metrics: caller.NewMetrics(cfg.Registry, bodies),
@@ -135,6 +132,18 @@
 	return h
 }
 
+// relayConfig returns the configuration of the relay. Its metrics are registered once.
+func (h *Host) relayConfig(bodies *budget.Budget) relay.Config {
+	cfg, s := h.cfg, h.cfg.Settings
+	return relay.Config{
+		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
+		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, WarmupChanged: h.warmupChanged, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
+		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
+		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission, Budget: bodies,
+		ColdAdmissionOnly: s.disables(Admission), NoSlowStart: s.disables(SlowStart), IgnoreSlowdown: s.disables(Slowdown),
+	}
+}
+
 func (h *Host) limits() intent.Limits {
 	if c := h.relay.Config(); c != nil {
 		return c.Limits()
@@ -194,6 +203,7 @@
 	go acc.run(ctx)
 	h.triggerHeartbeat() // seeds respond to the first heartbeat with the list of hosts
 	h.log.Info("start", zap.String("host", string(s.Host)), zap.String("dc", string(s.DC)), zap.Int64("run", h.incarnation), zap.String("store", s.Store))
+	s.logFeatures(h.log)
 	return nil
 }
 
--- a/internal/front/reload.go
+++ b/internal/front/reload.go
@@ -37,17 +37,23 @@
 			h.log.Warn("cannot read settings; keeping the previous ones", zap.Error(err))
 			continue
 		}
-		s.Metrics = h.cfg.Settings.Metrics
-		h.mu.Lock()
-		changed := !reflect.DeepEqual(s, h.settings)
-		h.settings = s
-		h.mu.Unlock()
-		if !changed {
-			continue
-		}
-		h.members.mu.Lock()
-		h.members.seeds = s.Seeds
-		h.members.mu.Unlock()
-		h.log.Info("applied changed settings", zap.Strings("seeds", s.Seeds))
+		h.applySettings(s)
+	}
+}
+
+// applySettings applies settings that were read again. Those that the command line
+// gives stay as they are.
+func (h *Host) applySettings(s Settings) {
+	s.Metrics, s.Disabled = h.cfg.Settings.Metrics, h.cfg.Settings.Disabled
+	h.mu.Lock()
+	changed := !reflect.DeepEqual(s, h.settings)
+	h.settings = s
+	h.mu.Unlock()
+	if !changed {
+		return
 	}
+	h.members.mu.Lock()
+	h.members.seeds = s.Seeds
+	h.members.mu.Unlock()
+	h.log.Info("applied changed settings", zap.Strings("seeds", s.Seeds))
 }
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -351,7 +351,7 @@
 	if r.host.knownEpoch() > r.recordRev.Epoch() {
 		return writeBackoff
 	}
-	if !r.host.isStoreUp() {
+	if !r.host.isStoreUp() && !r.host.cfg.Settings.disables(Handover) {
 		return storeProbeInterval
 	}
 	return confirmInterval
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -38,6 +38,7 @@
 	// In no second a cold server may get more requests than the cold rate of its
 	// service times ColdOver, plus ColdSlack.
 	ColdOver, ColdSlack float64
+	Disabled            []Feature // by the operator, not in the settings file
 }
 
 // heapShare is the share of a process's memory from which on the garbage collector
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -164,6 +164,8 @@
 	hostCount    int                  // hosts that send to the same servers
 	maxConns     map[keys.Service]int // connections that a server accepts from all hosts together
 	ramp         rampConfig
+	// ignoreSlowdown is set if the slowdown that servers report has no effect.
+	ignoreSlowdown bool
 }
 
 // New returns the state of a host in a data centre. idleConns returns the
@@ -306,6 +308,9 @@
 		return nil
 	}
 	s.end(sv)
+	if s.ignoreSlowdown {
+		res.Slowdown = 0
+	}
 	if res.HasLoad {
 		sv.toldLoad, sv.toldLoadAt = res.Load, now
 	}
--- a/internal/place/slowdown.go
+++ b/internal/place/slowdown.go
@@ -31,6 +31,10 @@
 	rawRatio float64 // as serviceTimeRatio, without regard to the reports
 }
 
+// SetSlowdown sets whether the slowdown that servers report counts. It does if
+// SetSlowdown isn't called.
+func (s *State) SetSlowdown(on bool) { s.ignoreSlowdown = !on }
+
 // recordSlowdown records the slowdown in a response.
 func (sv *server) recordSlowdown(now clock.Time, x float64) {
 	if !(x > 0) {
--- a/internal/place/slowdown_test.go
+++ b/internal/place/slowdown_test.go
@@ -82,3 +82,36 @@
 	first, _ = s.score(301, s.servers["s0"])
 	is.True(math.Abs(first-other) < 0.1)
 }
+
+// Guards against a slowdown that has an effect though it is disabled, and against a load in
+// the same header that is disabled with it.
+func TestIgnoredSlowdown(t *testing.T) {
+	tests := []struct {
+		name string
+		on   bool
+	}{{"enabled", true}, {"disabled", false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, silent := newState(1), newState(1)
+			s.SetSlowdown(tt.on)
+			for i := range 100 {
+				now := clock.Time(10 * i)
+				res := Result{Duration: clock.Span(100 + 50*(i%5)), RouteMean: 100, Load: i % 3, HasLoad: true}
+				silent.Done(now, "s0", res)
+				res.Slowdown = float64(1 + i%5)
+				s.Done(now, "s0", res)
+				x, _ := s.score(now, s.servers["s0"])
+				y, _ := silent.score(now, silent.servers["s0"])
+				if !tt.on {
+					is.Equal(x, y)
+					is.Equal(s.Slowdown("s0", 3), 1.0)
+				}
+				is.Equal(s.servers["s0"].toldLoad, i%3)
+				is.True(tt.on || s.servers["s0"].serviceTimeRatio == silent.servers["s0"].serviceTimeRatio)
+			}
+			is.Equal(s.Slowdown("s0", 5) != 1, tt.on)
+			is.Equal(s.servers["s0"].serviceTimeRatio != silent.servers["s0"].serviceTimeRatio, tt.on)
+		})
+	}
+}
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -76,7 +76,11 @@
 	ramps := make(map[keys.Service]place.Ramp)
 	if c := r.activeConfig.Load(); c != nil {
 		for _, s := range c.Document().Services {
-			ramps[s.Name] = place.Ramp{Warmup: s.Warmup, ColdRate: s.ColdRate}
+			ramp := place.Ramp{Warmup: s.Warmup, ColdRate: s.ColdRate}
+			if r.cfg.NoSlowStart {
+				ramp.Warmup = 0
+			}
+			ramps[s.Name] = ramp
 		}
 	}
 	return ramps
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,6 +80,11 @@
 	// are sent without admission.
 	Admitter Admitter
 	Budget   *link.Budget // bounds the memory of responses; nil: 100 MiB
+	// ColdAdmissionOnly restricts admission to requests to cold servers, whose limit
+	// needs it.
+	ColdAdmissionOnly bool
+	NoSlowStart       bool // placement ignores the warm-up time of services
+	IgnoreSlowdown    bool // the slowdown that servers report has no effect
 }
 
 // Relay forwards the requests that one host receives.
@@ -136,7 +141,9 @@
 	}
 	r.placement = place.New(cfg.DC, r.idleConns)
 	r.placement.SetColdBound(cfg.ColdOver, cfg.ColdSlack)
-	r.placement.SetAdmission(cfg.Admitter != nil)
+	r.placement.SetAdmission(cfg.Admitter != nil && !cfg.ColdAdmissionOnly)
+	r.placement.SetColdAdmitted(cfg.Admitter != nil)
+	r.placement.SetSlowdown(!cfg.IgnoreSlowdown)
 	return r
 }
 
