front: hosts that have just started send no lists of hosts, unless they are seeds

Cause: a host that starts takes itself for the first of its data centre until it knows the others, and the first host answers each first heartbeat with the list of all hosts. Change: hosts that aren't seeds send lists from 1.5 s after their start on. TestListsOfStartingHosts.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -34,8 +34,9 @@
 	// stoppedAdmitterPause is the same for a host that says it stops. Its heartbeats tell
 	// all hosts within that time.
 	stoppedAdmitterPause = 5 * clock.Second
-	// startQuiet is how long after its start a host admits nothing to cold servers. Until
-	// it knows the other hosts it takes itself for the admitter of all servers.
+	// startQuiet is how long after its start a host admits nothing to cold servers and, if
+	// it isn't a seed, sends no lists of hosts. Until it knows the other hosts it takes
+	// itself for the admitter of all servers and the first host of its data centre.
 	startQuiet = 1500 * clock.Millisecond
 	// admissionTick is the period in which the admitter refuses requests that have waited
 	// too long and ends reservations.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -122,6 +122,7 @@
 	s := cfg.Settings
 	s.registerFeatures(cfg.Registry)
 	h.members = newMembers(s)
+	h.members.listsFrom = h.clock.Now().Add(startQuiet)
 	h.admission = newAdmission(h)
 	h.tableParts = make(tableAssemblies)
 	bodies := h.newBodyBudget()
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -91,6 +91,8 @@
 	addrs map[string]int // number of members at an address
 	due   dueHeap        // all members by the time of the next heartbeat to them
 	reach mesh.Reach     // of this host
+	// listsFrom is from when on this host sends lists of hosts if it isn't a seed.
+	listsFrom clock.Time
 
 	local        int   // other hosts in this data centre
 	group        group // of this host
@@ -175,9 +177,10 @@
 
 // sendsMemberList reports whether this host sends the list of hosts to newly
 // started ones: it is a seed, which they contact first, or the first host of its
-// data centre.
+// data centre. A host that has just started takes itself for the first one until it
+// knows the others; if all start together, each would send a list to most of the others.
 func (ms *members) sendsMemberList(now clock.Time) bool {
-	return slices.Contains(ms.seeds, ms.ip) || ms.isFirstInDC(now)
+	return slices.Contains(ms.seeds, ms.ip) || now >= ms.listsFrom && ms.isFirstInDC(now)
 }
 
 // active returns the hosts that aren't inactive.
--- a/internal/front/members_test.go
+++ b/internal/front/members_test.go
@@ -101,6 +101,31 @@
 	is.True(seed.handleHeartbeat(30, restarted)) // a new process
 }
 
+// Guards against a list of hosts from each host to most of the others when all start
+// together, as each takes itself for the first of its data centre: its bytes grow with
+// the cube of the number of hosts.
+func TestListsOfStartingHosts(t *testing.T) {
+	const listsFrom = 1500
+	tests := []struct {
+		name  string
+		seeds []string
+		at    clock.Time
+		want  bool
+	}{
+		{"just started", []string{"127.0.0.9"}, 100, false},
+		{"the first for a while", []string{"127.0.0.9"}, listsFrom, true},
+		{"a seed that has just started", []string{"127.0.0.1"}, 100, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ms := newMembers(Settings{Host: "self", IP: "127.0.0.1", DC: "north", Seeds: tt.seeds})
+			ms.listsFrom = listsFrom
+			is.Equal(ms.sendsMemberList(tt.at), tt.want)
+		})
+	}
+}
+
 // Guards against a stopping host that still has the assigner's role but counts as
 // one that can't act, so that keys move before its leases have expired.
 func TestNoneActsWhileHostStops(t *testing.T) {
