link: don't take a reset during a long request for the end of a response

Cause: the system reports the loss of a connection to one call. If that was the write of a request's body, the read got a normal end of the stream, and a response that ends with its connection passed as complete although it was broken off. Change: at the end of such a response the connection is closed, and the error of the write decides. None, EPIPE or net.ErrClosed: the server had closed its sending side, the response is complete. Any other: ErrConnLost. No wait depends on the server.

--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 
 	"github.com/laburnummux/laburnummux/internal/segment"
 )
@@ -51,6 +53,28 @@
 	return b, err
 }
 
+// delimitedByClose reports whether the end of the connection is that of the body.
+func delimitedByClose(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// checkEnd returns an error unless the end of the stream that was read is the
+// server's. The system reports the loss of a connection to one call only: if that is
+// the write of the request, a read returns a normal end of the stream. EPIPE means
+// that the server had closed its sending side before, or that a read got the error.
+//
+// It closes the connection, so that it never waits for the server: a write in
+// progress ends with net.ErrClosed if it wasn't told of a loss before.
+func (c *conn) checkEnd(wrote <-chan error) error {
+	c.Close()
+	err := <-wrote
+	switch {
+	case err == nil, errors.Is(err, net.ErrClosed), errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrClosedPipe): // the last one for net.Pipe
+		return nil
+	}
+	return fmt.Errorf("%w: the request could not be written: %w", ErrConnLost, err)
+}
+
 // skipBody reads and drops the body of a mismatched response.
 func skipBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -428,6 +428,9 @@
 		}
 	}()
 	body, err := readBody(ctx, resp, maxBytes, h)
+	if err == nil && delimitedByClose(resp) {
+		err = c.checkEnd(wrote)
+	}
 	if err == nil && r.KeepHold {
 		if !h.keep() {
 			err = fmt.Errorf("%w: %w", ErrMalformed, errGivenUp)
