--- a/cmd/laburnummux/process_test.go
+++ b/cmd/laburnummux/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -63,6 +64,12 @@
 // startHosts starts a store, backend servers and n entry hosts of one data centre
 // and waits until each host serves a request.
 func startHosts(t testing.TB, n int) (*devel.System, []*process) {
+	t.Helper()
+	return startLimitedHosts(t, n, nil)
+}
+
+// startLimitedHosts is startHosts with additional fields of the settings.
+func startLimitedHosts(t testing.TB, n int, limits map[string]any) (*devel.System, []*process) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), stateTimeout)
 	defer cancel()
@@ -79,7 +86,7 @@
 	}
 	ps := make([]*process, n)
 	for i, name := range names {
-		ps[i] = startHost(t, s, name, names)
+		ps[i] = startHost(t, s, name, names, limits)
 	}
 	for _, p := range ps {
 		waitFor(t, func() bool { return send(t, p, "/ledger/tin-1", http.MethodGet, "").status == http.StatusOK })
@@ -107,8 +114,9 @@
   },
 }}`
 
-// startHost starts an entry host and adds it to the host list of the store.
-func startHost(t testing.TB, s *devel.System, name string, names []string) *process {
+// startHost starts an entry host and adds it to the host list of the store. limits
+// has additional fields of its settings.
+func startHost(t testing.TB, s *devel.System, name string, names []string, limits map[string]any) *process {
 	t.Helper()
 	addrs := make([]string, 4)
 	for i := range addrs {
@@ -118,11 +126,13 @@
 		}
 		addrs[i] = fmt.Sprintf("127.0.0.1:%d", port)
 	}
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"host": name, "dataCentre": "north-1", "group": names, "drainMs": 5000,
 		"listen": map[string]string{"callers": addrs[0], "relay": addrs[1], "peers": addrs[2], "operators": addrs[3]},
 		"store":  map[string]string{"address": s.Address()},
-	})
+	}
+	maps.Copy(fields, limits)
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		t.Fatal(err)
 	}
