entry: a dispatcher's refusal for want of memory doesn't say "not run" of a retry

Cause: a dispatcher refuses the body of a relayed request before it looks for a record of the request's id. Its "not run" would have been passed on to a caller that sends a non-idempotent request again with its own id, of which an earlier one may have run.

Change: such a refusal becomes "unknown", as the others without a dispatcher.

--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,10 @@
 
 	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/proxy"
+	"github.com/laburnummux/laburnummux/pkg/answer"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // startCallers starts a server with a budget that streams a response without end to
@@ -30,6 +36,11 @@
 	s := &http.Server{ConnContext: withCallerConn, ConnState: trackCaller, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := callerConnOf(r)
 		c.beginBody()
+		if _, err := proxy.NewCountedBody(streamedBody{r.Body, c}, r.ContentLength, c.count); err != nil {
+			res := c.refuse()
+			writeOutcome(w, httpStatus(res), res)
+			return
+		}
 		if !c.keepBody() || !c.beginResponse(r.URL.Path == "/endless", func() {}) || r.URL.Path != "/endless" {
 			return
 		}
@@ -79,6 +90,84 @@
 	is.Equal(b.Open(), 1)
 }
 
+// Guards against refusals with the wrong reason of requests whose body was given up,
+// and against their memory being kept for as long as net/http keeps the connection.
+func TestBodyGivenUp(t *testing.T) {
+	tests := []struct {
+		name   string
+		pause  time.Duration // without progress, before others need the memory
+		reason answer.Reason
+		status int
+	}{
+		{"in progress", 0, answer.Overloaded, http.StatusServiceUnavailable},
+		{"stalled", budget.StallTime + 100*time.Millisecond, answer.TooSlow, http.StatusRequestTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			const size, headBytes = 64 << 10, 10 << 10
+			b, addr := startCallers(t, 2*size)
+			c := dialCaller(t, addr, "POST /body HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("a", headBytes)+"\r\nContent-Length: 65536\r\n\r\n"+strings.Repeat("x", size-1))
+			awaitTrue(t, func() bool { return b.Used() >= size+3*headBytes })
+			time.Sleep(tt.pause)
+			h := b.NewHold("other", func() {})
+			defer h.Close()
+			is.True(h.Keep())
+			is.True(h.Add(size)) // waits until the request has released its memory
+			is.Equal(b.Open(), 1)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(resp.Header.Get(answer.HeaderReason), tt.reason.String())
+			is.Equal(resp.StatusCode, tt.status)
+		})
+	}
+}
+
+// Guards against a dispatcher that takes the bodies of relayed requests beyond its
+// memory, or that doesn't say that it hasn't run one.
+func TestRelayedBodyGivenUp(t *testing.T) {
+	is := is.New(t)
+	doc, probs := config.Parse("f", []byte(`{"services": {"s": {"path": "/s", "operations": {"put": {"method": "PUT"}},
+		"dataCentres": {"n": {"weight": 1}}, "server": {"slots": 2, "connections": 130}}}}`))
+	is.NoErr(probs.Err())
+	cfg, probs := doc.Config()
+	is.NoErr(probs.Err())
+	svc, _ := cfg.Service("s")
+	b := budget.New(512 << 10) // with its reserve too small for the body
+	h := &Host{services: map[keys.Service]*service{"s": {Service: svc}}, intake: &intake{budget: b}}
+	srv := httptest.NewServer(http.HandlerFunc(h.serveRelay))
+	defer srv.Close()
+	full := b.NewHold("other", func() {})
+	is.True(full.Keep())
+	is.True(full.Add(512 << 10))
+	req, err := http.NewRequest(http.MethodPut, srv.URL+"/s", strings.NewReader(strings.Repeat("x", 64<<10)))
+	is.NoErr(err)
+	req.Header = http.Header{headerService: {"s"}, headerOperation: {"put"}, headerCell: {"0"}, answer.HeaderHash: {keys.Hash(7).String()}, headerCaller: {"127.0.0.1"}}
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(answer.HeaderOutcome), answer.NotRun.String())
+	is.Equal(resp.Header.Get(answer.HeaderReason), answer.Overloaded.String())
+	is.Equal(b.Open(), 1)
+}
+
+// Guards against a retry that gets "not run" from a host that doesn't know whether the
+// first request with its id has run.
+func TestOverloadedRetry(t *testing.T) {
+	tests := []struct {
+		idFromCaller bool
+		want         answer.Outcome
+	}{{true, answer.Unknown}, {false, answer.NotRun}}
+	for _, tt := range tests {
+		is := is.New(t)
+		cl := call{idFromCaller: tt.idFromCaller}
+		is.Equal(cl.withoutDispatcher(notRun(answer.Overloaded)).outcome, tt.want)
+		is.Equal(cl.withoutDispatcher(notRun(answer.TooSlow)).outcome, tt.want)
+	}
+}
+
 // Guards against headers that aren't counted, or whose memory isn't released.
 func TestHeadersCounted(t *testing.T) {
 	const lines = 900 // in net/http's buffer
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -222,8 +222,11 @@
 	// After it, a refusal of a later attempt doesn't mean "not run".
 	var indeterminate *result
 	finalResult := func(res result) result {
-		if res.outcome == answer.NotRun && indeterminate != nil {
+		switch {
+		case res.outcome == answer.NotRun && indeterminate != nil:
 			return *indeterminate
+		case res.reason == answer.Overloaded: // by a dispatcher that hasn't looked for a record
+			return cl.withoutDispatcher(res)
 		}
 		return res
 	}
