--- a/cmd/laburnummux/process_test.go
+++ b/cmd/laburnummux/process_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -50,6 +52,7 @@
 	cmd       *exec.Cmd
 	callers   string
 	operators string
+	secure    bool // callers use TLS
 	done      chan error
 }
 
@@ -63,6 +66,12 @@
 // startHosts starts a store, backend servers and n entry hosts of one data centre
 // and waits until each host serves a request.
 func startHosts(t testing.TB, n int) (*devel.System, []*process) {
+	t.Helper()
+	return startLimitedHosts(t, n, nil)
+}
+
+// startLimitedHosts is startHosts with additional fields of the settings.
+func startLimitedHosts(t testing.TB, n int, limits map[string]any) (*devel.System, []*process) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), stateTimeout)
 	defer cancel()
@@ -79,7 +88,7 @@
 	}
 	ps := make([]*process, n)
 	for i, name := range names {
-		ps[i] = startHost(t, s, name, names)
+		ps[i] = startHost(t, s, name, names, limits)
 	}
 	for _, p := range ps {
 		waitFor(t, func() bool { return send(t, p, "/ledger/tin-1", http.MethodGet, "").status == http.StatusOK })
@@ -107,8 +116,9 @@
   },
 }}`
 
-// startHost starts an entry host and adds it to the host list of the store.
-func startHost(t testing.TB, s *devel.System, name string, names []string) *process {
+// startHost starts an entry host and adds it to the host list of the store. limits
+// has additional fields of its settings.
+func startHost(t testing.TB, s *devel.System, name string, names []string, limits map[string]any) *process {
 	t.Helper()
 	addrs := make([]string, 4)
 	for i := range addrs {
@@ -118,11 +128,13 @@
 		}
 		addrs[i] = fmt.Sprintf("127.0.0.1:%d", port)
 	}
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"host": name, "dataCentre": "north-1", "group": names, "drainMs": 5000,
 		"listen": map[string]string{"callers": addrs[0], "relay": addrs[1], "peers": addrs[2], "operators": addrs[3]},
 		"store":  map[string]string{"address": s.Address()},
-	})
+	}
+	maps.Copy(fields, limits)
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +145,7 @@
 	s.Store().AddMember(store.NewEntryMember(keys.Host(name), "north-1", store.Addresses{
 		Callers: addrs[0], Relay: addrs[1], Peers: addrs[2], Operators: addrs[3],
 	}))
-	p := &process{cmd: exec.Command(os.Args[0], "serve", "--settings", file), callers: addrs[0], operators: addrs[3], done: make(chan error, 1)}
+	p := &process{cmd: exec.Command(os.Args[0], "serve", "--settings", file), callers: addrs[0], operators: addrs[3], secure: limits["tls"] != nil, done: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), runAsCommand+"=1")
 	if testing.Verbose() {
 		p.cmd.Stderr = os.Stderr
@@ -146,6 +158,9 @@
 	return p
 }
 
+// secureClient accepts any certificate.
+var secureClient = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+
 // response is the part of a response that the tests check. Its status is 0 if no
 // complete response arrived.
 type response struct {
@@ -157,14 +172,18 @@
 // send sends a request to the host, with id as its request id if not empty.
 func send(t testing.TB, p *process, path, method, id string) (r response) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+p.callers+path, nil)
+	client, scheme := http.DefaultClient, "http"
+	if p.secure {
+		client, scheme = secureClient, "https"
+	}
+	req, err := http.NewRequestWithContext(t.Context(), method, scheme+"://"+p.callers+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if id != "" {
 		req.Header.Set(answer.HeaderRequestID, id)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return r
 	}
