retry, relay: quarantine a frequent request that crashes servers

Cause: the loss of a server within 1 s after that of another one counted as a network partition, so a request that came every 0.7 s counted one crash per host, and hosts took the larger of two counts in place of their sum. The same rule quarantined sound requests that were at several servers when these were lost.

Change: a request is quarantined after three crashes one after the other, summed over the hosts by process of the server. Losses that it doesn't explain count against it, and a complete response at any host clears it. Losses are exchanged in new optional fields, soon after a change; earlier versions ignore them. Probe returns its error.

--- a/internal/front/heartbeat.go
+++ b/internal/front/heartbeat.go
@@ -35,6 +35,9 @@
 	// suspectInterval is the period in which a host sends the list of requests
 	// that may crash servers.
 	suspectInterval = time.Second
+	// suspectChangeInterval is the shortest period after a change. A frequent request
+	// crashes many servers within suspectInterval, at a different host each time.
+	suspectChangeInterval = 250 * time.Millisecond
 	// maxSuspectTargets is how many hosts it sends the list to. They pass it on, so
 	// that all hosts have it after a few periods.
 	maxSuspectTargets = 24
@@ -56,7 +59,7 @@
 // once after a change.
 func (h *Host) sendHeartbeats(ctx context.Context) error {
 	var report, suspects, standing, candidates timer
-	var seq uint64
+	var seq, sentChanges uint64
 	var reach mesh.Reach
 	var gossipAt time.Time // of the last heartbeat that lists other hosts
 	for {
@@ -81,7 +84,9 @@
 		if report.due(h.members.reportInterval()) {
 			h.sendReport()
 		}
-		if suspects.due(suspectInterval) {
+		changes := h.relay.SuspectChanges()
+		if suspects.due(suspectInterval) || changes != sentChanges && suspects.due(suspectChangeInterval) {
+			sentChanges = changes
 			h.sendSuspects()
 		}
 		h.expireServers()
@@ -174,8 +179,8 @@
 // sendSuspects sends the list of requests that may crash servers to other hosts.
 // They pass it on.
 func (h *Host) sendSuspects() {
-	if list := h.relay.Suspects(); len(list) > 0 {
-		h.send(sample(h.members.activeAddrs(h.clock.Now()), maxSuspectTargets), mesh.Message{Suspects: list})
+	if list, losses := h.relay.Suspects(); len(list) > 0 {
+		h.send(sample(h.members.activeAddrs(h.clock.Now()), maxSuspectTargets), mesh.Message{Suspects: list, Losses: losses})
 	}
 }
 
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -65,7 +65,7 @@
 		h.triggerHeartbeat() // adds this host to the member lists of the listed hosts
 	}
 	if len(msg.Suspects) > 0 {
-		h.relay.ImportSuspects(msg.Suspects)
+		h.relay.ImportSuspects(msg.Suspects, msg.Losses)
 	}
 	if msg.Report != nil {
 		h.role.addReport(msg.Report)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -536,13 +536,18 @@
 	return b.Bytes()
 }
 
-// Probe reports whether the server accepts a connection. It adds the connection
-// to the pool.
-func (p *Pool) Probe() bool {
+// Probe opens a connection to the server and adds it to the pool. It returns an error
+// if the server accepts none.
+func (p *Pool) Probe() (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%w: %w", ErrDial, err)
+		}
+	}()
 	nc, err := p.cfg.Dial(context.Background(), "tcp", p.cfg.Addr)
 	if err != nil {
-		return false
+		return err
 	}
 	p.putIdle(newConn(nc))
-	return true
+	return nil
 }
--- a/internal/mesh/check.go
+++ b/internal/mesh/check.go
@@ -78,6 +78,9 @@
 	if err := m.checkAdmissions(); err != nil {
 		return err
 	}
+	if err := m.checkLosses(); err != nil {
+		return err
+	}
 	return checkMembers(m.Members)
 }
 
@@ -123,6 +126,22 @@
 	return nil
 }
 
+func (m Message) checkLosses() error {
+	for _, l := range m.Losses {
+		if !l.Valid() {
+			return fmt.Errorf("loss of kind %d, %d ms ago", l.Kind, l.Age)
+		}
+	}
+	for _, s := range m.Suspects {
+		for _, l := range s.Losses {
+			if !l.Valid() {
+				return fmt.Errorf("loss of kind %d, %d ms ago, after %d ms", l.Loss.Kind, l.Loss.Age, l.Ran)
+			}
+		}
+	}
+	return nil
+}
+
 func checkMembers(list []Member) error {
 	if len(list) > maxMembers {
 		return fmt.Errorf("%d hosts", len(list))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,6 +44,9 @@
 	Asks       []Ask      `cbor:"6,keyasint,omitempty"`
 	AskReplies []AskReply `cbor:"7,keyasint,omitempty"`
 	AskDones   []AskDone  `cbor:"8,keyasint,omitempty"`
+	// Losses are the latest losses of servers, for the decision about Suspects. Hosts
+	// of earlier versions ignore them, so they are only sent with Suspects.
+	Losses []retry.Loss `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to the others periodically.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -65,6 +66,11 @@
 		{"result with a time below zero", Message{AskDones: []AskDone{{Num: 1, Duration: -1}}}, false},
 		{"result with a load that can't be", Message{AskDones: []AskDone{{Num: 1, Load: maxInFlight + 1}}}, false},
 		{"suspects", Message{Suspects: []retry.SuspectRecord{{}}}, true},
+		{"suspect with a loss", Message{Suspects: []retry.SuspectRecord{{Losses: []retry.RunLoss{{Loss: retry.Loss{Process: 1, Kind: retry.Ended, Age: 5}, Ran: 3}}}}}, true},
+		{"suspect with a loss of an unknown kind", Message{Suspects: []retry.SuspectRecord{{Losses: []retry.RunLoss{{Loss: retry.Loss{Kind: retry.Ended + 1}}}}}}, false},
+		{"suspect that ran for less than no time", Message{Suspects: []retry.SuspectRecord{{Losses: []retry.RunLoss{{Ran: -1}}}}}, false},
+		{"losses", Message{Suspects: []retry.SuspectRecord{{}}, Losses: []retry.Loss{{Process: 1, Age: 5}}}, true},
+		{"loss in the future", Message{Suspects: []retry.SuspectRecord{{}}, Losses: []retry.Loss{{Age: -1}}}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -112,3 +118,38 @@
 		}
 	})
 }
+
+// earlierSuspect is a suspect as hosts of earlier versions know it.
+type earlierSuspect struct {
+	retry.Signature
+	Crashes     int        `json:"crashes"`
+	Quarantined bool       `json:"quarantined"`
+	Remaining   clock.Span `json:"leftMs"`
+}
+
+// earlierMessage has the suspects of a message as hosts of earlier versions know it.
+type earlierMessage struct {
+	Suspects []earlierSuspect `cbor:"4,keyasint,omitempty"`
+}
+
+// Guards against suspects that hosts of earlier versions can't read, or the other way
+// round.
+func TestSuspectsOfOtherVersions(t *testing.T) {
+	is := is.New(t)
+	sig := retry.Signature{Op: "POST h", Key: 3, Body: 4}
+	b, err := Encode(Message{
+		Suspects: []retry.SuspectRecord{{
+			Signature: sig, Crashes: 1, Remaining: 7, Losses: []retry.RunLoss{{Loss: retry.Loss{Process: 1, Service: "a", Kind: retry.Refused, Age: 5}, Ran: 3, Alone: true}},
+		}},
+		Losses: []retry.Loss{{Process: 2, Age: 9}},
+	})
+	is.NoErr(err)
+	var earlier earlierMessage
+	is.NoErr(cbor.Unmarshal(b, &earlier))
+	is.Equal(earlier, earlierMessage{Suspects: []earlierSuspect{{Signature: sig, Crashes: 1, Remaining: 7}}})
+	b, err = cbor.Marshal(earlier)
+	is.NoErr(err)
+	msg, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(msg, Message{Suspects: []retry.SuspectRecord{{Signature: sig, Crashes: 1, Remaining: 7}}})
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -218,9 +218,12 @@
 	}
 	result := c.classify(ctx, res)
 	if result.outcome == connLost && res.Sent {
-		check := &crashCheck{relay: r, server: sv.ID, pool: p, ticket: ticket}
+		check := &crashCheck{relay: r, server: sv, pool: p, ticket: ticket, lostAt: end}
 		go check.run()
 	} else {
+		if result.outcome == dialFailed {
+			r.recordDialFailure(end, sv, ticket, res.Err)
+		}
 		c.endAttempt(end, ticket, result.outcome == answered)
 	}
 	r.mu.Lock()
@@ -429,40 +432,3 @@
 	}
 	return resp
 }
-
-// crashCheck determines whether a server has crashed after it lost a connection,
-// by opening another one: a crashed server accepts none. Until then the
-// quarantine counts the request as in flight.
-type crashCheck struct {
-	relay  *Relay
-	server keys.Server
-	pool   *pool
-	ticket retry.Ticket
-}
-
-func (c *crashCheck) run() {
-	alive := c.pool.Probe()
-	c.relay.mu.Lock()
-	defer c.relay.mu.Unlock()
-	now := c.relay.cfg.Clock.Now()
-	if alive || c.relay.recordLoss(now, c.server) {
-		c.relay.quarantine.End(now, c.ticket, false)
-		return
-	}
-	for _, sig := range c.relay.quarantine.ServerCrashed(now, c.server) {
-		c.relay.cfg.Log.Warn("quarantined a request: backend servers crashed while they processed it", zap.String("op", sig.Op), zap.String("server", string(c.server)))
-	}
-}
-
-// partitionWindow is the time within which the loss of two servers is attributed
-// to a network partition. A request that crashes servers crashes them one by one.
-const partitionWindow = clock.Second
-
-// recordLoss records that a server accepts no connections. It reports whether
-// another server was lost within partitionWindow before: then the cause is taken
-// to be a network partition, not a request. r.mu must be held.
-func (r *Relay) recordLoss(now clock.Time, id keys.Server) bool {
-	partition := r.lastLoss.id != "" && r.lastLoss.id != id && now.Sub(r.lastLoss.at) < partitionWindow
-	r.lastLoss = serverLoss{id: id, at: now}
-	return partition
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,10 +16,8 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,19 +98,11 @@
 	hostCount     int                                       // hosts that share the retry budget
 	keyLoads      map[keys.Service]map[owner.Key]clock.Span // estimated service time since the last TakeObservations
 	serviceTimes  map[keys.Server]*owner.ServiceTime        // since the last TakeObservations
-	lastLoss      serverLoss
 	// admissionWaits are the requests that wait for their admission.
 	admissionWaits map[*call]admissionWait
 	toldLeaving    bool // some pool may have leaving set
 }
 
-// serverLoss is the loss of a server: it accepted no connection after one had
-// failed.
-type serverLoss struct {
-	id keys.Server
-	at clock.Time
-}
-
 // pool has the connections to one process of a server.
 type pool struct {
 	*link.Pool
@@ -129,7 +119,7 @@
 	}
 	r := &Relay{
 		cfg: cfg, retryBudget: quota.New(cfg.Clock.Now(), cfg.RetryBudget),
-		quarantine: retry.NewQuarantine(retry.QuarantineConfig{}), pending: make(map[uint64]chan place.Action),
+		quarantine: retry.NewQuarantine(retry.QuarantineConfig{MinCrashes: minCrashes, CheckLosses: true}), pending: make(map[uint64]chan place.Action),
 		pools: make(map[keys.Server]*pool), responses: cfg.Budget, requestCounts: make(map[string]*uint64), routeMeans: make(map[string]float64), hostCount: 1,
 		keyLoads: make(map[keys.Service]map[owner.Key]clock.Span), serviceTimes: make(map[keys.Server]*owner.ServiceTime),
 		admissionWaits: make(map[*call]admissionWait),
@@ -173,6 +163,7 @@
 				p.Close()
 			}
 			r.pools[sv.ID] = r.newPool(sv)
+			r.logQuarantined(r.quarantine.SetProcess(r.cfg.Clock.Now(), sv.ID, sv.Service, sv.Born))
 		}
 		r.pools[sv.ID].server = sv
 	}
@@ -180,6 +171,7 @@
 		if !seen[id] {
 			p.Close()
 			delete(r.pools, id)
+			r.quarantine.RemoveProcess(id)
 		}
 	}
 	r.deliver(r.placement.SetServers(r.cfg.Clock.Now(), list))
@@ -201,28 +193,6 @@
 	r.deliver(r.placement.SetPeerLoad(r.cfg.Clock.Now(), h, inFlight, queued))
 }
 
-// maxSuspects is the most suspects that are sent to other hosts in one message.
-const maxSuspects = 24
-
-// Suspects returns the requests that are most likely to crash servers, most
-// crashes first.
-func (r *Relay) Suspects() []retry.SuspectRecord {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := slices.DeleteFunc(r.quarantine.Export(r.cfg.Clock.Now()), func(s retry.SuspectRecord) bool { return s.Crashes == 0 && !s.Quarantined })
-	slices.SortStableFunc(list, func(a, b retry.SuspectRecord) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.Remaining, a.Remaining))
-	})
-	return list[:min(len(list), maxSuspects)]
-}
-
-// ImportSuspects merges the suspects of another host.
-func (r *Relay) ImportSuspects(list []retry.SuspectRecord) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.quarantine.Import(r.cfg.Clock.Now(), list)
-}
-
 // SetHosts sets the number of hosts that share the retry budget and the servers'
 // connections.
 func (r *Relay) SetHosts(n int) {
@@ -314,6 +284,7 @@
 		period = idleTick
 		r.mu.Lock()
 		r.deliver(r.placement.Tick(r.cfg.Clock.Now()))
+		r.logQuarantined(r.quarantine.Tick(r.cfg.Clock.Now()))
 		if len(r.pending) > 0 {
 			period = queueTick
 		}
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
@@ -27,6 +28,9 @@
 	// record for the delay of its transfer. Without it each transfer would
 	// extend the record, and two hosts could keep it alive by exchanging it.
 	importAllowance = clock.Second
+	// DefaultWindow is longer than it takes several hosts to notice the losses of a
+	// partition or a power loss.
+	DefaultWindow = clock.Second
 )
 
 // QuarantineConfig configures a Quarantine. Zero values mean the defaults.
@@ -35,6 +39,10 @@
 	Duration    clock.Span // of a quarantine, and of a suspect's record after its last crash
 	TableSize   int        // most records kept
 	Reservation clock.Span // for a suspect that waits to run alone
+	// CheckLosses compares the servers that a request crashed with all servers that
+	// were lost. A request is quarantined only if it explains enough of them.
+	CheckLosses bool
+	Window      clock.Span // before and after a request's losses, with CheckLosses
 }
 
 // Signature identifies a request across attempts and retries by the caller.
@@ -54,16 +62,30 @@
 
 // Ticket identifies an attempt in flight.
 type Ticket struct {
-	server keys.Server
-	sig    Signature
-	id     uint64
+	server  keys.Server
+	process process
+	sig     Signature
+	id      uint64
+	started clock.Time
 }
 
-// record has the crashes attributed to a signature. crashes is 0 after the
-// request was cleared; the record is kept so that an import doesn't make the
-// request a suspect again.
+// process is a process of a server. id is 0 if Quarantine.SetProcess wasn't called for
+// the server.
+type process struct {
+	id      Process
+	service keys.Service
+	born    int64
+}
+
+// record has the losses of servers while they ran a request. A record without any is
+// kept after the request was cleared, so that an import doesn't make the request a
+// suspect again.
 type record struct {
-	crashes     int
+	losses      []runLoss  // oldest first
+	prior       int        // crashes before an earlier quarantine
+	told        bool       // a host of an earlier version, which sends no losses, has told of a crash
+	cleared     clock.Time // the request last completed, if hasCleared is set
+	hasCleared  bool
 	quarantined bool
 	expires     clock.Time
 }
@@ -82,15 +104,25 @@
 //
 // A crash makes all requests in flight at the server suspects. From then on a
 // suspect runs alone at a server. If it completes at any server it is cleared;
-// if a server crashes again while it processes the suspect, no other request can
-// be the cause, and the suspect is quarantined. A second crash counts only if
-// the suspect ran alone, so a request that merely shares servers with the cause
-// is never quarantined.
+// if servers go on to crash while they process the suspect, no other request of the
+// host can be the cause, and the suspect is quarantined. From the second crash on a
+// crash counts only if the suspect was sent to the server after the crash before and
+// ran alone. So a request that merely shares servers with the cause, or was at many
+// servers that were lost together, isn't quarantined.
+//
+// A loss is a crash if the server refuses connections, until the same process
+// responds, or if a later process takes its place. Hosts exchange the losses by
+// process, so that their sum counts and a loss that several hosts notice counts once.
 type Quarantine struct {
-	cfg     QuarantineConfig
-	records map[Signature]record
-	servers map[keys.Server]*serverState
-	lastID  uint64
+	cfg       QuarantineConfig
+	records   map[Signature]record
+	servers   map[keys.Server]*serverState
+	processes map[keys.Server]process
+	responded map[keys.Server]Process // the process that last completed a request
+	losses    lossTable
+	lastID    uint64
+	changes   uint64     // see Changes
+	judgeAt   clock.Time // Tick looks at the losses again; 0: never
 }
 
 // NewQuarantine returns an empty Quarantine.
@@ -107,7 +139,29 @@
 	if cfg.Reservation <= 0 {
 		cfg.Reservation = DefaultReservation
 	}
-	return &Quarantine{cfg: cfg, records: make(map[Signature]record), servers: make(map[keys.Server]*serverState)}
+	if cfg.Window <= 0 {
+		cfg.Window = DefaultWindow
+	}
+	return &Quarantine{
+		cfg: cfg, records: make(map[Signature]record), servers: make(map[keys.Server]*serverState),
+		processes: make(map[keys.Server]process), responded: make(map[keys.Server]Process), losses: make(lossTable),
+	}
+}
+
+// SetProcess records which process a server has. It returns the requests that are
+// quarantined because the new process proves the crash of an earlier one.
+func (q *Quarantine) SetProcess(now clock.Time, server keys.Server, service keys.Service, born int64) (proven []Signature) {
+	q.processes[server] = process{id: hashProcess(server, born), service: service, born: born}
+	if q.losses.setEnded(now, server, born) {
+		return q.convict(now)
+	}
+	return nil
+}
+
+// RemoveProcess records that a server is no longer listed.
+func (q *Quarantine) RemoveProcess(server keys.Server) {
+	delete(q.processes, server)
+	delete(q.responded, server)
 }
 
 // Start decides whether an attempt of a request may start at a server. If it
@@ -122,12 +176,12 @@
 		sv = new(serverState)
 		q.servers[server] = sv
 	}
-	suspect := known && rec.crashes > 0
+	suspect := known && q.isSuspect(rec)
 	if !q.admit(now, sv, sig, suspect) {
 		return Admission{Wait: true}
 	}
 	q.lastID++
-	t := Ticket{server: server, sig: sig, id: q.lastID}
+	t := Ticket{server: server, process: q.processes[server], sig: sig, id: q.lastID, started: now}
 	sv.inFlight = append(sv.inFlight, t)
 	return Admission{Run: true, Ticket: t}
 }
@@ -161,7 +215,7 @@
 // too.
 func (q *Quarantine) runsSuspect(now clock.Time, sv *serverState) bool {
 	for _, t := range sv.inFlight {
-		if s, ok := q.lookup(now, t.sig); ok && s.crashes > 0 {
+		if s, ok := q.lookup(now, t.sig); ok && q.isSuspect(s) {
 			return true
 		}
 	}
@@ -171,19 +225,37 @@
 // End records that an attempt has ended without a crash of its server. completed
 // means that the server sent a complete response.
 func (q *Quarantine) End(now clock.Time, t Ticket, completed bool) {
+	valid := false
 	if sv := q.servers[t.server]; sv != nil {
-		for i, r := range sv.inFlight {
-			if r == t {
-				sv.inFlight = append(sv.inFlight[:i], sv.inFlight[i+1:]...)
-				break
-			}
+		if i := slices.Index(sv.inFlight, t); i >= 0 {
+			sv.inFlight = slices.Delete(sv.inFlight, i, i+1)
+			valid = true
 		}
-		if len(sv.inFlight) == 0 && !now.Before(sv.reservedUntil) {
-			delete(q.servers, t.server)
+		q.release(now, t.server, sv)
+	}
+	if !completed {
+		return
+	}
+	if t.process.id != 0 && t.process == q.processes[t.server] {
+		q.responded[t.server] = t.process.id
+	}
+	if l := q.losses[t.process.id]; l != nil && l.kind < Alive && t.started >= l.at {
+		l.kind = Alive
+	}
+	if s, ok := q.lookup(now, t.sig); ok && (valid || !s.quarantined) {
+		if q.isSuspect(s) {
+			q.changes++
 		}
+		s.clear(now)
+		s.expires = now.Add(q.cfg.Duration)
+		q.records[t.sig] = s
 	}
-	if s, ok := q.lookup(now, t.sig); ok && completed && !s.quarantined {
-		q.records[t.sig] = record{expires: now.Add(q.cfg.Duration)}
+}
+
+// release forgets a server without requests in flight and without a reservation.
+func (q *Quarantine) release(now clock.Time, server keys.Server, sv *serverState) {
+	if len(sv.inFlight) == 0 && !now.Before(sv.reservedUntil) {
+		delete(q.servers, server)
 	}
 }
 
@@ -196,22 +268,72 @@
 		return nil
 	}
 	delete(q.servers, server)
-	for _, t := range sv.inFlight {
+	return q.recordLoss(now, now, sv.inFlight, len(sv.inFlight) == 1, Refused)
+}
+
+// ServerLost records that the connection of an attempt was lost at a time, and what
+// was then found out about the server. Unless the server is alive, all requests that
+// were in flight there are lost with it. It invalidates their tickets, and returns
+// the requests that are quarantined because of the loss.
+func (q *Quarantine) ServerLost(now, at clock.Time, t Ticket, kind LossKind) (proven []Signature) {
+	sv := q.servers[t.server]
+	if sv == nil || !slices.Contains(sv.inFlight, t) {
+		return nil
+	}
+	var lost, left []Ticket
+	others := 0
+	for _, r := range sv.inFlight {
+		there := r.process == t.process && !r.started.After(at)
+		switch {
+		case r == t, there && kind != Alive:
+			lost = append(lost, r)
+			continue
+		case there:
+			others++
+		}
+		left = append(left, r)
+	}
+	sv.inFlight = left
+	q.release(now, t.server, sv)
+	return q.recordLoss(now, at, lost, len(lost)+others == 1, kind)
+}
+
+// DialFailed records that no connection could be opened for an attempt. No request is
+// to blame, but the loss of the server counts in the comparison of CheckLosses. A
+// process that hasn't completed a request yet may have ended before it was listed, by
+// a request that was sent to its predecessor.
+func (q *Quarantine) DialFailed(now clock.Time, t Ticket, kind LossKind) {
+	if p := t.process; p.id != 0 && q.responded[t.server] == p.id {
+		q.losses.report(p.id, loss{server: t.server, service: p.service, born: p.born, kind: kind, at: now})
+	}
+}
+
+// recordLoss records the loss of a process that ran the given attempts.
+func (q *Quarantine) recordLoss(now, at clock.Time, lost []Ticket, alone bool, kind LossKind) (proven []Signature) {
+	if len(lost) == 0 {
+		return nil
+	}
+	p := lost[0].process
+	if p.id == 0 {
+		q.lastID++
+		p.id = hashProcess(lost[0].server, int64(q.lastID))
+	}
+	if l := q.losses[p.id]; l != nil && l.ran && at <= l.at.Add(sameLoss) {
+		alone = false // others were in flight too, and have been recorded
+	}
+	q.losses.report(p.id, loss{server: lost[0].server, service: p.service, born: p.born, kind: kind, at: at, ran: true})
+	q.changes++
+	for _, t := range lost {
 		s, _ := q.lookup(now, t.sig)
 		if s.quarantined {
 			continue
 		}
-		if s.crashes == 0 || len(sv.inFlight) == 1 {
-			s.crashes++
-		}
+		q.addLoss(t.sig, &s, runLoss{process: p.id, at: at, ran: max(at.Sub(t.started), 0), alone: alone})
 		s.expires = now.Add(q.cfg.Duration)
-		if s.crashes >= q.cfg.MinCrashes {
-			s.quarantined = true
-			proven = append(proven, t.sig)
-		}
 		q.put(now, t.sig, s)
 	}
-	return proven
+	q.judgeAt = now.Add(closeTogether)
+	return q.convict(now)
 }
 
 // lookup returns the record of sig. After its quarantine a request remains a
@@ -222,7 +344,7 @@
 		return s, ok
 	}
 	if s.quarantined && now.Before(s.expires.Add(q.cfg.Duration)) {
-		s = record{crashes: q.cfg.MinCrashes - 1, expires: s.expires.Add(q.cfg.Duration)}
+		s = record{prior: q.cfg.MinCrashes - 1, expires: s.expires.Add(q.cfg.Duration)}
 		q.records[sig] = s
 		return s, true
 	}
@@ -244,7 +366,7 @@
 	var victim Signature
 	first := true
 	for k, v := range q.records {
-		c := compareRecords(v, q.records[victim])
+		c := q.compareRecords(v, q.records[victim])
 		if first || c < 0 || c == 0 && lessSignature(k, victim) {
 			victim, first = k, false
 		}
@@ -252,17 +374,20 @@
 	delete(q.records, victim)
 }
 
-func compareRecords(a, b record) int {
-	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.expires, b.expires))
+func (q *Quarantine) compareRecords(a, b record) int {
+	return cmp.Or(cmp.Compare(q.rank(a), q.rank(b)), cmp.Compare(a.expires, b.expires))
 }
 
 // rank orders records for eviction: cleared, then suspects by the number of
 // crashes, then quarantined.
-func (s record) rank() int {
-	if s.quarantined {
+func (q *Quarantine) rank(s record) int {
+	switch {
+	case s.quarantined:
 		return math.MaxInt
+	case s.told:
+		return max(q.crashes(s)+s.prior, 1)
 	}
-	return s.crashes
+	return q.crashes(s) + s.prior
 }
 
 func lessSignature(a, b Signature) bool {
@@ -280,50 +405,142 @@
 // compared.
 type SuspectRecord struct {
 	Signature
-	Crashes     int        `json:"crashes"` // 0 means cleared
+	// Crashes is 0 if the request was cleared, 1 for a suspect and at least 2 for a
+	// quarantined request: hosts of earlier versions quarantine a request after 2.
+	Crashes     int        `json:"crashes"`
 	Quarantined bool       `json:"quarantined"`
 	Remaining   clock.Span `json:"leftMs"`
+	// Losses are the losses of servers that ran the request. Hosts of earlier versions
+	// neither send nor read them.
+	Losses []RunLoss `json:"losses,omitempty"`
+	// ClearedAge is the time since the request completed, if Crashes is 0.
+	ClearedAge clock.Span `json:"clearedMs,omitempty"`
 }
 
-// Export returns all records, ordered by signature.
+// Export returns the records of suspects, quarantined and cleared requests, ordered
+// by signature.
 func (q *Quarantine) Export(now clock.Time) (out []SuspectRecord) {
 	for sig := range q.records {
 		if s, ok := q.lookup(now, sig); ok {
-			out = append(out, SuspectRecord{Signature: sig, Crashes: s.crashes, Quarantined: s.quarantined, Remaining: s.expires.Sub(now)})
+			if e, ok := q.exportRecord(now, sig, s); ok {
+				out = append(out, e)
+			}
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return lessSignature(out[i].Signature, out[j].Signature) })
 	return out
 }
 
-// Import merges the records of another host. A quarantined record takes
-// precedence over a cleared one, and a cleared one over a suspect's.
-func (q *Quarantine) Import(now clock.Time, in []SuspectRecord) {
-	for _, e := range in {
-		if e.Remaining <= importAllowance {
-			continue
+// exportRecord returns a record for other hosts. ok is false if it is neither that of a
+// suspect nor of a cleared request.
+func (q *Quarantine) exportRecord(now clock.Time, sig Signature, s record) (e SuspectRecord, ok bool) {
+	e = SuspectRecord{Signature: sig, Quarantined: s.quarantined, Remaining: s.expires.Sub(now)}
+	switch {
+	case s.quarantined:
+		e.Crashes = max(q.crashes(s)+s.prior, q.cfg.MinCrashes)
+	case s.told, s.prior > 0, q.crashes(s) > 0:
+		e.Crashes = 1
+	case !s.hasCleared:
+		return e, false
+	default:
+		e.ClearedAge = max(now.Sub(s.cleared), 0)
+		return e, true
+	}
+	for _, l := range s.losses {
+		if o := q.losses[l.process]; o != nil {
+			x := o.export(now, l.process)
+			x.Age = max(now.Sub(l.at), 0)
+			e.Losses = append(e.Losses, RunLoss{Loss: x, Ran: l.ran, Alone: l.alone})
 		}
-		own, known := q.lookup(now, e.Signature)
-		other := record{
-			crashes: min(max(e.Crashes, 0), q.cfg.MinCrashes), quarantined: e.Quarantined,
-			expires: now.Add(min(e.Remaining, q.cfg.Duration) - importAllowance),
+	}
+	return e, true
+}
+
+// Changes returns a number that grows when this host has learned something that other
+// hosts should know soon.
+func (q *Quarantine) Changes() uint64 { return q.changes }
+
+// ExportLosses returns up to n of the latest losses of servers, latest first. Other
+// hosts need them only if there are suspects.
+func (q *Quarantine) ExportLosses(now clock.Time, n int) []Loss {
+	if len(q.records) == 0 {
+		return nil
+	}
+	return q.losses.export(now, n)
+}
+
+// ImportLosses merges the losses of servers that another host has noticed.
+func (q *Quarantine) ImportLosses(now clock.Time, list []Loss) {
+	for _, l := range list {
+		q.importLoss(now, l)
+	}
+}
+
+// importLoss merges a loss, and reports whether it changed anything.
+func (q *Quarantine) importLoss(now clock.Time, l Loss) (changed bool) {
+	if !l.Valid() || l.Process == 0 || l.Age >= DefaultDuration {
+		return false
+	}
+	var before loss
+	if o := q.losses[l.Process]; o != nil {
+		before = *o
+	}
+	return *q.losses.report(l.Process, loss{service: l.Service, kind: l.Kind, at: now.Add(-l.Age)}) != before
+}
+
+// Import merges the records of another host. Losses until the request last completed
+// don't count. It returns the requests that are quarantined because of the losses of
+// both hosts.
+func (q *Quarantine) Import(now clock.Time, in []SuspectRecord) (proven []Signature) {
+	changed := false
+	for _, e := range in {
+		if e.Remaining > importAllowance {
+			changed = q.importRecord(now, e) || changed
 		}
-		if known && precedence(own) >= precedence(other) {
-			continue
+	}
+	if !changed {
+		return nil
+	}
+	q.judgeAt = cmp.Or(q.judgeAt, now.Add(closeTogether))
+	return q.convict(now)
+}
+
+// importRecord merges a record, and reports whether it has losses.
+func (q *Quarantine) importRecord(now clock.Time, e SuspectRecord) bool {
+	s, known := q.lookup(now, e.Signature)
+	if e.Crashes <= 0 && !e.Quarantined {
+		q.importCleared(now, e, s)
+		return false
+	}
+	for _, l := range e.Losses {
+		if l.Valid() {
+			q.importLoss(now, l.Loss)
+			q.addLoss(e.Signature, &s, runLoss{process: l.Loss.Process, at: now.Add(-l.Loss.Age), ran: l.Ran, alone: l.Alone})
 		}
-		q.put(now, e.Signature, other)
 	}
+	last, hasLosses := s.lastLoss()
+	outdated := len(e.Losses) > 0 && s.hasCleared && (!hasLosses || last <= s.cleared)
+	if outdated || len(e.Losses) == 0 && !e.Quarantined && known && !s.told {
+		return false
+	}
+	s.told = s.told || len(e.Losses) == 0
+	s.quarantined = s.quarantined || e.Quarantined
+	s.expires = max(s.expires, now.Add(min(e.Remaining, q.cfg.Duration)-importAllowance))
+	q.put(now, e.Signature, s)
+	return hasLosses
 }
 
-// precedence ranks records for Import.
-func precedence(s record) int {
-	switch {
-	case s.quarantined:
-		return 2
-	case s.crashes == 0:
-		return 1
+// importCleared applies that the request of a record completed at another host. A
+// quarantine stays if a server was lost later, or if its losses aren't known.
+func (q *Quarantine) importCleared(now clock.Time, e SuspectRecord, s record) {
+	at := now.Add(-max(e.ClearedAge, 0))
+	last, ok := s.lastLoss()
+	if s.quarantined && (!ok || last > at) {
+		return
 	}
-	return 0
+	s.clear(at)
+	s.expires = max(s.expires, now.Add(min(e.Remaining, q.cfg.Duration)-importAllowance))
+	q.put(now, e.Signature, s)
 }
 
 // QuarantineDump is the state of a Quarantine for an operator.
