--- a/internal/link/reset_test.go
+++ b/internal/link/reset_test.go
@@ -445,7 +445,7 @@
 		p := NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes))
 		observed := make(chan bool, 1)
 		p.Observe(func(int, http.Header) { observed <- true })
-		is.True(p.Probe())
+		is.NoErr(p.Probe())
 		p.Sweep(t.Context(), time.Now().Add(defaultIdleTimeout-probeLead/2), "/health")
 		select {
 		case <-observed: // a head tells what it tells, whatever its body
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -47,6 +47,9 @@
 	// TableParts are parts of tables that are too long for one message. Hosts of earlier
 	// versions, which can't get such tables, ignore them.
 	TableParts []TablePart `cbor:"9,keyasint,omitempty"`
+	// Losses are the latest losses of servers, for the decision about Suspects. Hosts
+	// of earlier versions ignore them, so they are only sent with Suspects.
+	Losses []retry.Loss `cbor:"10,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to the others periodically.
