--- a/cmd/laburnummux/body_test.go
+++ b/cmd/laburnummux/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -204,19 +205,24 @@
 // kept is set.
 func (h *frontHost) connect(t *testing.T, n int, kept bool) *clients {
 	t.Helper()
-	cl := &clients{host: h}
+	cl := &clients{host: h, conns: make([]net.Conn, n)}
+	errs := make([]error, n)
+	var wg sync.WaitGroup
 	for i := range n {
-		var c net.Conn
 		if kept {
-			c = h.dial(t, "book", fmt.Sprintf("kept-%d", i))
-		} else {
-			var err error
-			if c, err = net.Dial("tcp", h.addr); err != nil {
-				t.Fatal(err)
-			}
+			wg.Go(func() { cl.conns[i], errs[i] = h.tryDial("book", fmt.Sprintf("kept-%d", i)) })
+			continue
 		}
-		cl.conns = append(cl.conns, c)
-		t.Cleanup(func() { c.Close() })
+		cl.conns[i], errs[i] = net.Dial("tcp", h.addr)
+	}
+	wg.Wait()
+	for _, c := range cl.conns {
+		if c != nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
 	}
 	return cl
 }
--- a/cmd/laburnummux/front_test.go
+++ b/cmd/laburnummux/front_test.go
@@ -20,7 +20,7 @@
 	settingsFile := filepath.Join(t.TempDir(), "node.conf")
 	is.NoErr(syscall.Mkfifo(settingsFile, 0o600)) // the host blocks while it reads the settings
 	cmd := exec.Command(os.Args[0], "front")
-	cmd.Env = append(os.Environ(), runAsCommand+"=1", platform.SettingsVariable+"="+settingsFile)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settingsFile)
 	is.NoErr(cmd.Start())
 	var w *os.File
 	for end := time.Now().Add(stateTimeout); w == nil; time.Sleep(10 * time.Millisecond) {
--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,23 +23,27 @@
 )
 
 // frontSubnets are the second bytes of the loopback addresses that entry hosts of
-// these tests may use; frontLockPort is listened on while one is in use.
+// these tests may use, and hostsPerSubnet the most hosts in each, which parallel tests
+// share; frontLockPort is listened on while an address is in use.
 const (
-	frontSubnets  = 9
-	frontLockPort = 7199
+	frontSubnets   = 9
+	hostsPerSubnet = 250
+	frontLockPort  = 7199
 )
 
 // lockFrontIP returns an address for an entry host that no other test uses.
 func lockFrontIP(t *testing.T) string {
 	t.Helper()
 	for n := 2; n <= frontSubnets; n++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", n, frontLockPort))
-		if err == nil {
-			t.Cleanup(func() { l.Close() })
-			return fmt.Sprintf("127.%d.0.1", n)
+		for i := 1; i <= hostsPerSubnet; i++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.%d:%d", n, i, frontLockPort))
+			if err == nil {
+				t.Cleanup(func() { l.Close() })
+				return fmt.Sprintf("127.%d.0.%d", n, i)
+			}
 		}
 	}
-	t.Fatal("other tests use all subnets")
+	t.Fatal("other tests use all addresses")
 	return ""
 }
 
@@ -90,7 +95,7 @@
 		t.Fatal(err)
 	}
 	h.cmd = exec.Command(os.Args[0], "front", "--metrics", "", "--level", "error")
-	h.cmd.Env = append(os.Environ(), runAsCommand+"=1", platform.SettingsVariable+"="+file)
+	h.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
 	if err := h.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -106,6 +111,14 @@
 // answered.
 func (h *frontHost) dial(t *testing.T, kind, id string) net.Conn {
 	t.Helper()
+	c, err := h.tryDial(kind, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (h *frontHost) tryDial(kind, id string) (net.Conn, error) {
 	for end := time.Now().Add(stateTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		c, err := net.Dial("tcp", h.addr)
 		if err != nil {
@@ -114,13 +127,12 @@
 		if _, err = io.WriteString(c, frontRequest(kind, id)); err == nil {
 			buf := make([]byte, 4096)
 			if n, _ := c.Read(buf); strings.HasPrefix(string(buf[:n]), "HTTP/1.1 200") {
-				return c
+				return c, nil
 			}
 		}
 		c.Close()
 	}
-	t.Fatal("the host answers no request")
-	return nil
+	return nil, errors.New("the host answers no request")
 }
 
 // frontRequest returns a request of a kind.
@@ -145,6 +157,7 @@
 
 // Guards against requests that reach servers after their callers have left a host that was too slow to read them.
 func TestCallersLeaveStoppedHost(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name      string
 		kind      string
@@ -162,6 +175,7 @@
 	const callers = 300
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			h := startFront(t, time.Millisecond)
 			h.dial(t, tt.kind, "first").Close()
@@ -245,6 +259,7 @@
 
 // Guards against requests that reach servers after their callers have left a stopped host of the stand-alone system.
 func TestCallersLeaveStoppedServe(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const callers = 300
 	s, ps := startHosts(t, 2)
--- a/cmd/laburnummux/process_test.go
+++ b/cmd/laburnummux/process_test.go
@@ -42,6 +42,7 @@
 		main()
 		return
 	}
+	os.Setenv(runAsCommand, "1") // for the processes that tests start
 	os.Exit(m.Run())
 }
 
@@ -134,7 +135,6 @@
 		Callers: addrs[0], Relay: addrs[1], Peers: addrs[2], Operators: addrs[3],
 	}))
 	p := &process{cmd: exec.Command(os.Args[0], "serve", "--settings", file), callers: addrs[0], operators: addrs[3], done: make(chan error, 1)}
-	p.cmd.Env = append(os.Environ(), runAsCommand+"=1")
 	if testing.Verbose() {
 		p.cmd.Stderr = os.Stderr
 	}
@@ -210,6 +210,7 @@
 // assigner, is killed or suspended, and against a posted entry that runs twice
 // because its caller retries it at another host.
 func TestEntryHostLost(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		signal syscall.Signal
@@ -221,6 +222,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			s, ps := startHosts(t, 3)
 			var ids []string
@@ -268,8 +270,10 @@
 // ends the process with an error, or after which the remaining hosts don't serve
 // requests.
 func TestTerminate(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{2, 3} {
 		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			_, ps := startHosts(t, hosts)
 			var failed, answered atomic.Int64
@@ -333,7 +337,6 @@
 			is.NoErr(os.WriteFile(file, []byte(tt.text), 0o600))
 			for _, args := range [][]string{{"check", "--kind", "settings", file}, {"serve", "--settings", file}} {
 				cmd := exec.Command(os.Args[0], args...)
-				cmd.Env = append(os.Environ(), runAsCommand+"=1")
 				out, err := cmd.CombinedOutput()
 				is.True(err != nil)
 				is.True(strings.Contains(string(out), tt.want))
--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -13,6 +13,7 @@
 // Guards against violated guarantees when entry hosts run as separate processes.
 // The seeds have failed before, except the first.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	type size struct {
 		hosts, servers int
 		length         clock.Span
@@ -42,9 +43,9 @@
 		{"evacuations", 300, small},
 		{"evacuations and faults", 301, small},
 	}
-	t.Setenv(runAsCommand, "1")
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			sum, err := soak.Run(t.Context(), soak.Config{
 				Seed: tt.seed, Hosts: tt.size.hosts, Servers: tt.size.servers, Length: tt.size.length, Command: []string{os.Args[0], "front"}, Dir: t.TempDir(),
