test: wait until a stopped host has stopped

Cause: TestCallersLeaveStoppedHost sent its requests as soon as the call that sends SIGSTOP had returned. The product does nothing wrong in that. Change: stopProcess returns when all threads are stopped (waitid with WSTOPPED). The test still allows no request, and names those that ran.

--- a/cmd/laburnummux/left_test.go
+++ b/cmd/laburnummux/left_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -145,14 +146,14 @@
 	return http.MethodGet + " " + head + "\r\n"
 }
 
-// runs returns how many of the attempts have reached a server.
-func (h *frontHost) runs(ids []string) (n int) {
+// reached returns those of the attempts that have reached a server.
+func (h *frontHost) reached(ids []string) (reached []string) {
 	for _, id := range ids {
-		for _, sv := range h.servers {
-			n += min(sv.Runs(id), 1)
+		if slices.ContainsFunc(h.servers, func(sv *fakes.Server) bool { return sv.Runs(id) > 0 }) {
+			reached = append(reached, id)
 		}
 	}
-	return n
+	return reached
 }
 
 // Guards against requests that reach servers after their callers have left a host that was too slow to read them.
@@ -185,7 +186,7 @@
 					conns = append(conns, h.dial(t, tt.kind, fmt.Sprintf("kept-%d", i)))
 				}
 			}
-			is.NoErr(h.cmd.Process.Signal(syscall.SIGSTOP))
+			stopProcess(t, h.cmd.Process.Pid)
 			for len(conns) < callers {
 				c, err := net.Dial("tcp", h.addr)
 				is.NoErr(err)
@@ -206,8 +207,8 @@
 			is.NoErr(h.cmd.Process.Signal(syscall.SIGCONT))
 			h.dial(t, tt.kind, "last").Close()
 			time.Sleep(time.Second)
-			is.Equal(h.runs([]string{"last"}), 1)
-			is.Equal(h.runs(ids), 0)
+			is.Equal(h.reached([]string{"last"}), []string{"last"})
+			is.Equal(h.reached(ids), nil)
 		})
 	}
 }
@@ -246,7 +247,7 @@
 				conns = append(conns, c)
 			}
 			waitFor(t, func() bool { return running() >= tt.running })
-			is.NoErr(h.cmd.Process.Signal(syscall.SIGSTOP))
+			stopProcess(t, h.cmd.Process.Pid)
 			for _, c := range conns {
 				is.NoErr(c.Close())
 			}
@@ -283,7 +284,7 @@
 		conns = append(conns, c)
 	}
 	before := runs()
-	ps[0].signal(t, syscall.SIGSTOP)
+	stopProcess(t, ps[0].cmd.Process.Pid)
 	for i, c := range conns {
 		_, err := io.WriteString(c, get(i))
 		is.NoErr(err)
--- a/cmd/laburnummux/process_test.go
+++ b/cmd/laburnummux/process_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/laburnummux/laburnummux/internal/dedup"
 	"github.com/laburnummux/laburnummux/internal/devel"
@@ -61,6 +62,20 @@
 	}
 }
 
+// stopProcess suspends a process and returns when all of its threads are stopped: on
+// a busy machine they run on for some milliseconds after the signal.
+func stopProcess(t testing.TB, pid int) {
+	t.Helper()
+	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool {
+		var info unix.Siginfo
+		err := unix.Waitid(unix.P_PID, pid, &info, unix.WSTOPPED|unix.WNOHANG, nil)
+		return err == nil && info.Signo != 0
+	})
+}
+
 // startHosts starts a store, backend servers and n entry hosts of one data centre
 // and waits until each host serves a request.
 func startHosts(t testing.TB, n int) (*devel.System, []*process) {
