entry: requests whose callers have left aren't sent in serve

Cause: a host learned of a caller's close only when net/http read up to it, and had sent the request by then if it was late. Change: right before a request is sent to another host or a server, the socket on which it arrived is asked for the close (caller.Closed, as in front). It counts as not sent then, and isn't tried again, which would use the budget of retries in vain. The connection is in the request's context (ConnContext), so that relayed requests are covered, too.

--- a/internal/caller/left.go
+++ b/internal/caller/left.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"os"
@@ -19,6 +20,23 @@
 	return sc.SyscallConn()
 }
 
+// Closed reports whether the peer of a connection has closed it, even if input before
+// the close hasn't been read. It reports false for a connection without a socket.
+func Closed(nc net.Conn) bool {
+	if tc, ok := nc.(*tls.Conn); ok {
+		nc = tc.NetConn()
+	}
+	socket, err := socketOf(nc)
+	if err != nil {
+		return false
+	}
+	closed := false
+	if err := socket.Control(func(fd uintptr) { closed = peerClosed(int(fd)) }); err != nil {
+		return true // this host has closed it
+	}
+	return closed
+}
+
 // left reports whether the caller has closed the connection, and cancels its
 // requests then. The close counts even if input before it hasn't been read.
 func (c *conn) left() bool {
--- a/internal/caller/left_test.go
+++ b/internal/caller/left_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -206,3 +207,57 @@
 	close(s.release)
 	<-w.done
 }
+
+// Guards against a close that isn't seen behind unread input, after a reset or under
+// TLS, and against an open connection that passes for a closed one.
+func TestClosed(t *testing.T) {
+	tests := []struct {
+		name   string
+		unread string // input before the close
+		close  func(c *net.TCPConn) error
+		tls    bool
+		want   bool
+	}{
+		{"open", "", nil, false, false},
+		{"open, unread input", "GET / HTT", nil, false, false},
+		{"closed", "", (*net.TCPConn).Close, false, true},
+		{"closed behind unread input", "GET / HTT", (*net.TCPConn).Close, false, true},
+		{"reset", "", resetConn, false, true},
+		{"reset behind unread input", "GET / HTT", resetConn, false, true},
+		{"open under TLS", "", nil, true, false},
+		{"closed under TLS, behind unread input", "GET / HTT", (*net.TCPConn).Close, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			accepted, err := l.Accept()
+			is.NoErr(err)
+			defer accepted.Close()
+			_, err = io.WriteString(c, tt.unread)
+			is.NoErr(err)
+			if tt.close != nil {
+				is.NoErr(tt.close(c.(*net.TCPConn)))
+			}
+			if tt.tls {
+				accepted = tls.Server(accepted, &tls.Config{})
+			}
+			for end := time.Now().Add(settleTime); Closed(accepted) != tt.want && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(Closed(accepted), tt.want)
+		})
+	}
+}
+
+func resetConn(c *net.TCPConn) error {
+	if err := c.SetLinger(0); err != nil {
+		return err
+	}
+	return c.Close()
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -136,7 +136,7 @@
 	caller, _, _ := net.SplitHostPort(r.RemoteAddr)
 	cl := call{
 		svc: c.svc, operation: c.operation, id: id, idFromCaller: idFromCaller, caller: caller,
-		request: proxy.Request{Method: r.Method, URL: r.URL, Header: proxy.ForwardedHeader(r.Header), Body: body},
+		request: proxy.Request{Method: r.Method, URL: r.URL, Header: proxy.ForwardedHeader(r.Header), Body: body, Abandoned: abandoned(r)},
 	}
 	// A retry with the same id must reach the dispatcher that has the record of
 	// the first request.
@@ -231,6 +231,9 @@
 		if !cl.svc.Keyed() && cl.operation.Idempotent() {
 			avoid = append(avoid, t.Server)
 		}
+		if gone := cl.request.Abandoned; gone != nil && gone() {
+			return finalResult(res) // a retry would use the budget in vain
+		}
 		svc.mu.Lock()
 		d := svc.retry.Decide(h.clk.Now(), &rc, end)
 		svc.mu.Unlock()
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/peerpb"
 	"github.com/laburnummux/laburnummux/internal/peers"
 	"github.com/laburnummux/laburnummux/pkg/answer"
@@ -43,10 +44,11 @@
 		ReadHeaderTimeout: c.ReadHeaderTimeout().Std(),
 		IdleTimeout:       c.IdleTimeout().Std(),
 		MaxHeaderBytes:    c.MaxHeaderBytes(),
+		ConnContext:       withConn,
 	}
 	d.relay = &http.Server{
 		Handler: h.relayRoutes(), ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader,
+		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader, ConnContext: withConn,
 	}
 	d.operators = &http.Server{
 		Handler: h.authenticate(h.operatorRoutes()), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorsTimeout,
@@ -64,6 +66,25 @@
 	return d, nil
 }
 
+// connKey is the context key of the connection on which a request has arrived.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// abandoned returns a function that reports whether the sender of a request has
+// closed its connection. The context of the request may not tell yet: net/http
+// cancels it when it reads the end of the connection, which a host that was
+// suspended or is busy does late.
+func abandoned(r *http.Request) func() bool {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	return func() bool { return caller.Closed(c) }
+}
+
 func (d *listeners) close() {
 	for _, ln := range d.netListeners {
 		if ln != nil {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -135,7 +135,7 @@
 	cl.cell = keys.Cell{Service: svc.Name(), DataCentre: keys.DataCentre(r.Header.Get(headerDataCentre)), Index: index}
 	cl.server = keys.Server(r.Header.Get(answer.HeaderServer))
 	cl.id, cl.caller = r.Header.Get(answer.HeaderRequestID), r.Header.Get(headerCaller)
-	cl.request = proxy.Request{Method: r.Method, URL: r.URL, Header: proxy.ForwardedHeader(r.Header), Body: body}
+	cl.request = proxy.Request{Method: r.Method, URL: r.URL, Header: proxy.ForwardedHeader(r.Header), Body: body, Abandoned: abandoned(r)}
 	return cl, ctx, cancel, true
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -146,6 +146,9 @@
 	// response belongs to the attempt; a response that echoes another one is
 	// a Mismatched failure.
 	Attempt string
+	// Abandoned reports whether nobody waits for the response any more. It is called
+	// right before the request is sent. May be nil: then only ctx decides.
+	Abandoned func() bool
 }
 
 // Result is the result of an attempt: a failure or a response. A result whose
@@ -212,6 +215,9 @@
 
 // Send makes one attempt to send r.
 func (p *Pool) Send(ctx context.Context, r Request) (res *Result) {
+	if r.Abandoned != nil && r.Abandoned() {
+		return &Result{failure: NotSent, err: errors.New("proxy.Send: the caller has disconnected")}
+	}
 	var connected bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	body, ok := r.Body.open()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Guards against a request that is sent although its caller has left, and against one
+// whose caller waits that isn't.
+func TestAbandonedRequestIsNotSent(t *testing.T) {
+	tests := []struct {
+		name      string
+		abandoned func() bool
+		want      Failure
+		runs      int64
+	}{
+		{"unknown", nil, OK, 1},
+		{"waits", func() bool { return false }, OK, 1},
+		{"has left", func() bool { return true }, NotSent, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			p := NewPool(rawServer(t, &runs, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), limits)
+			r := newRequest(t, "GET", "")
+			r.Abandoned = tt.abandoned
+			is.Equal(p.Send(t.Context(), r).Failure(), tt.want)
+			is.Equal(runs.Load(), tt.runs)
+		})
+	}
+}
+
 // Guards against a truncated or mismatched response that is forwarded as a
 // complete one.
 func TestInvalidResponses(t *testing.T) {
