test: the soak waits for the addresses of its seed

Cause: a soak has fixed addresses for its seed. TestSoak/restored_store failed in one of two runs of the package, as the soak of a test in another clone had them at that time. Change: the test tries again, for up to a minute, while the addresses are in use.

--- a/cmd/laburnummux/soak_test.go
+++ b/cmd/laburnummux/soak_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"errors"
 	"os"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -10,6 +13,21 @@
 	"github.com/laburnummux/laburnummux/internal/soak"
 )
 
+// soakWait bounds the wait for the addresses of a seed.
+const soakWait = time.Minute
+
+// retrySoak runs a soak. It waits while another run, such as that of tests in another
+// clone, uses the addresses of the seed.
+func retrySoak(t *testing.T, cfg soak.Config) (sum soak.Summary, err error) {
+	for end := time.Now().Add(soakWait); ; time.Sleep(100 * time.Millisecond) {
+		cfg.Dir = t.TempDir()
+		sum, err = soak.Run(t.Context(), cfg)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return sum, err
+		}
+	}
+}
+
 // Guards against violated guarantees when entry hosts run as separate processes.
 // The seeds have failed before, except the first.
 func TestSoak(t *testing.T) {
@@ -47,8 +65,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			sum, err := soak.Run(t.Context(), soak.Config{
-				Seed: tt.seed, Hosts: tt.size.hosts, Servers: tt.size.servers, Length: tt.size.length, Command: []string{os.Args[0], "front"}, Dir: t.TempDir(),
+			sum, err := retrySoak(t, soak.Config{
+				Seed: tt.seed, Hosts: tt.size.hosts, Servers: tt.size.servers, Length: tt.size.length, Command: []string{os.Args[0], "front"},
 			})
 			is.NoErr(err)
 			t.Logf("%+v", sum)
