--- a/cmd/laburnummux/feature_test.go
+++ b/cmd/laburnummux/feature_test.go
@@ -87,14 +87,14 @@
 			h := frontOptions{serviceTime: time.Millisecond, maxBody: 1 << 20, stdout: w, args: append([]string{"--metrics", "9464", "--level", "info"}, tt.args...)}.start(t)
 			w.Close()
 			defer h.dial(t, "history", "first").Close()
-			values := h.metric("laburnummux_part_enabled{")
+			values := h.metric("laburnummux_feature_enabled{")
 			is.Equal(len(values), 4)
 			for _, name := range []string{"admission", "handover", "slow-start", "slowdown"} {
 				value := "1"
 				if slices.Contains(tt.want, name) {
 					value = "0"
 				}
-				is.True(slices.Contains(values, `laburnummux_part_enabled{part="`+name+`"} `+value))
+				is.True(slices.Contains(values, `laburnummux_feature_enabled{feature="`+name+`"} `+value))
 			}
 			is.NoErr(r.SetReadDeadline(time.Now().Add(stateTimeout)))
 			is.Equal(disabledFeatures(t, r), tt.want)
--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -59,13 +59,15 @@
 	}
 }
 
-// EndRead records that the only request of the connection needs no more input.
+// EndRead records that the request has been received and awaits its response. It is for
+// connections that handle one request at a time.
 func (t *Tracked) EndRead() {
 	t.pending.Store(1)
 	t.reading.Store(false)
 }
 
-// EndRequest records that the only request of the connection was answered.
+// EndRequest records that the request was answered. It is for connections that handle
+// one request at a time.
 func (t *Tracked) EndRequest() {
 	t.since.Store(time.Now().UnixNano())
 	t.reading.Store(false)
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -263,11 +263,13 @@
 	return notRun(reason)
 }
 
-// beginBody records that the header was read.
+// beginBody records that the header was read. With pipelining it may have come from
+// net/http's buffer, without a Read.
 func (c *callerConn) beginBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stage = stageBody
+	c.tracked.BeginRequest()
 }
 
 // endBody records that the body was read or isn't needed any more. A transport may read
--- a/internal/front/feature.go
+++ b/internal/front/feature.go
@@ -54,8 +54,8 @@
 // registerFeatures registers the gauge that tells which features are enabled.
 func (s Settings) registerFeatures(reg prometheus.Registerer) {
 	enabled := prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "laburnummux_part_enabled", Help: "1 unless the feature is disabled by --disable; it may need configuration as well.",
-	}, []string{"part"})
+		Name: "laburnummux_feature_enabled", Help: "1 unless the feature is disabled by --disable; it may need configuration as well.",
+	}, []string{"feature"})
 	for _, f := range features {
 		v := 1.0
 		if s.disables(f) {
--- a/internal/front/feature_test.go
+++ b/internal/front/feature_test.go
@@ -93,7 +93,7 @@
 			is.Equal(probes, !want[Handover])
 			is.True(h.heartbeat(h.clock.Now(), 1, mesh.ReachGroup, false).Admits) // for other hosts
 
-			enabled := gauges(t, reg, "laburnummux_part_enabled")
+			enabled := gauges(t, reg, "laburnummux_feature_enabled")
 			is.Equal(len(enabled), len(features))
 			for _, f := range features {
 				is.Equal(enabled[f.String()] == 0, want[f])
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -135,7 +135,8 @@
 	return h
 }
 
-// relayConfig returns the configuration of the relay. Its metrics are registered once.
+// relayConfig returns the configuration of the relay. It registers the
+// relay's metrics, so it must be called only once.
 func (h *Host) relayConfig(bodies *budget.Budget) relay.Config {
 	cfg, s := h.cfg, h.cfg.Settings
 	return relay.Config{
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -43,11 +43,11 @@
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
-	// otherBackoffs is how many times as long a host that doesn't stand by pauses at most.
+	// nonStandbyFactor multiplies maxStoreBackoff on hosts that don't stand by for roles.
 	// There are many of these, and they call only if the others learn nothing.
-	otherBackoffs = 2
-	// maxStoreWait is how long a watch waits at most for the store to respond to another
-	// one, in a store outage. Three watches of each host would call it otherwise.
+	nonStandbyFactor = 2
+	// maxStoreWait bounds how long, in a store outage, the watches of servers and
+	// evacuations wait for the watch of the configuration to succeed.
 	maxStoreWait     = 2 * time.Second
 	storeUpPollPause = 50 * time.Millisecond
 	// restoredHoldIntervals is how many registration intervals a host waits before
@@ -119,7 +119,7 @@
 func (h *Host) backoff(ctx context.Context, fails int) {
 	longest := maxStoreBackoff
 	if !h.members.isStandby(h.clock.Now()) {
-		longest *= otherBackoffs
+		longest *= nonStandbyFactor
 	}
 	d := min(minStoreBackoff<<min(fails, 4), longest)
 	sleep(ctx, d/2+rand.N(d/2))
--- a/internal/mesh/tables.go
+++ b/internal/mesh/tables.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// maxTableParts is the most parts of a table; maxPartSpans is the most ranges in one.
-	maxTableParts = 256
-	maxPartSpans  = 2000
+	// maxTableParts is the most parts of a table; maxReceivedPartSpans is the most ranges
+	// that a received part may have. Hosts send fewer.
+	maxTableParts        = 256
+	maxReceivedPartSpans = 2000
 )
 
 // TablePart is a part of a table that is too long for one message. The ranges of all
@@ -34,7 +35,7 @@
 // checkTableParts returns an error for parts that no host can have sent.
 func (m Message) checkTableParts() error {
 	for _, p := range m.TableParts {
-		if p.Parts < 1 || p.Parts > maxTableParts || p.Part < 0 || p.Part >= p.Parts || len(p.Table.Spans) > maxPartSpans {
+		if p.Parts < 1 || p.Parts > maxTableParts || p.Part < 0 || p.Part >= p.Parts || len(p.Table.Spans) > maxReceivedPartSpans {
 			return fmt.Errorf("part %d of %d of a table, with %d ranges", p.Part, p.Parts, len(p.Table.Spans))
 		}
 	}
--- a/internal/retry/loss.go
+++ b/internal/retry/loss.go
@@ -24,34 +24,32 @@
 	// process of the server proves that it had ended. Later than that the server may
 	// have been restarted for another reason.
 	restartTimeout = 10 * clock.Second
-	// massLosses is the number of other losses within QuarantineConfig.Window from
-	// which the requests that were in flight don't have to run alone.
+	// massLosses is how many other servers of the service must be lost close to a loss
+	// for it to be taken for a common cause, such as a partition or a power loss.
 	massLosses = 3
-	// atOnce is the time within which massLosses other losses mean that servers were
+	// simultaneous is the time within which massLosses other losses mean that servers were
 	// lost together, such as those of one machine.
-	atOnce = 50 * clock.Millisecond
+	simultaneous = 50 * clock.Millisecond
 	// closeTogether is the time within which massLosses other losses may have a common
 	// cause, such as a power loss that several hosts notice one after the other.
 	closeTogether = 250 * clock.Millisecond
 	// shortRun is the longest time from the start of a request to its server's loss that
 	// makes the request a likely cause also where many servers are lost.
 	shortRun = 50 * clock.Millisecond
-	// pointsPerRound is the weight of a crash apart from others. One close to others
+	// fullWeight is the weight of a crash apart from others. One close to others
 	// counts half: among many requests that often start, some start just before a loss.
-	pointsPerRound = 2
+	fullWeight = 2
 	// lookBack is the time before a request's first loss in which other losses count
-	// against it. With 6 s a request of 1.5 s was quarantined when all servers crashed
-	// one by one again and again, so that it hardly ever completed.
+	// against it. It must exceed the time in which a slow sound request can fail to
+	// complete while all servers keep crashing.
 	lookBack = 10 * clock.Second
-	// soon is the longest time from the start of a request to the crash of its server
-	// with which its latest losses may prove it by themselves. In a long series of
-	// crashes a request of 1.5 s was nearly always lost later than that.
-	soon = 250 * clock.Millisecond
-	// quietTime is the time without other losses before the latest losses of a request
+	// soonAfterStart is the longest run before a crash that allows the shorter
+	// minQuietTime. Slow sound requests run for longer.
+	soonAfterStart = 250 * clock.Millisecond
+	// minQuietTime is the time without other losses before the latest losses of a request
 	// that may prove it by themselves.
-	quietTime = 3 * clock.Second
-	// unexplainedWeight is the number of crashes that a loss which a request doesn't
-	// explain counts against it.
+	minQuietTime = 3 * clock.Second
+	// unexplainedWeight is how many crashes of a request one unexplained loss cancels.
 	unexplainedWeight = 3
 	// maxUnexplained is the most losses that crashes can outweigh. More of them are an
 	// outage, in which a request can be at most of the servers that are lost.
@@ -67,8 +65,8 @@
 
 //go:generate go tool stringer -type=LossKind -linecomment -output=losskind_string.go
 
-// LossKind is what is known about a server to which a connection was lost or
-// couldn't be opened. A later kind takes precedence.
+// LossKind is what is known about a process to which a connection was lost or couldn't
+// be opened. If reports differ, the higher value applies.
 type LossKind int
 
 // Kinds of losses.
@@ -231,7 +229,7 @@
 		s.cleared, s.hasCleared = at, true
 	}
 	s.losses = slices.DeleteFunc(slices.Clone(s.losses), func(l runLoss) bool { return l.at <= s.cleared })
-	s.prior, s.told, s.quarantined = 0, false, false
+	s.priorCrashes, s.reported, s.quarantined = 0, false, false
 }
 
 // lastLoss returns the time of the latest loss, and false if there is none.
@@ -262,18 +260,18 @@
 	return l != nil && l.kind.isCrash()
 }
 
-// rounds returns how many servers crashed one after the other, in units of
-// 1/pointsPerRound: the request was sent to each after the crash of the one before,
+// crashesInSequence returns how many servers crashed one after the other, in units of
+// 1/fullWeight: the request was sent to each after the crash of the one before,
 // and from the second on it ran alone. A request that was at several servers when they
 // crashed about the same time counts once.
-func (q *Quarantine) rounds(now clock.Time, s record) int {
-	n := s.prior * pointsPerRound
+func (q *Quarantine) crashesInSequence(now clock.Time, s record) int {
+	n := s.priorCrashes * fullWeight
 	var last clock.Time
 	for _, l := range s.losses {
 		if n > 0 && (!l.alone || l.started() < last) {
 			continue
 		}
-		if p := q.points(now, l); p > 0 {
+		if p := q.crashWeight(now, l); p > 0 {
 			n += p
 			last = l.at
 		}
@@ -281,14 +279,14 @@
 	return n
 }
 
-// points returns the weight of a loss in rounds. Whether others are lost close to it is
+// crashWeight returns the weight of a loss in crashesInSequence. Whether others are lost close to it is
 // known only some time after it.
-func (q *Quarantine) points(now clock.Time, l runLoss) int {
+func (q *Quarantine) crashWeight(now clock.Time, l runLoss) int {
 	switch {
-	case !q.isCrash(l.process), q.lostWithOthers(l, atOnce):
+	case !q.isCrash(l.process), q.lostWithOthers(l, simultaneous):
 		return 0
 	case !q.cfg.CheckLosses, now >= l.at.Add(closeTogether) && !q.lostWithOthers(l, closeTogether):
-		return pointsPerRound
+		return fullWeight
 	case l.ran <= shortRun:
 		return 1
 	}
@@ -311,7 +309,7 @@
 		}
 	}
 	for other, o := range q.records {
-		if other != sig && (o.quarantined || q.rounds(now, o) >= (q.cfg.MinCrashes-1)*pointsPerRound) {
+		if other != sig && (o.quarantined || q.crashesInSequence(now, o) >= (q.cfg.MinCrashes-1)*fullWeight) {
 			for _, l := range o.losses {
 				explained[l.process] = true
 			}
@@ -328,7 +326,7 @@
 // isSuspect reports whether a request has to run alone.
 func (q *Quarantine) isSuspect(s record) bool {
 	switch n := q.crashes(s); {
-	case s.quarantined, s.prior > 0, s.told, n > 1:
+	case s.quarantined, s.priorCrashes > 0, s.reported, n > 1:
 		return true
 	default:
 		return n == 1 && !q.inMassLoss(s)
@@ -361,9 +359,9 @@
 // isAmbiguous reports whether another request was alone at one of the same servers,
 // on another host, and is as likely to be the cause.
 func (q *Quarantine) isAmbiguous(now clock.Time, sig Signature, s record) bool {
-	rounds := q.rounds(now, s)
+	rounds := q.crashesInSequence(now, s)
 	for other, o := range q.records {
-		if other == sig || o.quarantined || len(o.losses) == 0 || q.rounds(now, o) < rounds {
+		if other == sig || o.quarantined || len(o.losses) == 0 || q.crashesInSequence(now, o) < rounds {
 			continue
 		}
 		for _, l := range s.losses {
@@ -380,19 +378,22 @@
 // more, and the only ones for a while; for less long if they come soon after the request
 // was sent.
 func (q *Quarantine) isProven(now clock.Time, sig Signature, s record) bool {
-	if s.quarantined || q.rounds(now, s) < q.cfg.MinCrashes*pointsPerRound || q.isAmbiguous(now, sig, s) {
+	if s.quarantined || q.crashes(s)+s.priorCrashes < q.cfg.MinCrashes {
+		return false // most records after many losses at once; the rest takes longer
+	}
+	if q.crashesInSequence(now, s) < q.cfg.MinCrashes*fullWeight || q.isAmbiguous(now, sig, s) {
 		return false
 	}
 	unexplained := q.unexplained(now, sig, s)
-	if n := q.countNear(unexplained, s, lookBack); n <= maxUnexplained && q.crashes(s)+s.prior-unexplainedWeight*n >= q.cfg.MinCrashes {
+	if n := q.countNear(unexplained, s, lookBack); n <= maxUnexplained && q.crashes(s)+s.priorCrashes-unexplainedWeight*n >= q.cfg.MinCrashes {
 		return true
 	}
 	for len(s.losses) > 0 {
 		s.losses = s.losses[1:]
-		if q.crashes(s) < 2*q.cfg.MinCrashes || q.rounds(now, s) < q.cfg.MinCrashes*pointsPerRound {
+		if q.crashes(s) < 2*q.cfg.MinCrashes || q.crashesInSequence(now, s) < q.cfg.MinCrashes*fullWeight {
 			return false
 		}
-		if q.countNear(unexplained, s, lookBack) == 0 || q.countNear(unexplained, s, quietTime) == 0 && q.crashesSoon(s) {
+		if q.countNear(unexplained, s, lookBack) == 0 || q.countNear(unexplained, s, minQuietTime) == 0 && q.crashesSoon(s) {
 			return true
 		}
 	}
@@ -414,22 +415,22 @@
 // crashesSoon reports whether all servers crashed soon after they had been sent the
 // request.
 func (q *Quarantine) crashesSoon(s record) bool {
-	return !slices.ContainsFunc(s.losses, func(l runLoss) bool { return q.isCrash(l.process) && l.ran > soon })
+	return !slices.ContainsFunc(s.losses, func(l runLoss) bool { return q.isCrash(l.process) && l.ran > soonAfterStart })
 }
 
 // Tick quarantines the requests that are proven by losses which are now known to be
 // apart from others. It is cheap while nothing is lost.
 func (q *Quarantine) Tick(now clock.Time) (proven []Signature) {
-	if q.judgeAt == 0 || now < q.judgeAt {
+	if q.recheckAt == 0 || now < q.recheckAt {
 		return nil
 	}
-	q.judgeAt = 0
-	return q.convict(now)
+	q.recheckAt = 0
+	return q.quarantineProven(now)
 }
 
-// convict quarantines the requests that are proven to crash servers. It returns them
+// quarantineProven quarantines the requests that are proven to crash servers. It returns them
 // in the order of their signatures.
-func (q *Quarantine) convict(now clock.Time) (proven []Signature) {
+func (q *Quarantine) quarantineProven(now clock.Time) (proven []Signature) {
 	for sig := range q.records {
 		if s, ok := q.lookup(now, sig); ok && q.isProven(now, sig, s) {
 			proven = append(proven, sig)
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -81,9 +81,11 @@
 // kept after the request was cleared, so that an import doesn't make the request a
 // suspect again.
 type record struct {
-	losses      []runLoss  // oldest first
-	prior       int        // crashes before an earlier quarantine
-	told        bool       // a host of an earlier version, which sends no losses, has told of a crash
+	losses       []runLoss // oldest first
+	priorCrashes int       // crashes before an earlier quarantine
+	// reported says that another host has reported it without losses: one of an earlier
+	// version, or one that no longer has them.
+	reported    bool
 	cleared     clock.Time // the request last completed, if hasCleared is set
 	hasCleared  bool
 	quarantined bool
@@ -122,7 +124,7 @@
 	losses    lossTable
 	lastID    uint64
 	changes   uint64     // see Changes
-	judgeAt   clock.Time // Tick looks at the losses again; 0: never
+	recheckAt clock.Time // Tick looks at the losses again; 0: never
 }
 
 // NewQuarantine returns an empty Quarantine.
@@ -153,7 +155,7 @@
 func (q *Quarantine) SetProcess(now clock.Time, server keys.Server, service keys.Service, born int64) (proven []Signature) {
 	q.processes[server] = process{id: hashProcess(server, born), service: service, born: born}
 	if q.losses.setEnded(now, server, born) {
-		return q.convict(now)
+		return q.quarantineProven(now)
 	}
 	return nil
 }
@@ -332,8 +334,8 @@
 		s.expires = now.Add(q.cfg.Duration)
 		q.put(now, t.sig, s)
 	}
-	q.judgeAt = now.Add(closeTogether)
-	return q.convict(now)
+	q.recheckAt = now.Add(closeTogether)
+	return q.quarantineProven(now)
 }
 
 // lookup returns the record of sig. After its quarantine a request remains a
@@ -344,7 +346,7 @@
 		return s, ok
 	}
 	if s.quarantined && now.Before(s.expires.Add(q.cfg.Duration)) {
-		s = record{prior: q.cfg.MinCrashes - 1, expires: s.expires.Add(q.cfg.Duration)}
+		s = record{priorCrashes: q.cfg.MinCrashes - 1, expires: s.expires.Add(q.cfg.Duration)}
 		q.records[sig] = s
 		return s, true
 	}
@@ -384,10 +386,10 @@
 	switch {
 	case s.quarantined:
 		return math.MaxInt
-	case s.told:
-		return max(q.crashes(s)+s.prior, 1)
+	case s.reported:
+		return max(q.crashes(s)+s.priorCrashes, 1)
 	}
-	return q.crashes(s) + s.prior
+	return q.crashes(s) + s.priorCrashes
 }
 
 func lessSignature(a, b Signature) bool {
@@ -437,8 +439,8 @@
 	e = SuspectRecord{Signature: sig, Quarantined: s.quarantined, Remaining: s.expires.Sub(now)}
 	switch {
 	case s.quarantined:
-		e.Crashes = max(q.crashes(s)+s.prior, q.cfg.MinCrashes)
-	case s.told, s.prior > 0, q.crashes(s) > 0:
+		e.Crashes = max(q.crashes(s)+s.priorCrashes, q.cfg.MinCrashes)
+	case s.reported, s.priorCrashes > 0, q.crashes(s) > 0:
 		e.Crashes = 1
 	case !s.hasCleared:
 		return e, false
@@ -501,8 +503,8 @@
 	if !changed {
 		return nil
 	}
-	q.judgeAt = cmp.Or(q.judgeAt, now.Add(closeTogether))
-	return q.convict(now)
+	q.recheckAt = cmp.Or(q.recheckAt, now.Add(closeTogether))
+	return q.quarantineProven(now)
 }
 
 // importRecord merges a record, and reports whether it has losses.
@@ -520,10 +522,10 @@
 	}
 	last, hasLosses := s.lastLoss()
 	outdated := len(e.Losses) > 0 && s.hasCleared && (!hasLosses || last <= s.cleared)
-	if outdated || len(e.Losses) == 0 && !e.Quarantined && known && !s.told {
+	if outdated || len(e.Losses) == 0 && !e.Quarantined && known && !s.reported {
 		return false
 	}
-	s.told = s.told || len(e.Losses) == 0
+	s.reported = s.reported || len(e.Losses) == 0
 	s.quarantined = s.quarantined || e.Quarantined
 	s.expires = max(s.expires, now.Add(min(e.Remaining, q.cfg.Duration)-importAllowance))
 	q.put(now, e.Signature, s)
