serve: no response to a header that was given up

What callers saw: beside many long headers, a caller whose header was given up for want of memory got 400 (bad request), which says that its request is invalid; docs/design/bodies.md says that the connection is closed without a response. Cause: the connection returned io.EOF to net/http, or its read deadline passed. net/http closes the connection silently only if that happens between two lines; in the middle of a line it takes the part that it has for a malformed header and responds. Change: Write fails after a header was given up, so that net/http can only close the connection. Result: TestHeaderGivenUp fails without the change ("400 Bad Request") and passes with it.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -199,7 +199,7 @@
 		return nil, err
 	}
 	if c.hold != nil && !c.hold.Keep() {
-		return nil, errGivenUp
+		return nil, ErrGivenUp
 	}
 	req := &Request{
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, Body: body,
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -50,8 +50,8 @@
 	return b
 }
 
-// errGivenUp ends the reading of a request that was given up for want of memory.
-var errGivenUp = errors.New("caller: request given up: requests exceed the limit for their memory")
+// ErrGivenUp ends the reading of a request that was given up for want of memory.
+var ErrGivenUp = errors.New("caller: request given up: requests exceed the limit for their memory")
 
 // HeadCost returns the memory that bytes of a header are counted with.
 func HeadCost(p []byte) int64 {
@@ -70,7 +70,7 @@
 	case !c.inRequest || n == 0:
 	case c.inHead:
 		if !c.count(HeadCost(p[:n])) {
-			return 0, errGivenUp
+			return 0, ErrGivenUp
 		}
 	case c.hold != nil:
 		c.hold.Progress()
@@ -83,7 +83,7 @@
 	c.inRequest, c.inHead, c.uncounted = true, true, 0
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err == nil && !c.count(HeadCost(buffered)) {
-		err = errGivenUp
+		err = ErrGivenUp
 	}
 	return err
 }
@@ -132,14 +132,14 @@
 }
 
 // setReadDeadline sets the deadline of a request that is being read. It returns
-// errGivenUp if the request was given up, as the later deadline would undo endRead.
+// ErrGivenUp if the request was given up, as the later deadline would undo endRead.
 func (c *conn) setReadDeadline(t time.Time) error {
 	if err := c.netConn.SetReadDeadline(t); err != nil {
 		return err
 	}
 	if c.hold != nil {
 		if givenUp, _ := c.hold.GivenUp(); givenUp {
-			return errGivenUp
+			return ErrGivenUp
 		}
 	}
 	return nil
@@ -171,11 +171,11 @@
 	switch {
 	case givenUp && stalled:
 		m.CountGivenUp(ReasonStalled)
-		return &protocolError{status: http.StatusRequestTimeout, err: errGivenUp}
+		return &protocolError{status: http.StatusRequestTimeout, err: ErrGivenUp}
 	case givenUp:
 		m.CountGivenUp(ReasonMemory)
 		return &protocolError{
-			status: http.StatusServiceUnavailable, err: errGivenUp, header: http.Header{"Retry-After": {RetryAfter()}},
+			status: http.StatusServiceUnavailable, err: ErrGivenUp, header: http.Header{"Retry-After": {RetryAfter()}},
 		}
 	case !errors.As(err, &pe):
 	case pe.status == http.StatusRequestEntityTooLarge:
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -86,6 +86,7 @@
 	handshaken       bool // of Read
 	tracked          *caller.Tracked
 	intake           *intake
+	refused          atomic.Bool // a header was given up
 
 	mu        sync.Mutex
 	stage     stage
@@ -127,13 +128,22 @@
 	n, err = c.Conn.Read(p)
 	ok := n == 0 || c.received(p[:n], len(p))
 	if !ok || c.givenUp() && c.atStage(stageHeader) {
-		// net/http closes the connection without a response. A refusal would have to say
-		// whether the request has run, but its id isn't known.
-		return 0, io.EOF
+		c.refused.Store(true)
+		return 0, caller.ErrGivenUp
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It fails if a header was given up, to which net/http would
+// respond with 400: a refusal has to say whether the request has run, but its id isn't
+// known.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, caller.ErrGivenUp
+	}
+	return c.Conn.Write(p)
+}
+
 // handshake makes the TLS handshake, if there is one, before the first read.
 func (c *callerConn) handshake() error {
 	if c.tls == nil || c.handshaken {
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -211,6 +211,19 @@
 	}
 }
 
+// Guards against a response with a status for a header that was given up: the caller
+// couldn't tell whether its request has run.
+func TestHeaderGivenUp(t *testing.T) {
+	is := is.New(t)
+	_, addr := startCallers(t, 256<<10)
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1500) // its second half exceeds the budget
+	c := dialCaller(t, addr, head)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	b, err := io.ReadAll(c) // a reset has an error, too
+	t.Log(err)
+	is.Equal(string(b), "")
+}
+
 // Guards against bounds that exceed the memory or the descriptors of a process, and
 // against ones that ordinary callers reach.
 func TestLimitsOfProcess(t *testing.T) {
