budget: bodies without progress give way first among many small accounts

What callers saw: beside many callers that hold little each and whose bodies have stopped, the body of an ordinary caller that was being sent could be given up (503), as it was the longest of all. Cause: a body without progress came first within the account with the most only. If all accounts are small, the one with the most is as likely that of an ordinary caller. Change: if no account has an eighth of the budget, the account with the most among those that have a body without progress for 1 s and over 64 KiB gives up that one. Otherwise the choice is as before. Result: the row "without progress first if all accounts are small" of TestVictim fails without the change and passes with it; the two other new rows hold the choice among such accounts, and that of a large account.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -3,7 +3,8 @@
 //
 // Each body has a Hold in the account of the caller address or server that it comes
 // from or goes to. When the bodies exceed the budget, a body of the account with the
-// most is given up: the longest of those without progress, or else the longest.
+// most is given up: the longest of those without progress, or else the longest. If no
+// account has much, accounts with a body without progress come first.
 // Bodies that are kept, such as those of requests that were sent to a server, are
 // never given up.
 //
@@ -30,6 +31,9 @@
 	// StallTime is the time without progress after which a body is given up before
 	// others of its account.
 	StallTime = time.Second
+	// smallAccountShare is the part of the budget, as a divisor, up to which an account is
+	// small: many callers that hold little each use up the budget.
+	smallAccountShare = 8
 	// recoveredShare is the part of the budget below which the pressure has ended.
 	recoveredShare = 2
 )
@@ -172,18 +176,26 @@
 	h.progress = time.Now()
 }
 
-// victim returns the hold that is to be given up, or nil if all are kept. b.mu is
-// held.
-func (b *Budget) victim() (v *Hold) {
+// victim returns the hold that is to be given up, or nil if all are kept: that of the
+// account with the most, or if all accounts are small, of the one with the most among
+// those that have a body without progress. b.mu is held.
+func (b *Budget) victim() *Hold {
 	now := time.Now()
-	var most int64
+	var v, stalled *Hold
 	for _, a := range b.accounts {
-		if v != nil && a.bytes <= most {
+		longest := a.victim(now)
+		if longest == nil {
 			continue
 		}
-		if longest := a.victim(now); longest != nil {
-			v, most = longest, a.bytes
+		if v == nil || a.bytes > v.account.bytes {
+			v = longest
 		}
+		if longest.stalled && (stalled == nil || a.bytes > stalled.account.bytes) {
+			stalled = longest
+		}
+	}
+	if stalled != nil && v.account.bytes < b.max/smallAccountShare {
+		return stalled
 	}
 	return v
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,15 @@
 	return holds
 }
 
+// small returns holds of different accounts with the same number of bytes, all with
+// progress.
+func small(n int, bytes int64) (specs []spec) {
+	for i := range n {
+		specs = append(specs, spec{account: fmt.Sprint("small-", i), bytes: bytes})
+	}
+	return specs
+}
+
 // adder adds bytes, which may have to wait.
 type adder struct {
 	hold   *Hold
@@ -62,6 +72,9 @@
 		{"without progress first", []spec{{"a", 50 * mb, false, false}, {"a", 40 * mb, false, true}}, spec{"b", 30 * mb, false, false}, 1},
 		{"not a kept one", []spec{{"a", 60 * mb, true, true}, {"a", 1 * mb, false, false}, {"b", 35 * mb, false, true}}, spec{"b", 5 * mb, false, false}, 1},
 		{"next account if all of the first are kept", []spec{{"a", 60 * mb, true, true}, {"b", 35 * mb, false, true}}, spec{"c", 20 * mb, false, false}, 1},
+		{"without progress first if all accounts are small", append(small(9, 10*mb), spec{"s", 8 * mb, false, true}), spec{"c", 9 * mb, false, false}, 9},
+		{"the small account with the most without progress", append(small(7, 11*mb), spec{"s", 8 * mb, false, true}, spec{"t", 9 * mb, false, true}), spec{"c", 9 * mb, false, false}, 8},
+		{"of the account with the most if it isn't small", append(small(6, 10*mb), spec{"s", 8 * mb, false, true}, spec{"l", 13 * mb, false, false}), spec{"c", 20 * mb, false, false}, 8},
 		{"the one that is added", []spec{{"a", 60 * mb, true, true}, {"b", 35 * mb, true, true}}, spec{"c", 20 * mb, false, false}, 2},
 	}
 	for _, tt := range tests {
