budget: a release wakes only the bodies that can go on

What callers saw: a serve host with little processor time under many callers that come again held up to 230 MB (bound 144), and its process would end. A dump showed 11,400 goroutines waiting for the mutex of the budget; their connections were closed long since, but their memory was held. Change: a release wakes the bodies for which the bytes suffice, and one more if another body has to be given up; a body that is given up wakes itself alone. The account with the most is found without going through the others' bodies, as before, and those without progress are looked for again 100 ms after none was found. TestWaitingAreNotWoken and TestWaitBesideShortBodies are new.

Release takes the place of Add with a negative number, which could wait for the bytes of others; nothing had called it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -31,6 +31,9 @@
 	// StallTime is the time without progress after which a body is given up before
 	// others of its account.
 	StallTime = time.Second
+	// stallScanPeriod is the time for which bodies without progress aren't looked for
+	// after none was found, which takes time with the number of all.
+	stallScanPeriod = StallTime / 10
 	// smallAccountShare is the part of the budget, as a divisor, up to which an account is
 	// small: many callers that hold little each use up the budget.
 	smallAccountShare = 8
@@ -41,14 +44,17 @@
 // Budget bounds the memory of the bodies that share it.
 type Budget struct {
 	mu       sync.Mutex
-	released *sync.Cond // bytes were released, or a hold was given up
 	max      int64
 	used     int64
 	leaving  int64 // bytes of given up holds that aren't closed, part of used
 	accounts map[any]*account
 	open     int // holds that aren't closed
-	pressed  bool
-	pressure func(bool)
+	// waiting are the holds that wait for bytes, those that may use the reserve and the
+	// others. All of their bytes are part of used, so they go on together.
+	waiting   [2]map[*Hold]chan<- struct{}
+	noStalled time.Time // when no body without progress was found
+	pressed   bool
+	pressure  func(bool)
 }
 
 // account has the open holds of a caller address or server.
@@ -61,7 +67,9 @@
 // New returns a Budget of a number of bytes.
 func New(maxBytes int64) *Budget {
 	b := &Budget{max: maxBytes, accounts: make(map[any]*account), pressure: func(bool) {}}
-	b.released = sync.NewCond(&b.mu)
+	for i := range b.waiting {
+		b.waiting[i] = make(map[*Hold]chan<- struct{})
+	}
 	return b
 }
 
@@ -134,8 +142,8 @@
 	}
 }
 
-// Add adds a number of bytes, which may be negative. It waits until bodies that were
-// given up have released theirs. It reports whether the body may go on.
+// Add adds a number of bytes. It waits until bodies that were given up have released
+// theirs. It reports whether the body may go on.
 func (h *Hold) Add(n int64) bool {
 	b := h.budget
 	b.mu.Lock()
@@ -147,9 +155,6 @@
 	h.bytes += n
 	h.account.bytes += n
 	b.used += n
-	if n < 0 {
-		b.notifyReleased()
-	}
 	limit := b.max
 	if h.bytes <= smallBytes {
 		limit += b.max / reserveShare
@@ -163,11 +168,71 @@
 			}
 			continue
 		}
-		b.released.Wait()
+		b.wait(h)
 	}
 	return !h.givenUp
 }
 
+// Indexes of Budget.waiting.
+const (
+	shortWaiting = iota
+	longWaiting
+)
+
+// wait waits until the bytes of a hold are available or it is given up. b.mu is held, but
+// not while it waits.
+func (b *Budget) wait(h *Hold) {
+	i := longWaiting
+	if h.bytes <= smallBytes {
+		i = shortWaiting
+	}
+	wake := make(chan struct{})
+	b.waiting[i][h] = wake
+	b.mu.Unlock()
+	<-wake
+	b.mu.Lock()
+}
+
+// wake wakes a hold if it waits. b.mu is held.
+func (b *Budget) wake(h *Hold) {
+	for _, waiting := range b.waiting {
+		if c, ok := waiting[h]; ok {
+			delete(waiting, h)
+			close(c)
+		}
+	}
+}
+
+// wakeOne wakes a hold of an index of waiting. b.mu is held.
+func (b *Budget) wakeOne(i int) {
+	for h := range b.waiting[i] {
+		b.wake(h)
+		return
+	}
+}
+
+// wakeAll wakes the holds of an index of waiting. b.mu is held.
+func (b *Budget) wakeAll(i int) {
+	for h, c := range b.waiting[i] {
+		delete(b.waiting[i], h)
+		close(c)
+	}
+}
+
+// Release releases a number of bytes.
+func (h *Hold) Release(n int64) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed || h.givenUp {
+		return // Close releases all
+	}
+	h.bytes -= n
+	h.account.bytes -= n
+	b.used -= n
+	b.notifyReleased()
+}
+
 // Progress records that the body was read or written further without a change of its
 // memory.
 func (h *Hold) Progress() {
@@ -181,22 +246,28 @@
 // those that have a body without progress. b.mu is held.
 func (b *Budget) victim() *Hold {
 	now := time.Now()
-	var v, stalled *Hold
+	v := b.mostOf(now, func(*Hold) bool { return true })
+	if v == nil || v.account.bytes >= b.max/smallAccountShare || now.Sub(b.noStalled) < stallScanPeriod {
+		return v
+	}
+	if stalled := b.mostOf(now, func(h *Hold) bool { return h.stalled }); stalled != nil {
+		return stalled
+	}
+	b.noStalled = now
+	return v
+}
+
+// mostOf returns the hold that the account with the most would give up first, among
+// the accounts for which that hold is acceptable. b.mu is held.
+func (b *Budget) mostOf(now time.Time, acceptable func(*Hold) bool) (v *Hold) {
 	for _, a := range b.accounts {
-		longest := a.victim(now)
-		if longest == nil {
+		if v != nil && a.bytes <= v.account.bytes {
 			continue
 		}
-		if v == nil || a.bytes > v.account.bytes {
-			v = longest
-		}
-		if longest.stalled && (stalled == nil || a.bytes > stalled.account.bytes) {
-			stalled = longest
+		if h := a.victim(now); h != nil && acceptable(h) {
+			v = h
 		}
 	}
-	if stalled != nil && v.account.bytes < b.max/smallAccountShare {
-		return stalled
-	}
 	return v
 }
 
@@ -230,7 +301,7 @@
 	b.leaving += h.bytes
 	b.leave(h)
 	h.giveUp()
-	b.released.Broadcast()
+	b.wake(h)
 }
 
 // Cancel gives the body up, unless it is kept or closed.
@@ -292,9 +363,18 @@
 	b.notifyReleased()
 }
 
-// notifyReleased wakes the holds that wait for bytes. b.mu is held.
+// notifyReleased wakes the holds whose bytes are available. Those that have to go on
+// waiting aren't woken, as there may be thousands, but for one that has to give up another
+// body. b.mu is held.
 func (b *Budget) notifyReleased() {
-	b.released.Broadcast()
+	for i, limit := range [...]int64{shortWaiting: b.max + b.max/reserveShare, longWaiting: b.max} {
+		switch {
+		case b.used <= limit:
+			b.wakeAll(i)
+		case b.used-b.leaving > limit:
+			b.wakeOne(i)
+		}
+	}
 	if b.pressed && b.used < b.max/recoveredShare {
 		b.pressed = false
 		b.pressure(false)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -140,6 +140,74 @@
 	is.Equal(pressure, []bool{true, false})
 }
 
+// Guards against a body that waits for ever because short ones have taken the bytes that
+// were released for it.
+func TestWaitBesideShortBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(16 * mb)
+		ended := make(chan int, 10)
+		first := openHolds(b, []spec{{"a", 10 * mb, false, false}}, ended)[0]
+		long := b.NewHold("b", func() { ended <- 1 })
+		results := make(chan bool, 200)
+		go (&adder{hold: long, bytes: 7 * mb, result: results}).run()
+		synctest.Wait()
+		is.Equal(<-ended, 0) // the first one, for whose bytes the long one waits
+		var holds []*Hold
+		for range 9*mb/smallBytes + 4 {
+			h := b.NewHold("c", func() { t.Error("a kept body was given up") })
+			h.Keep()
+			holds = append(holds, h)
+			go (&adder{hold: h, bytes: smallBytes, result: results}).run()
+		}
+		synctest.Wait()
+		is.Equal(len(results), 0)
+		first.Close()
+		synctest.Wait()
+		is.Equal(len(results), len(holds)+1)
+		is.Equal(<-ended, 1) // the long one, as all others are kept
+		for _, h := range append(holds, long) {
+			h.Close()
+		}
+		is.Equal(b.Used(), int64(0))
+	})
+}
+
+// Guards against waiting holds that are all woken by each release.
+func TestWaitingAreNotWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(16 * mb)
+		kept := b.NewHold("a", func() {})
+		is.True(kept.Add(10 * mb))
+		is.True(kept.Keep())
+		leaving := b.NewHold("b", func() {})
+		is.True(leaving.Add(6 * mb))
+		results := make(chan bool, 10)
+		var holds []*Hold
+		for range 10 {
+			h := b.NewHold("c", func() {})
+			holds = append(holds, h)
+			go (&adder{hold: h, bytes: 500 << 10, result: results}).run()
+		}
+		synctest.Wait()
+		is.Equal(len(results), 0)
+		before := b.waiting[longWaiting][holds[0]]
+		kept.Release(mb / 2) // not enough for them
+		synctest.Wait()
+		is.Equal(b.waiting[longWaiting][holds[0]], before)
+		leaving.Close()
+		synctest.Wait()
+		is.Equal(len(results), 10)
+		for range 10 {
+			is.True(<-results)
+		}
+		for _, h := range append(holds, kept) {
+			h.Close()
+		}
+	})
+}
+
 // Guards against a response that stays protected after it was passed on to a caller
 // that doesn't read it.
 func TestMove(t *testing.T) {
@@ -164,7 +232,7 @@
 		b := New(10 * mb)
 		var holds []*Hold
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			step := rapid.IntRange(0, 5).Draw(t, "step")
+			step := rapid.IntRange(0, 6).Draw(t, "step")
 			if len(holds) == 0 || step == 0 {
 				holds = append(holds, b.NewHold(rapid.IntRange(0, 2).Draw(t, "account"), func() {}))
 				continue
@@ -183,6 +251,8 @@
 				h.Move(3, func() {})
 			case 5:
 				h.Close()
+			case 6:
+				h.Release(rapid.Int64Range(0, h.bytes).Draw(t, "released"))
 			}
 			var used, accounts int64
 			open := 0
