front, serve: bound the unread bytes of callers' connections together

What callers saw: 700 callers that send more than a host reads fill the receive buffers of their connections. Cause: resident memory has a budget, unread bytes had none. Each accepted connection could hold up to twice its 128 KiB, as Linux doubles the size, and those that weren't accepted, up to 4,096, what the system allows; a process without processor time accepts none. Change: package listen opens listeners whose connections inherit a receive buffer of 12 KiB, and bounds the backlog to a third of the connections. The buffer grows to 64 KiB while a body of over 64 KiB is read, if bodies use less than half of their budget, and is counted in it until the connection holds no more than before (budget.Reserve, caller.Window). The buffer is set on the listener, since a window that was announced can't be taken back. Metric: laburnummux_long_bodies_total{buffer}. The window of a connection that was accepted with a small buffer stays below 64 KiB, so a long body from a distant caller takes longer than before: 64 MiB take 30 s from 14 ms away (one way; computed).

--- a/cmd/laburnummux/usage_test.go
+++ b/cmd/laburnummux/usage_test.go
@@ -22,6 +22,7 @@
 	memory int64 // resident, bytes
 	unread int64 // received by its sockets and not read, bytes
 	total  int64 // resident and unread at the same time, bytes
+	unsent int64 // written to its sockets and not acknowledged, bytes; the machine doesn't count them
 	files  int
 }
 
@@ -30,7 +31,7 @@
 func (u usage) check(t *testing.T, pid, memoryMB, files int) {
 	t.Helper()
 	is := is.NewRelaxed(t)
-	t.Logf("%d MB resident, %d MB unread, %d MB in all, %d descriptors", u.memory/1e6, u.unread/1e6, u.total/1e6, u.files)
+	t.Logf("%d MB resident, %d MB unread, %d MB in all, %d descriptors, %d MB unsent", u.memory/1e6, u.unread/1e6, u.total/1e6, u.files, u.unsent/1e6)
 	is.True(isAlive(pid))
 	is.True(u.memory < int64(memoryMB)*1e6)
 	is.True(u.total < int64(memoryMB)*1e6)
@@ -66,10 +67,11 @@
 // sample records the present usage of a process.
 func (u *usage) sample(pid int) {
 	sockets, files := openFiles(pid)
-	unread := unreadBytes(pid, sockets)
+	unread, unsent := queuedBytes(pid, sockets)
 	u.memory = max(u.memory, residentBytes(pid))
 	u.unread = max(u.unread, unread)
 	u.total = max(u.total, statusBytes(pid, "VmRSS:")+unread)
+	u.unsent = max(u.unsent, unsent)
 	u.files = max(u.files, files)
 }
 
@@ -131,12 +133,13 @@
 	noInode   = "0"  // of a connection that wasn't accepted
 )
 
-// unreadBytes returns the bytes that the TCP sockets of a process have received and
-// that it hasn't read, also of connections that it hasn't accepted.
-func unreadBytes(pid int, sockets map[string]bool) (n int64) {
+// queuedBytes returns the bytes that the TCP sockets of a process have received and that
+// it hasn't read, also of connections that it hasn't accepted, and those that it has
+// written and that weren't acknowledged.
+func queuedBytes(pid int, sockets map[string]bool) (unread, unsent int64) {
 	file, err := os.Open(fmt.Sprintf("/proc/%d/net/tcp", pid))
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	defer file.Close()
 	var listening []string
@@ -147,23 +150,34 @@
 		if len(f) <= tcpInode {
 			continue
 		}
-		_, hex, _ := strings.Cut(f[tcpQueues], ":")
-		unread, err := strconv.ParseInt(hex, 16, 64)
+		sent, received, ok := parseQueues(f[tcpQueues])
 		switch {
-		case err != nil: // the line with the names of the fields
+		case !ok: // the line with the names of the fields
 		case f[tcpState] == tcpListen && sockets[f[tcpInode]]:
 			listening = append(listening, f[tcpLocal])
 		case f[tcpState] == tcpListen:
 		case f[tcpInode] == noInode:
-			notAccepted[f[tcpLocal]] += unread
+			notAccepted[f[tcpLocal]] += received
 		case sockets[f[tcpInode]]:
-			n += unread
+			unread += received
+			unsent += sent
 		}
 	}
-	for addr, unread := range notAccepted {
+	for addr, n := range notAccepted {
 		if slices.Contains(listening, addr) {
-			n += unread
+			unread += n
 		}
 	}
-	return n
+	return unread, unsent
+}
+
+// parseQueues parses the lengths of a socket's queues, "SENT:RECEIVED" in hexadecimal.
+func parseQueues(s string) (sent, received int64, ok bool) {
+	left, right, _ := strings.Cut(s, ":")
+	sent, err := strconv.ParseInt(left, 16, 64)
+	if err != nil {
+		return 0, 0, false
+	}
+	received, err = strconv.ParseInt(right, 16, 64)
+	return sent, received, err == nil
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -31,6 +31,9 @@
 	// StallTime is the time without progress after which a body is given up before
 	// others of its account.
 	StallTime = time.Second
+	// reservableShare is the part of the budget, as a divisor, up to which Reserve
+	// succeeds.
+	reservableShare = 2
 	// stallScanPeriod is the time for which bodies without progress aren't looked for
 	// after none was found, which takes time with the number of all.
 	stallScanPeriod = StallTime / 10
@@ -116,6 +119,21 @@
 	return h
 }
 
+// Reserve returns a hold of a number of bytes that is kept, or nil if the budget has
+// few bytes left: what improves speed alone must not have bodies given up.
+func (b *Budget) Reserve(id any, n int64) *Hold {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > b.max/reservableShare {
+		return nil
+	}
+	h := &Hold{budget: b, kept: true, bytes: n}
+	b.join(h, id)
+	b.open++
+	b.used += n
+	return h
+}
+
 // join adds a hold to an account. b.mu is held.
 func (b *Budget) join(h *Hold, id any) {
 	a := b.accounts[id]
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -225,6 +225,25 @@
 	is.Equal(b.Used(), int64(0))
 }
 
+// Guards against reserved bytes that have bodies given up or that aren't counted.
+func TestReserved(t *testing.T) {
+	is := is.New(t)
+	b := New(100)
+	body := b.NewHold("a", func() { t.Error("the body was given up") })
+	is.True(body.Add(30))
+	is.True(b.Reserve("b", 21) == nil)
+	h := b.Reserve("b", 20)
+	is.True(h != nil)
+	is.Equal(b.Used(), int64(50))
+	h.Cancel() // has no effect, as it is kept
+	is.True(body.Add(50))
+	h.Close()
+	is.Equal(b.Used(), int64(80))
+	body.Close()
+	is.Equal(b.Open(), 0)
+	is.Equal(len(b.accounts), 0)
+}
+
 // Guards against bytes that are released twice or not at all: a budget that in the
 // end refuses everything or nothing.
 func TestAccounting(t *testing.T) {
--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -16,12 +16,6 @@
 	maxSearched = 512
 )
 
-// MaxUnread bounds the bytes of a caller's connection that were received and not read,
-// if the memory of the process is known, as they count towards it. Without a bound they
-// grow to the system's maximum while the process has no processor time. It is large
-// enough for distant callers to send fast.
-const MaxUnread = 128 << 10
-
 // Conns has the open connections of callers and bounds their number.
 type Conns struct {
 	mu        sync.Mutex
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -63,8 +63,8 @@
 	// until they are written. nil: a budget of 1 GiB.
 	Budget   *budget.Budget
 	MaxConns int // most open connections; 0: no limit
-	// ReadBuffer bounds the bytes of each connection that were received and not read.
-	// 0: as the system sets it, which may be several MB.
+	// ReadBuffer is the receive buffer of the listener's connections, see package
+	// listen. It grows while long bodies are read. 0: the system sets the size.
 	ReadBuffer int
 	Metrics    *Metrics // may be nil
 }
@@ -97,14 +97,12 @@
 			continue
 		}
 		c := &conn{Tracked: NewTracked(nc), server: s, exchanges: make(chan *exchange, maxExchanges)}
-		if tc, ok := nc.(*net.TCPConn); ok && s.cfg.ReadBuffer > 0 {
-			tc.SetReadBuffer(s.cfg.ReadBuffer) // an error means that the connection is closed
-		}
 		if c.socket, err = socketOf(nc); err != nil {
 			s.cfg.Log.Warn("cannot use connection", zap.Error(err))
 			nc.Close()
 			continue
 		}
+		c.window = newWindow(c.socket, s.cfg.ReadBuffer, s.cfg.Metrics)
 		c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
 		if !s.conns.Admit(c.Tracked) {
 			c.cancel()
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -39,7 +39,8 @@
 	socket    syscall.RawConn // of netConn
 	reader    *bufio.Reader
 	hold      *budget.Hold      // memory of the request that is being read, see count; of run
-	uncounted int64             // its memory without a hold; of run
+	counted   int64             // its memory, with or without a hold; of run
+	window    Window            // of run
 	inRequest bool              // a request is being read; of run
 	inHead    bool              // its header is being read; of run
 	limited   *io.LimitedReader // source of reader
@@ -99,6 +100,7 @@
 	<-written
 	c.cancel()
 	c.netConn.Close()
+	c.window.Release()
 	c.server.conns.Remove(c.Tracked)
 }
 
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -80,7 +80,7 @@
 
 // beginRequest begins to count the memory of a request. Its first bytes are buffered.
 func (c *conn) beginRequest() error {
-	c.inRequest, c.inHead, c.uncounted = true, true, 0
+	c.inRequest, c.inHead, c.counted = true, true, 0
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err == nil && !c.count(HeadCost(buffered)) {
 		err = ErrGivenUp
@@ -91,15 +91,18 @@
 // count counts bytes of the request that is being read. It returns false if the
 // request was given up.
 func (c *conn) count(n int64) bool {
+	c.counted += n
+	if !c.inHead && c.counted >= longBody {
+		c.window.Grow(c.server.cfg.Budget, c.address)
+	}
 	if c.hold != nil {
 		return c.hold.Add(n)
 	}
-	c.uncounted += n
-	if c.uncounted <= UncountedBytes && c.pending.Load() == 0 {
+	if c.counted <= UncountedBytes && c.pending.Load() == 0 {
 		return true
 	}
 	c.hold = c.server.cfg.Budget.NewHold(c.address, c.endRead)
-	return c.hold.Add(c.uncounted)
+	return c.hold.Add(c.counted)
 }
 
 // endRead ends the reading of a request.
@@ -147,6 +150,7 @@
 
 // takeHold ends the reading of a request, and returns its hold, which may be nil.
 func (c *conn) takeHold() (h *budget.Hold) {
+	c.window.Shrink()
 	h, c.hold, c.inRequest = c.hold, nil, false
 	return h
 }
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -23,6 +23,7 @@
 type Metrics struct {
 	givenUp *prometheus.CounterVec
 	conns   *prometheus.CounterVec
+	windows *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a Server and of its budget.
@@ -35,10 +36,13 @@
 			Name: "laburnummux_caller_connections_closed_total", Help: "Callers' connections closed because there were too many, by reason.",
 		}, []string{"reason"}),
 	}
+	m.windows = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_long_bodies_total", Help: "Long bodies of callers' requests by the size of the receive buffer that they were read with: short if the memory of bodies was in use.",
+	}, []string{"buffer"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "laburnummux_body_bytes", Help: "Memory of the headers and bodies of callers' requests, and of servers' responses.",
 	}, func() float64 { return float64(b.Used()) })
-	reg.MustRegister(m.givenUp, m.conns, held)
+	reg.MustRegister(m.givenUp, m.conns, m.windows, held)
 	return m
 }
 
@@ -49,6 +53,19 @@
 	}
 }
 
+// countLongBody counts a long body that was read with a large receive buffer, or a
+// short one.
+func (m *Metrics) countLongBody(large bool) {
+	if m == nil {
+		return
+	}
+	buffer := "short"
+	if large {
+		buffer = "large"
+	}
+	m.windows.WithLabelValues(buffer).Inc()
+}
+
 func (m *Metrics) countConn(reason string) {
 	if m != nil {
 		m.conns.WithLabelValues(reason).Inc()
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -35,7 +35,7 @@
 type callerListener struct {
 	net.Listener
 	intake           *intake
-	readBuffer       int         // bytes; 0: as the system sets it
+	readBuffer       int         // bytes of the connections' receive buffers; 0: the system sets the size
 	tls              *tls.Config // nil: plain text
 	failedHandshakes *atomic.Uint64
 }
@@ -47,10 +47,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if tc, ok := nc.(*net.TCPConn); ok && l.readBuffer > 0 {
-			tc.SetReadBuffer(l.readBuffer) // an error means that the connection is closed
+		window, err := caller.WindowOf(nc, l.readBuffer, l.intake.metrics)
+		if err != nil {
+			nc.Close()
+			continue
 		}
-		c := &callerConn{Conn: nc, raw: nc, tracked: caller.NewTracked(nc), intake: l.intake}
+		c := &callerConn{Conn: nc, raw: nc, tracked: caller.NewTracked(nc), intake: l.intake, window: window}
 		c.giveUp = c.endRead
 		if l.tls != nil {
 			c.tls, c.failedHandshakes = tls.Server(nc, l.tls), l.failedHandshakes
@@ -89,6 +91,7 @@
 	refused          atomic.Bool // a header was given up
 
 	mu        sync.Mutex
+	window    caller.Window
 	stage     stage
 	hold      *budget.Hold // memory of the request, see count
 	giveUp    func()       // of hold
@@ -309,9 +312,17 @@
 		return false
 	}
 	c.abortOnGiveUp(cancel)
+	c.growWindow()
 	return true
 }
 
+// growWindow lets the caller send a long body fast.
+func (c *callerConn) growWindow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.window.Grow(c.intake.budget, c.tracked.Address())
+}
+
 // abortOnGiveUp has the connection closed and the request cancelled if it is given up.
 func (c *callerConn) abortOnGiveUp(cancel context.CancelFunc) {
 	giveUp := func() {
@@ -343,6 +354,7 @@
 func (c *callerConn) awaitHeader() {
 	c.mu.Lock()
 	c.tracked.EndRequest()
+	c.window.Shrink()
 	c.stage, c.giveUp, c.uncounted = stageHeader, c.endRead, 0
 	n := max(c.buffered-caller.UncountedBytes, 0)
 	c.mu.Unlock()
@@ -382,7 +394,11 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.intake.conns.Remove(c.tracked)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.window.Release()
+	return err
 }
 
 // streamedBody is a body that is read while its request is in progress.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/peerpb"
 	"github.com/laburnummux/laburnummux/internal/peers"
 	"github.com/laburnummux/laburnummux/pkg/answer"
@@ -57,8 +58,11 @@
 	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), grpc.MaxRecvMsgSize(peers.MaxBatchBytes))...)
 	peerpb.RegisterPeerServer(d.grpc, h.peers)
 	l := h.settings.Listen()
-	for i, a := range []netip.AddrPort{l.Callers(), l.Relay(), l.Operators(), l.Peers()} {
-		if d.netListeners[i], err = net.Listen("tcp", a.String()); err != nil {
+	for i, x := range []struct {
+		addr   netip.AddrPort
+		bounds listen.Bounds
+	}{{l.Callers(), callerBounds(h.settings)}, {addr: l.Relay()}, {addr: l.Operators()}, {addr: l.Peers()}} {
+		if d.netListeners[i], err = listen.Open(x.addr.String(), x.bounds); err != nil {
 			d.close()
 			return nil, fmt.Errorf("entry.listen: %w", err)
 		}
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/listen"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// connections to servers and other hosts.
 	reservedFDs = 200
 	connFDs     = 2
+	// backlogShare is the part of the bound of callers' connections, as a divisor, that
+	// may be open in addition and not accepted yet.
+	backlogShare = 3
 	// minCallerConns is the least bound of callers' connections.
 	minCallerConns = 16
 	// streamBytes are the buffers of a response that is streamed to a caller.
@@ -64,15 +68,32 @@
 	return n
 }
 
+// callerConns returns the bound of callers' connections.
+func callerConns(s config.Settings) (n int, err error) {
+	var fds syscall.Rlimit
+	if err = syscall.Getrlimit(syscall.RLIMIT_NOFILE, &fds); err != nil {
+		fds.Cur = 1024 // the usual limit
+	}
+	return maxCallerConns(s.Callers().MaxConnections(), s.Memory(), fds.Cur), err
+}
+
+// callerBounds returns the bounds of what callers' connections have received and wasn't
+// read. They are those of the system if the memory isn't known.
+func callerBounds(s config.Settings) listen.Bounds {
+	if s.Memory() <= 0 {
+		return listen.Bounds{}
+	}
+	n, _ := callerConns(s) // newIntake logs the error
+	return listen.Bounds{ReadBuffer: caller.ReadBuffer, Backlog: n / backlogShare}
+}
+
 // newIntake returns the bounds of callers' connections and bodies.
 func (h *Host) newIntake() *intake {
-	s := h.settings
-	var fds syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &fds); err != nil {
+	n, err := callerConns(h.settings)
+	if err != nil {
 		h.log.Warn("cannot read the limit of descriptors; assuming the usual one", zap.Error(err))
-		fds.Cur = 1024
 	}
-	b := caller.NewBudget(bodyBytes(s.Memory()), h.log)
+	b := caller.NewBudget(bodyBytes(h.settings.Memory()), h.log)
 	m := caller.NewMetrics(h.metrics.Registry(), b)
-	return &intake{budget: b, metrics: m, conns: caller.NewConns(maxCallerConns(s.Callers().MaxConnections(), s.Memory(), fds.Cur), m)}
+	return &intake{budget: b, metrics: m, conns: caller.NewConns(n, m)}
 }
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/auth"
-	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/certs"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/peers"
@@ -162,10 +161,7 @@
 	outside := certs.ServerOptions{MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
 	operators := outside
 	operators.ClientAuth = certs.Optional // health checks and tokens need no certificate
-	callers := &callerListener{Listener: d.netListeners[0], intake: h.intake, failedHandshakes: &s.failedHandshakes}
-	if h.settings.Memory() > 0 {
-		callers.readBuffer = caller.MaxUnread
-	}
+	callers := &callerListener{Listener: d.netListeners[0], intake: h.intake, readBuffer: callerBounds(h.settings).ReadBuffer, failedHandshakes: &s.failedHandshakes}
 	if s.callers != nil {
 		callers.tls = s.callers.Server(outside)
 	}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -40,6 +40,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/internal/quota"
@@ -129,7 +130,7 @@
 	h.relay = relay.New(h.relayConfig(bodies))
 	h.callers = caller.New(caller.Config{
 		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
-		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerReadBuffer(), Metrics: caller.NewMetrics(cfg.Registry, bodies),
+		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerBounds().ReadBuffer, Metrics: caller.NewMetrics(cfg.Registry, bodies),
 	})
 	h.role = newAssignerRole(h)
 	return h
@@ -180,7 +181,7 @@
 	if h.mesh, err = mesh.Listen(s.IP, s.MeshPort); err != nil {
 		return err
 	}
-	if h.callerListener, err = net.Listen("tcp", s.Callers); err != nil {
+	if h.callerListener, err = listen.Open(s.Callers, s.callerBounds()); err != nil {
 		return err
 	}
 	if err = h.serveHTTP(); err != nil {
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/listen"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// connections to servers need some, too.
 	reservedFDs = 200
 	connFDs     = 2
+	// backlogShare is the part of the bound of callers' connections, as a divisor, that
+	// may be open in addition and not accepted yet, while the process gets no processor
+	// time.
+	backlogShare = 3
 	// minCallerConns is the least bound of callers' connections.
 	minCallerConns = 16
 )
@@ -51,11 +56,11 @@
 	return n
 }
 
-// callerReadBuffer returns the bound of the bytes of a caller's connection that were
-// received and not read, or 0 if there is none.
-func (s Settings) callerReadBuffer() int {
+// callerBounds returns the bounds of what callers' connections have received and
+// wasn't read. They are those of the system if the memory isn't known.
+func (s Settings) callerBounds() listen.Bounds {
 	if s.Memory <= 0 {
-		return 0
+		return listen.Bounds{}
 	}
-	return caller.MaxUnread
+	return listen.Bounds{ReadBuffer: caller.ReadBuffer, Backlog: s.maxCallerConns() / backlogShare}
 }
