front, serve: bound connections and requests at the addresses that aren't for callers

What callers saw: 100 clients at the address for the balancer, operators, metrics or other hosts that send headers of 512 KiB in short lines ended the process (288 to 308 MB resident of 144), and 600 that sent nothing took all descriptors, so that ordinary callers were refused. Cause: these servers had no bound of connections; front's had no timeout at all. net/http takes headers of 1 MiB, of which a line of four bytes takes about 200 bytes of memory, and nothing counted them. Change: caller.Bounds: such an address has at most a third of callers' connections (front: its three addresses together); beyond that idle ones, then incomplete requests of the address with most connections are closed, as for callers. Their headers, and for operators also their bodies, count in the budget of callers' bodies; a relayed request that was read to its end isn't given up. Operators' servers have headers of 16 KiB and timeouts. Their receive buffers are 8 KiB, their backlogs 64. Metric: laburnummux_other_connections_closed_total{address,reason}; log lines when connections begin to be closed, and when they are below half of the bound again, for callers too.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -14,6 +16,9 @@
 	maxScanned = 64
 	// maxSearched is how many are looked at if there is none among the first.
 	maxSearched = 512
+	// recoveredConns is the part of the bound, as a divisor, below which there are no
+	// longer too many connections.
+	recoveredConns = 2
 )
 
 // Conns has the open connections of callers and bounds their number.
@@ -23,12 +28,27 @@
 	metrics   *Metrics
 	open      map[*Tracked]struct{}
 	byAddress map[string]int // number of connections by address
+	pressed   bool
+	pressure  func(bool)
 }
 
 // NewConns returns a Conns without connections. maxConns 0 means no limit; m may be
 // nil.
 func NewConns(maxConns int, m *Metrics) *Conns {
-	return &Conns{max: maxConns, metrics: m, open: make(map[*Tracked]struct{}), byAddress: make(map[string]int)}
+	return &Conns{max: maxConns, metrics: m, open: make(map[*Tracked]struct{}), byAddress: make(map[string]int), pressure: func(bool) {}}
+}
+
+// LogPressure logs when connections begin to be closed because there are too many, and
+// when they are well below the bound again. name says which connections. It is called
+// before the first one is admitted.
+func (s *Conns) LogPressure(name string, log *zap.Logger) {
+	s.pressure = func(on bool) {
+		if on {
+			log.Warn("too many connections: closing idle and incomplete ones", zap.String("address", name), zap.Int("bound", s.max))
+		} else {
+			log.Info("connections are below the bound again", zap.String("address", name))
+		}
+	}
 }
 
 // Tracked is a caller's connection with what Conns has to know of it.
@@ -57,6 +77,13 @@
 	}
 }
 
+// Active records that the connection, which carries more than one request at a time, is
+// in use.
+func (t *Tracked) Active() {
+	t.since.Store(time.Now().UnixNano())
+	t.reading.Store(true)
+}
+
 // EndRead records that the request has been received and awaits its response. It is for
 // connections that handle one request at a time.
 func (t *Tracked) EndRead() {
@@ -83,6 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.max > 0 && len(s.open) >= s.max {
+		s.setPressed(true)
 		v, reason := s.victim()
 		s.metrics.countConn(reason)
 		if v == nil {
@@ -112,6 +140,17 @@
 	if s.byAddress[t.address]--; s.byAddress[t.address] == 0 {
 		delete(s.byAddress, t.address)
 	}
+	if s.pressed && len(s.open) < s.max/recoveredConns {
+		s.setPressed(false)
+	}
+}
+
+// setPressed records whether there are too many connections. s.mu is held.
+func (s *Conns) setPressed(pressed bool) {
+	if s.pressed != pressed {
+		s.pressed = pressed
+		s.pressure(pressed)
+	}
 }
 
 // Len returns the number of connections.
--- /dev/null
+++ b/internal/caller/bounded.go
@@ -0,0 +1,243 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+)
+
+// Limits of requests of the balancer, operators and metrics.
+const (
+	operatorHeaderTimeout = 5 * time.Second
+	operatorReadTimeout   = 30 * time.Second
+	operatorWriteTimeout  = 30 * time.Second
+	operatorIdleTimeout   = time.Minute
+	operatorHeaderBytes   = 16 << 10
+)
+
+// Bounds bounds the connections of the addresses for the balancer, operators, metrics
+// and other hosts, and the memory of the requests on them, which share a budget with
+// those of callers.
+type Bounds struct {
+	conns   *Conns
+	budget  *budget.Budget
+	metrics *Metrics
+}
+
+// NewBounds returns the bounds of addresses, which have a name in metrics and log
+// lines, with at most maxConns connections together; 0 means no limit. m may be nil.
+func NewBounds(name string, maxConns int, b *budget.Budget, m *Metrics, log *zap.Logger) *Bounds {
+	m = m.ForAddress(name)
+	conns := NewConns(maxConns, m)
+	conns.LogPressure(name, log)
+	return &Bounds{conns: conns, budget: b, metrics: m}
+}
+
+// NewOperatorServer returns a server for the balancer, operators or metrics. Its
+// listener must be one of Listener.
+func NewOperatorServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: operatorHeaderTimeout, ReadTimeout: operatorReadTimeout, WriteTimeout: operatorWriteTimeout,
+		IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: operatorHeaderBytes, ConnState: TrackBounded,
+	}
+}
+
+// Content is what a connection carries.
+type Content int
+
+// Contents of connections.
+const (
+	Requests          Content = iota // of HTTP/1.1
+	EncryptedRequests                // the same; the listener's user adds TLS
+	Streams                          // of HTTP/2; their memory isn't counted
+)
+
+// Listener returns a listener whose connections are bounded.
+func (b *Bounds) Listener(l net.Listener, content Content) net.Listener {
+	return &boundedListener{Listener: l, bounds: b, content: content}
+}
+
+type boundedListener struct {
+	net.Listener
+	bounds  *Bounds
+	content Content
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &boundedConn{Conn: nc, tracked: NewTracked(nc), bounds: l.bounds, content: l.content}
+		if l.bounds.conns.Admit(c.tracked) {
+			return c, nil
+		}
+		nc.Close()
+	}
+}
+
+// boundedConn is a connection of a boundedListener. What it reads is counted until the
+// server awaits the next request.
+type boundedConn struct {
+	net.Conn
+	tracked *Tracked
+	bounds  *Bounds
+	content Content
+	refused atomic.Bool // the request was given up
+
+	mu       sync.Mutex
+	hold     *budget.Hold // memory of the request
+	counted  int64        // the same, with or without a hold
+	headRead bool         // the rest of the request is counted by its handler
+	closed   bool
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	switch {
+	case n == 0:
+	case c.content == Streams:
+		c.tracked.Active()
+	case !c.count(p[:n]):
+		c.refused.Store(true)
+		return 0, ErrGivenUp
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It fails for a request that was given up: the server would
+// respond with 400 to a header that has no end.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, ErrGivenUp
+	}
+	return c.Conn.Write(p)
+}
+
+// count counts bytes of a request. It returns false if the request was given up.
+func (c *boundedConn) count(p []byte) bool {
+	cost := HeadCost(p)
+	if c.content == EncryptedRequests {
+		cost = int64(len(p)) * encryptedByteCost
+	}
+	c.mu.Lock()
+	if c.headRead || c.closed {
+		c.mu.Unlock()
+		return true
+	}
+	if c.counted += cost; c.counted <= UncountedBytes {
+		c.mu.Unlock()
+		return true
+	}
+	if c.hold == nil {
+		c.hold = c.bounds.budget.NewHold(c.tracked.Address(), c.endRead)
+		cost = c.counted
+	}
+	h := c.hold
+	c.mu.Unlock()
+	if h.Add(cost) {
+		return true
+	}
+	c.bounds.metrics.CountGivenUp(ReasonMemory)
+	return false
+}
+
+// endRead ends the reading of a request.
+func (c *boundedConn) endRead() {
+	c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed
+}
+
+// release releases the memory of the request.
+func (c *boundedConn) release(closed bool) {
+	c.mu.Lock()
+	h := c.hold
+	c.hold, c.counted, c.headRead, c.closed = nil, 0, false, closed
+	c.mu.Unlock()
+	h.Close()
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.release(true)
+	c.bounds.conns.Remove(c.tracked)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side, which net/http does before it closes a connection
+// with unread bytes.
+func (c *boundedConn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *boundedConn) SyscallConn() (syscall.RawConn, error) { return socketOf(c.Conn) }
+
+// TrackBounded is the ConnState of servers with bounded connections. A request counts as
+// incomplete until its response is written, as its body may never end.
+func TrackBounded(nc net.Conn, s http.ConnState) {
+	c := boundedConnOf(nc)
+	switch s {
+	case http.StateActive:
+		c.tracked.BeginRequest()
+	case http.StateIdle:
+		c.release(false)
+		c.tracked.EndRequest()
+	}
+}
+
+// boundedConnOf returns the bounded connection below a server's connection.
+func boundedConnOf(nc net.Conn) *boundedConn {
+	if tc, ok := nc.(*tls.Conn); ok {
+		nc = tc.NetConn()
+	}
+	return nc.(*boundedConn)
+}
+
+type boundedConnKey struct{}
+
+// WithBounded is for the ConnContext of servers whose handlers call HeadRead and
+// RequestRead.
+func WithBounded(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, boundedConnKey{}, boundedConnOf(nc))
+}
+
+// HeadRead records that the head of a request was read. The memory of its body is
+// counted by the handler.
+func HeadRead(r *http.Request) {
+	c, ok := r.Context().Value(boundedConnKey{}).(*boundedConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRead = true
+}
+
+// RequestRead records that a request was read to its end. It isn't given up, and its
+// connection isn't closed to make room for others, until it is answered. RequestRead
+// returns false if it was given up before.
+func RequestRead(r *http.Request) bool {
+	c, ok := r.Context().Value(boundedConnKey{}).(*boundedConn)
+	if !ok {
+		return true
+	}
+	c.tracked.EndRead()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hold == nil || c.hold.Keep()
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -81,7 +81,9 @@
 	if cfg.Budget == nil {
 		cfg.Budget = budget.New(DefaultBudget)
 	}
-	return &Server{cfg: cfg, conns: NewConns(cfg.MaxConns, cfg.Metrics)}
+	s := &Server{cfg: cfg, conns: NewConns(cfg.MaxConns, cfg.Metrics)}
+	s.conns.LogPressure("callers", cfg.Log)
+	return s
 }
 
 // Run accepts connections until the listener is closed.
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -22,6 +22,9 @@
 	// relay makes a copy of the entries.
 	headByteCost = 3
 	headLineCost = 192
+	// encryptedByteCost is the memory that an encrypted byte is counted with: it may
+	// belong to a header with lines of four bytes.
+	encryptedByteCost = headByteCost + headLineCost/4
 	// chunkOverhead is how many bytes a body in chunks takes at most for each of its
 	// bytes: a chunk of one byte has a line with its length and two line ends.
 	chunkOverhead = 6
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -23,6 +23,7 @@
 type Metrics struct {
 	givenUp *prometheus.CounterVec
 	conns   *prometheus.CounterVec
+	others  *prometheus.CounterVec // as conns, of the other addresses
 	windows *prometheus.CounterVec
 }
 
@@ -36,13 +37,16 @@
 			Name: "laburnummux_caller_connections_closed_total", Help: "Callers' connections closed because there were too many, by reason.",
 		}, []string{"reason"}),
 	}
+	m.others = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_other_connections_closed_total", Help: "Connections to the addresses that aren't for callers closed because there were too many, by address and reason.",
+	}, []string{"address", "reason"})
 	m.windows = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "laburnummux_long_bodies_total", Help: "Long bodies of callers' requests by the size of the receive buffer that they were read with: short if the memory of bodies was in use.",
 	}, []string{"buffer"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "laburnummux_body_bytes", Help: "Memory of the headers and bodies of callers' requests, and of servers' responses.",
 	}, func() float64 { return float64(b.Used()) })
-	reg.MustRegister(m.givenUp, m.conns, m.windows, held)
+	reg.MustRegister(m.givenUp, m.conns, m.others, m.windows, held)
 	return m
 }
 
@@ -53,6 +57,15 @@
 	}
 }
 
+// ForAddress returns metrics that count the connections of an address that isn't for
+// callers. m may be nil.
+func (m *Metrics) ForAddress(name string) *Metrics {
+	if m == nil {
+		return nil
+	}
+	return &Metrics{givenUp: m.givenUp, conns: m.others.MustCurryWith(prometheus.Labels{"address": name})}
+}
+
 // countLongBody counts a long body that was read with a large receive buffer, or a
 // short one.
 func (m *Metrics) countLongBody(large bool) {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -24,7 +24,6 @@
 	// request is sent on a connection that the server is closing.
 	relayIdleTimeout  = 3 * time.Minute
 	readHeaderTimeout = 5 * time.Second
-	operatorsTimeout  = 30 * time.Second
 	maxRelayHeader    = 1 << 20 // bytes; the caller's headers and those that the relaying host adds
 )
 
@@ -50,18 +49,17 @@
 	}
 	d.relay = &http.Server{
 		Handler: h.relayRoutes(), ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader, ConnContext: withConn,
+		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader, ConnContext: withRelayConn, ConnState: caller.TrackBounded,
 	}
-	d.operators = &http.Server{
-		Handler: h.authenticate(h.operatorRoutes()), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorsTimeout,
-	}
-	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), grpc.MaxRecvMsgSize(peers.MaxBatchBytes))...)
+	d.operators = caller.NewOperatorServer(h.authenticate(h.operatorRoutes()))
+	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), grpc.MaxRecvMsgSize(peers.MaxBatchBytes), grpc.ConnectionTimeout(readHeaderTimeout))...)
 	peerpb.RegisterPeerServer(d.grpc, h.peers)
 	l := h.settings.Listen()
+	callersBounds, otherBounds := callerBounds(h.settings), otherBounds(h.settings)
 	for i, x := range []struct {
 		addr   netip.AddrPort
 		bounds listen.Bounds
-	}{{l.Callers(), callerBounds(h.settings)}, {addr: l.Relay()}, {addr: l.Operators()}, {addr: l.Peers()}} {
+	}{{l.Callers(), callersBounds}, {l.Relay(), otherBounds}, {l.Operators(), otherBounds}, {l.Peers(), otherBounds}} {
 		if d.netListeners[i], err = listen.Open(x.addr.String(), x.bounds); err != nil {
 			d.close()
 			return nil, fmt.Errorf("entry.listen: %w", err)
@@ -78,6 +76,11 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// withRelayConn is the ConnContext of the relay's server.
+func withRelayConn(ctx context.Context, c net.Conn) context.Context {
+	return caller.WithBounded(withConn(ctx, c), c)
+}
+
 // abandoned returns a function that reports whether the sender of a request has
 // closed its connection. The context of the request may not tell yet: net/http
 // cancels it when it reads the end of the connection, which a host that was
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -33,6 +33,11 @@
 	// backlogShare is the part of the bound of callers' connections, as a divisor, that
 	// may be open in addition and not accepted yet.
 	backlogShare = 3
+	// otherConnShare is the bound of connections of each address that isn't for callers, as
+	// a divisor of that of callers' connections.
+	otherConnShare  = 3
+	otherReadBuffer = 8 << 10 // bytes; most of their requests are short
+	otherBacklog    = 64
 	// minCallerConns is the least bound of callers' connections.
 	minCallerConns = 16
 	// streamBytes are the buffers of a response that is streamed to a caller.
@@ -87,6 +92,20 @@
 	return listen.Bounds{ReadBuffer: caller.ReadBuffer, Backlog: n / backlogShare}
 }
 
+// otherBounds returns the bounds of the addresses that aren't for callers.
+func otherBounds(s config.Settings) listen.Bounds {
+	if s.Memory() <= 0 {
+		return listen.Bounds{}
+	}
+	return listen.Bounds{ReadBuffer: otherReadBuffer, Backlog: otherBacklog}
+}
+
+// newBounds returns the bounds of the connections of an address that isn't for callers.
+func (h *Host) newBounds(name string) *caller.Bounds {
+	n, _ := callerConns(h.settings) // newIntake logs the error
+	return caller.NewBounds(name, max(n/otherConnShare, minCallerConns), h.intake.budget, h.intake.metrics, h.log)
+}
+
 // newIntake returns the bounds of callers' connections and bodies.
 func (h *Host) newIntake() *intake {
 	n, err := callerConns(h.settings)
@@ -95,5 +114,7 @@
 	}
 	b := caller.NewBudget(bodyBytes(h.settings.Memory()), h.log)
 	m := caller.NewMetrics(h.metrics.Registry(), b)
-	return &intake{budget: b, metrics: m, conns: caller.NewConns(n, m)}
+	conns := caller.NewConns(n, m)
+	conns.LogPressure("callers", h.log)
+	return &intake{budget: b, metrics: m, conns: conns}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/proxy"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/internal/route"
@@ -70,6 +71,7 @@
 func (h *Host) relayRoutes() http.Handler {
 	// A mux would redirect requests whose path isn't in its cleaned form.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller.HeadRead(r)
 		if r.URL.Path == fleetPath {
 			h.serveStatus(w, r)
 			return
@@ -149,6 +151,9 @@
 	} else if body, err = proxy.NewCountedBody(r.Body, r.ContentLength, hold.Add); err != nil {
 		return cl, ctx, cancel, false
 	}
+	if body.Buffered() && !caller.RequestRead(r) {
+		hold.Cancel()
+	}
 	if !hold.Keep() {
 		return cl, ctx, cancel, false
 	}
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/auth"
+	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/certs"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/peers"
@@ -166,6 +167,7 @@
 		callers.tls = s.callers.Server(outside)
 	}
 	d.netListeners[0] = callers
+	h.boundListeners(d)
 	for i, x := range []struct {
 		source *certs.Source
 		opts   certs.ServerOptions
@@ -180,6 +182,19 @@
 	}
 }
 
+// boundListeners adds the bounds of connections to the listeners for other hosts and
+// operators. Other hosts are authenticated before they send a request over TLS, so that
+// the memory of their headers is counted as of plain ones.
+func (h *Host) boundListeners(d *listeners) {
+	operators := caller.Requests
+	if h.security.operators != nil {
+		operators = caller.EncryptedRequests
+	}
+	d.netListeners[1] = h.newBounds("relay").Listener(d.netListeners[1], caller.Requests)
+	d.netListeners[2] = h.newBounds("operators").Listener(d.netListeners[2], operators)
+	d.netListeners[3] = h.newBounds("peers").Listener(d.netListeners[3], caller.Streams)
+}
+
 // handshakeLog counts failed TLS handshakes instead of logging them, since any
 // client that reaches a port can cause them. It writes other lines to out.
 type handshakeLog struct {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -74,6 +74,7 @@
 	log         *zap.Logger
 	relay       *relay.Relay
 	callers     *caller.Server
+	operators   *caller.Bounds // of the addresses other than the callers'
 	mesh        *mesh.Conn
 	admission   *admission
 	members     *members
@@ -128,10 +129,12 @@
 	h.tableParts = make(tableAssemblies)
 	bodies := h.newBodyBudget()
 	h.relay = relay.New(h.relayConfig(bodies))
+	m := caller.NewMetrics(cfg.Registry, bodies)
 	h.callers = caller.New(caller.Config{
 		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
-		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerBounds().ReadBuffer, Metrics: caller.NewMetrics(cfg.Registry, bodies),
+		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerBounds().ReadBuffer, Metrics: m,
 	})
+	h.operators = caller.NewBounds("operators", s.maxOperatorConns(), bodies, m, cfg.Log)
 	h.role = newAssignerRole(h)
 	return h
 }
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 )
 
@@ -83,12 +85,12 @@
 		if addr == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", addr)
+		l, err := listen.Open(addr, s.operatorBounds())
 		if err != nil {
 			return err
 		}
 		h.listeners = append(h.listeners, l)
-		hs := &httpServer{host: h, listener: l, server: &http.Server{Handler: handler}}
+		hs := &httpServer{host: h, listener: h.operators.Listener(l, caller.Requests), server: caller.NewOperatorServer(handler)}
 		go hs.run()
 	}
 	return nil
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -25,6 +25,12 @@
 	// may be open in addition and not accepted yet, while the process gets no processor
 	// time.
 	backlogShare = 3
+	// operatorConnShare is the bound of connections to the addresses for the balancer,
+	// operators and metrics, as a divisor of that of callers' connections. All hosts may
+	// fetch a snapshot at once.
+	operatorConnShare  = 3
+	operatorReadBuffer = 8 << 10 // bytes; their requests are short
+	operatorBacklog    = 64
 	// minCallerConns is the least bound of callers' connections.
 	minCallerConns = 16
 )
@@ -64,3 +70,22 @@
 	}
 	return listen.Bounds{ReadBuffer: caller.ReadBuffer, Backlog: s.maxCallerConns() / backlogShare}
 }
+
+// operatorBounds returns the bounds of what connections to the addresses for the
+// balancer, operators and metrics have received and wasn't read.
+func (s Settings) operatorBounds() listen.Bounds {
+	if s.Memory <= 0 {
+		return listen.Bounds{}
+	}
+	return listen.Bounds{ReadBuffer: operatorReadBuffer, Backlog: operatorBacklog}
+}
+
+// maxOperatorConns returns the bound of the connections to these addresses together, or
+// 0 if there is none.
+func (s Settings) maxOperatorConns() int {
+	n := s.maxCallerConns()
+	if n == 0 {
+		return 0
+	}
+	return max(n/operatorConnShare, minCallerConns)
+}
