serve: batches of other hosts count as memory

What callers saw: 40 connections that send batches of 16 MiB, the longest allowed, to the address for other hosts ended the process: up to 1,028 MB resident of 144. Without tls.peers everybody who reaches the address can do that. Cause: gRPC receives up to MaxRecvMsgSize for each of any number of calls, and nothing counted it. A call had no deadline on the receiving side, so batches that stop short could stay. A connection that holds most is closed. Headers of calls are bounded to 16 KiB (16 MiB by default). TestBoundedStreams covers the count.

--- a/internal/caller/bounded.go
+++ b/internal/caller/bounded.go
@@ -51,6 +51,10 @@
 	}
 }
 
+// messageByteCost is the memory that a byte of a message is counted with: it is received,
+// copied to the message and decoded.
+const messageByteCost = 3
+
 // Content is what a connection carries.
 type Content int
 
@@ -58,9 +62,13 @@
 const (
 	Requests          Content = iota // of HTTP/1.1
 	EncryptedRequests                // the same; the listener's user adds TLS
-	Streams                          // of HTTP/2; their memory isn't counted
+	Streams                          // of HTTP/2, with messages that end within MaxMessageTime
 )
 
+// MaxMessageTime is the longest time in which a message on a connection with Streams is
+// received. Until then its bytes count.
+const MaxMessageTime = time.Second
+
 // Listener returns a listener whose connections are bounded.
 func (b *Bounds) Listener(l net.Listener, content Content) net.Listener {
 	return &boundedListener{Listener: l, bounds: b, content: content}
@@ -108,9 +116,7 @@
 	n, err = c.Conn.Read(p)
 	switch {
 	case n == 0:
-	case c.content == Streams:
-		c.tracked.Active()
-	case !c.count(p[:n]):
+	case c.content == Streams && !c.countRecent(int64(n)), c.content != Streams && !c.count(p[:n]):
 		c.refused.Store(true)
 		return 0, ErrGivenUp
 	}
@@ -126,6 +132,33 @@
 	return c.Conn.Write(p)
 }
 
+// countRecent counts bytes for MaxMessageTime. It returns false if the connection was
+// given up.
+func (c *boundedConn) countRecent(n int64) bool {
+	c.tracked.Active()
+	n *= messageByteCost
+	c.mu.Lock()
+	if c.hold == nil && !c.closed {
+		c.hold = c.bounds.budget.NewHold(c.tracked.Address(), c.endRead)
+	}
+	h := c.hold
+	c.mu.Unlock()
+	if h == nil || !h.Add(n) {
+		return false
+	}
+	time.AfterFunc(MaxMessageTime, func() { c.discount(n) })
+	return true
+}
+
+// discount ends the counting of bytes.
+func (c *boundedConn) discount(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hold != nil {
+		c.hold.Release(n)
+	}
+}
+
 // count counts bytes of a request. It returns false if the request was given up.
 func (c *boundedConn) count(p []byte) bool {
 	cost := HeadCost(p)
--- a/internal/caller/bounded_test.go
+++ b/internal/caller/bounded_test.go
@@ -146,3 +146,40 @@
 	b, _ := io.ReadAll(c)
 	is.True(strings.HasSuffix(string(b), fmt.Sprint(length)))
 }
+
+// Guards against messages that take more than the budget, and against bytes that stay
+// counted after their messages must have ended.
+func TestBoundedStreams(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	b := budget.New(1 << 20)
+	bounds := NewBounds("test", 0, b, nil, zap.NewNop())
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	server, err := bounds.Listener(l, Streams).Accept()
+	is.NoErr(err)
+	defer server.Close()
+	part := make([]byte, 256<<10)
+	for range 2 { // together more than the budget, which they may be
+		_, err = client.Write(part)
+		is.NoErr(err)
+		_, err = io.ReadFull(server, part)
+		is.NoErr(err)
+		is.True(b.Used() > 0)
+		for range 300 {
+			if b.Used() == 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(b.Used(), int64(0))
+	}
+	go client.Write(make([]byte, 4<<20))
+	_, err = io.Copy(io.Discard, server)
+	is.Equal(err, ErrGivenUp)
+	server.Close()
+	is.Equal(b.Open(), 0)
+}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -16,6 +16,7 @@
 	"github.com/laburnummux/laburnummux/internal/peers"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/tap"
 )
 
 const (
@@ -24,7 +25,8 @@
 	// request is sent on a connection that the server is closing.
 	relayIdleTimeout  = 3 * time.Minute
 	readHeaderTimeout = 5 * time.Second
-	maxRelayHeader    = 1 << 20 // bytes; the caller's headers and those that the relaying host adds
+	maxRelayHeader    = 1 << 20  // bytes; the caller's headers and those that the relaying host adds
+	maxPeerHeader     = 16 << 10 // bytes
 )
 
 // listeners holds the four listeners of a host and their servers.
@@ -52,7 +54,7 @@
 		IdleTimeout: relayIdleTimeout, MaxHeaderBytes: maxRelayHeader, ConnContext: withRelayConn, ConnState: caller.TrackBounded,
 	}
 	d.operators = caller.NewOperatorServer(h.authenticate(h.operatorRoutes()))
-	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), grpc.MaxRecvMsgSize(peers.MaxBatchBytes), grpc.ConnectionTimeout(readHeaderTimeout))...)
+	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), peerOptions()...)...)
 	peerpb.RegisterPeerServer(d.grpc, h.peers)
 	l := h.settings.Listen()
 	callersBounds, otherBounds := callerBounds(h.settings), otherBounds(h.settings)
@@ -69,6 +71,21 @@
 	return d, nil
 }
 
+// peerOptions returns the limits of what other hosts send in batches.
+func peerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(peers.MaxBatchBytes), grpc.MaxHeaderListSize(maxPeerHeader),
+		grpc.ConnectionTimeout(readHeaderTimeout), grpc.InTapHandle(limitMessageTime),
+	}
+}
+
+// limitMessageTime ends calls that take longer than their bytes count as memory.
+func limitMessageTime(ctx context.Context, _ *tap.Info) (context.Context, error) {
+	ctx, cancel := context.WithTimeout(ctx, caller.MaxMessageTime)
+	context.AfterFunc(ctx, cancel)
+	return ctx, nil
+}
+
 // connKey is the context key of the connection on which a request has arrived.
 type connKey struct{}
 
