--- a/cmd/laburnummux/body_test.go
+++ b/cmd/laburnummux/body_test.go
@@ -84,31 +84,16 @@
 }
 
 var misbehaviours = []misbehaviour{
-	{"whole, a byte short", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, bodyBytes))
-		sendRepeated(c, bodyBytes-1, 1<<20)
-	}},
-	{"in pieces, a byte short", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, bodyBytes))
-		sendRepeated(c, bodyBytes-1, 1000)
-	}},
-	{"large chunks", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, -1))
-		sendChunks(c, bodyBytes, 256<<10)
-	}},
+	{"whole, a byte short", 0, 0, aByteShort},
+	{"in pieces, a byte short", 0, 0, aByteShortInPieces},
+	{"large chunks", 0, 0, inLargeChunks},
 	// Chunks of one byte take six bytes each on the wire, which are limited, too.
 	{"chunks of one byte", 0, 64 << 20, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, -1))
 		sendChunks(c, 10<<20, 1)
 	}},
-	{"chunks without end", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, -1))
-		sendChunks(c, math.MaxInt, 64<<10)
-	}},
-	{"announced over the limit", 0, 0, func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, 1<<30))
-		sendRepeated(c, 2*bodyLimit, 1<<20)
-	}},
+	{"chunks without end", 0, 0, sentOverLimit},
+	{"announced over the limit", 0, 0, announcedOverLimit},
 	{"sent over the limit", 0, 0, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, -1))
 		sendChunks(c, bodyLimit+(1<<20), 64<<10)
@@ -126,11 +111,7 @@
 			fmt.Fprintf(c, "%x:\r\n", i)
 		}
 	}},
-	{"responses that aren't read", 2 << 20, 0, func(c net.Conn, id string) {
-		for i := range 64 {
-			io.WriteString(c, frontRequest("browse", fmt.Sprintf("%s-%d", id, i)))
-		}
-	}},
+	{"responses that aren't read", 2 << 20, 0, responsesNotRead},
 }
 
 // clients are callers that send the same at once.
@@ -253,10 +234,7 @@
 	h.servers[0].Hang(true)
 	cl := h.connect(t, clientCount, false)
 	s := newSampler(h.cmd.Process.Pid)
-	cl.send(func(c net.Conn, id string) {
-		io.WriteString(c, bodyHead(id, bodyBytes))
-		sendRepeated(c, bodyBytes, 1<<20)
-	})
+	cl.send(complete)
 	time.Sleep(idleWait)
 	h.dial(t, "history", "last").Close()
 	u := s.finish()
--- a/cmd/laburnummux/servebody_test.go
+++ b/cmd/laburnummux/servebody_test.go
@@ -19,7 +19,6 @@
 	"github.com/matryer/is"
 
 	"github.com/laburnummux/laburnummux/internal/dedup"
-	"github.com/laburnummux/laburnummux/internal/fakes"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 )
 
@@ -180,13 +179,8 @@
 			continue
 		}
 		t.Run(g.name, func(t *testing.T) {
-			is := is.New(t)
-			ca, err := fakes.NewAuthority(t.TempDir(), "callers")
-			is.NoErr(err)
-			f, err := ca.Issue("local", time.Hour, "127.0.0.1")
-			is.NoErr(err)
 			limits := maps.Clone(serveLimits)
-			limits["tls"] = map[string]any{"callers": map[string]string{"certificate": f.Certificate, "key": f.Key}}
+			limits["tls"] = map[string]any{"callers": serverCertificate(t)}
 			_, ps := startLimitedHosts(t, 1, limits)
 			p := ps[0]
 			pid := p.cmd.Process.Pid
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -14,6 +14,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 )
 
@@ -26,9 +27,20 @@
 
 // intake bounds the memory and the number of callers' connections.
 type intake struct {
-	budget  *budget.Budget
-	conns   *caller.Conns
-	metrics *caller.Metrics
+	budget   *budget.Budget
+	conns    *caller.Conns
+	metrics  *caller.Metrics
+	maxConns int // bound of conns
+	capacity caller.Capacity
+}
+
+// bounds returns the bounds of callers' connections.
+func (in *intake) bounds() listen.Bounds { return in.capacity.CallerBounds(in.maxConns) }
+
+// otherBounds returns the bounds of connections that aren't those of callers, see
+// caller.ShareOfConns.
+func (in *intake) otherBounds(divisor int) listen.Bounds {
+	return in.capacity.OtherBounds(caller.ShareOfConns(in.maxConns, divisor))
 }
 
 // callerListener accepts callers' connections within the bounds of an intake.
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -236,8 +236,8 @@
 	}{
 		{0, 0, 20_000, caller.DefaultBudget, 9_900},
 		{0, 0, 1_024, caller.DefaultBudget, 412},
-		{0, 0, 100, caller.DefaultBudget, minCallerConns},
-		{0, 0, 1<<64 - 1, caller.DefaultBudget, (1<<30 - reservedFDs) / connFDs},
+		{0, 0, 100, caller.DefaultBudget, 16},
+		{0, 0, 1<<64 - 1, caller.DefaultBudget, (1<<30 - 200) / 2},
 		{0, 144e6, 20_000, 50_400_000, 659},
 		{0, 144e6, 1_024, 50_400_000, 412},
 		{3_000, 144e6, 1_024, 50_400_000, 3_000},
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -57,11 +57,13 @@
 	d.grpc = grpc.NewServer(append(h.security.grpcOptions(), peerOptions()...)...)
 	peerpb.RegisterPeerServer(d.grpc, h.peers)
 	l := h.settings.Listen()
-	callersBounds, otherBounds := callerBounds(h.settings), otherBounds(h.settings)
 	for i, x := range []struct {
 		addr   netip.AddrPort
 		bounds listen.Bounds
-	}{{l.Callers(), callersBounds}, {l.Relay(), otherBounds}, {l.Operators(), otherBounds}, {l.Peers(), otherBounds}} {
+	}{
+		{l.Callers(), h.intake.bounds()}, {l.Relay(), h.intake.otherBounds(relayConnShare)},
+		{l.Operators(), h.intake.otherBounds(operatorConnShare)}, {l.Peers(), h.intake.otherBounds(peerConnShare)},
+	} {
 		if d.netListeners[i], err = listen.Open(x.addr.String(), x.bounds); err != nil {
 			d.close()
 			return nil, fmt.Errorf("entry.listen: %w", err)
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -162,7 +162,7 @@
 	outside := certs.ServerOptions{MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
 	operators := outside
 	operators.ClientAuth = certs.Optional // health checks and tokens need no certificate
-	callers := &callerListener{Listener: d.netListeners[0], intake: h.intake, readBuffer: callerBounds(h.settings).ReadBuffer, failedHandshakes: &s.failedHandshakes}
+	callers := &callerListener{Listener: d.netListeners[0], intake: h.intake, readBuffer: h.intake.bounds().ReadBuffer, failedHandshakes: &s.failedHandshakes}
 	if s.callers != nil {
 		callers.tls = s.callers.Server(outside)
 	}
@@ -190,9 +190,17 @@
 	if h.security.operators != nil {
 		operators = caller.EncryptedRequests
 	}
-	d.netListeners[1] = h.newBounds("relay").Listener(d.netListeners[1], caller.Requests)
-	d.netListeners[2] = h.newBounds("operators").Listener(d.netListeners[2], operators)
-	d.netListeners[3] = h.newBounds("peers").Listener(d.netListeners[3], caller.Streams)
+	for i, x := range []struct {
+		name    string
+		divisor int
+		content caller.Content
+	}{1: {"relay", relayConnShare, caller.Requests}, 2: {"operators", operatorConnShare, operators}, 3: {"peers", peerConnShare, caller.Streams}} {
+		if x.name == "" {
+			continue
+		}
+		b := caller.NewBounds(x.name, caller.ShareOfConns(h.intake.maxConns, x.divisor), h.intake.budget, h.intake.metrics, h.log)
+		d.netListeners[i] = b.Listener(d.netListeners[i], x.content)
+	}
 }
 
 // handshakeLog counts failed TLS handshakes instead of logging them, since any
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -130,9 +130,10 @@
 	bodies := h.newBodyBudget()
 	h.relay = relay.New(h.relayConfig(bodies))
 	m := caller.NewMetrics(cfg.Registry, bodies)
+	maxConns := s.maxCallerConns()
 	h.callers = caller.New(caller.Config{
 		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
-		Budget: bodies, MaxConns: s.maxCallerConns(), ReadBuffer: s.callerBounds().ReadBuffer, Metrics: m,
+		Budget: bodies, MaxConns: maxConns, ReadBuffer: s.capacity().CallerBounds(maxConns).ReadBuffer, Metrics: m,
 	})
 	h.operators = caller.NewBounds("operators", s.maxOperatorConns(), bodies, m, cfg.Log)
 	h.role = newAssignerRole(h)
@@ -184,7 +185,7 @@
 	if h.mesh, err = mesh.Listen(s.IP, s.MeshPort); err != nil {
 		return err
 	}
-	if h.callerListener, err = listen.Open(s.Callers, s.callerBounds()); err != nil {
+	if h.callerListener, err = listen.Open(s.Callers, s.capacity().CallerBounds(s.maxCallerConns())); err != nil {
 		return err
 	}
 	if err = h.serveHTTP(); err != nil {
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -85,7 +85,7 @@
 		if addr == "" {
 			continue
 		}
-		l, err := listen.Open(addr, s.operatorBounds())
+		l, err := listen.Open(addr, s.capacity().OtherBounds(s.maxOperatorConns()))
 		if err != nil {
 			return err
 		}
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -22,7 +22,7 @@
 		{144e6, 3075, 72e6, 732},
 		{536e6, 3075, 268e6, 1437},
 		{0, 400, caller.DefaultBudget, 100},
-		{1e6, 100, 5e5, minCallerConns},
+		{1e6, 100, 5e5, 16},
 	}
 	for _, tt := range tests {
 		is := is.New(t)
