caller: name of the contents of connections; usage of Bounds and Capacity

Cause: Content had no generated names, and the package comment didn't mention the bounds of other addresses. Result: go generate and the linter are clean; no behaviour changes.

--- a/internal/caller/bounded.go
+++ b/internal/caller/bounds.go
@@ -58,11 +58,16 @@
 // Content is what a connection carries.
 type Content int
 
+//go:generate go tool stringer -type=Content -linecomment -output=content_string.go
+
 // Contents of connections.
 const (
-	Requests          Content = iota // of HTTP/1.1
-	EncryptedRequests                // the same; the listener's user adds TLS
-	Streams                          // of HTTP/2, with messages that end within MaxMessageTime
+	// Requests are those of HTTP/1.1.
+	Requests Content = iota // requests
+	// EncryptedRequests are the same, where the user of the listener adds TLS.
+	EncryptedRequests // encrypted requests
+	// Streams are those of HTTP/2, with messages that end within MaxMessageTime.
+	Streams // streams
 )
 
 // MaxMessageTime is the longest time in which a message on a connection with Streams is
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -10,6 +10,12 @@
 //	go s.Run(ctx, listener)
 //	s.Drain()     // the next request of each connection is its last one
 //	s.CloseIdle() // closes idle connections
+//
+// Capacity derives the bounds of connections from what the process may use. Bounds
+// applies them to the addresses that aren't for callers, which net/http serves:
+//
+//	b := caller.NewBounds("operators", maxConns, budget, metrics, log)
+//	go caller.NewOperatorServer(h).Serve(b.Listener(listener, caller.Requests))
 package caller
 
 import (
