serve: stopped bodies give up their slots to requests that wait

What callers saw: 12 callers with long bodies that stop short occupied all 6 slots of a service's servers, and requests of others waited until their deadline and got 503. Coming again, such callers keep the service from everybody. Cause: a body over 64 KiB is streamed while its request has a slot, and its read ended at the deadline of the request only. Change: proxy.Body knows since when a read waits for its sender. While calls wait for a slot of a server, the dispatcher interrupts as many streamed bodies that have waited for 1 s: the read deadline of the connection passes, the attempt fails, and the slot is free. The result is "unknown" with too-slow: a server may have begun to run the request. Bodies without waiting requests go on as before. TestInterrupt is new.

--- /dev/null
+++ b/cmd/laburnummux/stalledbody_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/pkg/answer"
+)
+
+// Guards against callers whose long bodies stop short and occupy all slots of a service's
+// servers, so that the requests of others wait until their deadline and are refused.
+func TestCrowdStalledBodies(t *testing.T) {
+	const (
+		clients = 12 // two for each slot
+		// timeout is that of an ordinary request, which is sent after those of the
+		// clients. They have the timeout of the operation, 5 s, and thus end later.
+		timeout = 3500 * time.Millisecond
+	)
+	for _, hosts := range []int{1, 2} {
+		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
+			is := is.New(t)
+			_, ps := startLimitedHosts(t, hosts, crowdLimits)
+			waitFor(t, func() bool { // ids from before the first grant are answered "unknown"
+				return send(t, ps[0], "/bookings", http.MethodPost, "").status == http.StatusOK
+			})
+			var conns []net.Conn
+			for range clients {
+				c, err := net.Dial("tcp", ps[0].callers)
+				is.NoErr(err)
+				defer c.Close()
+				conns = append(conns, c)
+				io.WriteString(c, serveHead("/bookings", serveBodyLimit))
+				sendRepeated(c, 4*serveBuffer, serveBuffer)
+			}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+ps[0].callers+"/bookings", nil)
+			is.NoErr(err)
+			req.Header.Set(answer.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			is.Equal(resp.StatusCode, http.StatusOK)
+			checkInterrupted(t, conns)
+		})
+	}
+}
+
+// checkInterrupted fails the test unless a request of the connections was ended as too
+// slow, without the claim that it hasn't run.
+func checkInterrupted(t *testing.T, conns []net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	interrupted := 0
+	for _, c := range conns {
+		c.SetReadDeadline(time.Now().Add(stateTimeout))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			continue // the host has closed the connection, which it may
+		}
+		if answer.ParseReason(resp.Header.Get(answer.HeaderReason)) == answer.TooSlow {
+			interrupted++
+			is.Equal(answer.Parse(resp.Header.Get(answer.HeaderOutcome)), answer.Unknown)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+		}
+	}
+	is.True(interrupted > 0)
+}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/grant"
@@ -37,7 +39,7 @@
 
 // backend is a backend server that this host dispatches to, with its request
 // queue, its connections, and the worker that probes the server and sends it its
-// grants. cell.mu guards queued, limiter, incarnation, down, lostAttempts and
+// grants. cell.mu guards queued, streams, limiter, incarnation, down, lostAttempts and
 // attemptEnded.
 type backend struct {
 	cell         *cell
@@ -50,6 +52,7 @@
 	cancel       context.CancelFunc
 	limiter      *limit.State
 	queued       map[uint64]*queuedCall
+	streams      map[uint64]*proxy.Body // bodies of running calls that aren't buffered
 	incarnation  string
 	down         bool          // the server has refused a connection since its last response
 	lostAttempts []lostAttempt // attempts whose connection was lost since the last successful probe
@@ -88,7 +91,7 @@
 		limiter: limit.New(limit.Config{
 			Slots: srv.Slots(), QueuePerSlot: c.svc.QueuePerSlot(), BulkShare: c.svc.Share(config.Bulk), Warmup: srv.Warmup(),
 		}),
-		queued: make(map[uint64]*queuedCall), attemptEnded: make(chan struct{}),
+		queued: make(map[uint64]*queuedCall), streams: make(map[uint64]*proxy.Body), attemptEnded: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	b.cancel = cancel
@@ -127,7 +130,28 @@
 
 // expire refuses queued calls whose deadline has passed, and starts those for
 // which slots have become available. The caller must hold cell.mu.
-func (b *backend) expire(now clock.Time) { b.apply(b.limiter.Expire(now)) }
+func (b *backend) expire(now clock.Time) {
+	b.apply(b.limiter.Expire(now))
+	b.interruptStalled()
+}
+
+// interruptStalled ends as many running calls whose callers have stopped sending their
+// bodies as calls wait for a slot. The caller must hold cell.mu.
+func (b *backend) interruptStalled() {
+	needed := len(b.queued)
+	for id, body := range b.streams {
+		if needed == 0 {
+			return
+		}
+		if !body.Stalled(budget.StallTime) {
+			continue
+		}
+		needed--
+		delete(b.streams, id)
+		b.cell.host.intake.metrics.CountGivenUp(caller.ReasonStalled)
+		body.Interrupt()
+	}
+}
 
 // apply executes the limiter's decisions about queued calls.
 func (b *backend) apply(acts []limit.Action) {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -133,6 +133,7 @@
 		w.Header().Set("Connection", "close")
 		return c.bodyRefusal(&cl, cc, err)
 	}
+	body.OnInterrupt(cc.endRead)
 	cl.request.Body = body
 	if body.Buffered() && !cc.keepBody() || !body.Buffered() && !cc.streamBody(cancel) {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -191,6 +191,9 @@
 		c.mu.Unlock()
 		return misdirected(leaseReason(err))
 	}
+	if !cl.request.Body.Buffered() {
+		b.streams[id] = cl.request.Body
+	}
 	c.mu.Unlock()
 
 	// Another attempt may need the original header, so this one gets a copy.
@@ -205,6 +208,9 @@
 	select {
 	case r := <-sent:
 		res = c.attemptResult(cl, r, deliver)
+		if res.outcome == answer.Unknown && cl.request.Body.Interrupted() {
+			res.reason = answer.TooSlow
+		}
 		c.release(b, id, ticket, cl, r, c.host.clk.Now().Sub(now))
 		cancel()
 		return res
@@ -215,7 +221,10 @@
 			r.Close()
 			c.release(b, id, ticket, cl, r, c.host.clk.Now().Sub(now))
 		}()
-		if errors.Is(ctx.Err(), context.Canceled) {
+		switch {
+		case cl.request.Body.Interrupted(): // which cancels ctx, too
+			return unknown(answer.TooSlow)
+		case errors.Is(ctx.Err(), context.Canceled):
 			return unknown(answer.Cancelled)
 		}
 		return unknown(answer.DeadlinePassed)
@@ -317,6 +326,7 @@
 	defer c.mu.Unlock()
 	now := c.host.clk.Now()
 	reason, _ := refusal(r)
+	delete(b.streams, id)
 	b.apply(b.limiter.Done(now, id, limit.Result{Shed: reason == answer.Shed, ServiceTime: serviceTime}))
 	c.leases.End(now, cl.server, cl.hash)
 	if r.Failure() == proxy.ConnLost {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -98,6 +98,7 @@
 		writeOutcome(w, http.StatusMisdirectedRequest, misdirected(answer.NotDispatcher))
 		return
 	}
+	cl.request.Body.OnInterrupt(endRead(w))
 	w.Header().Set(answer.HeaderAttempt, r.Header.Get(answer.HeaderAttempt)) // lets the sender match the response to its request
 	res := h.dispatch(ctx, cl, func(res *proxy.Result) error {
 		w.Header().Set(answer.HeaderOutcome, answer.Answered.String())
@@ -116,8 +117,13 @@
 // relayHold returns the hold of what is buffered of a relayed request's body, in the
 // account of its caller.
 func (h *Host) relayHold(w http.ResponseWriter, r *http.Request) *budget.Hold {
+	return h.intake.budget.NewHold(r.Header.Get(headerCaller), endRead(w))
+}
+
+// endRead returns a function that ends the reading of a request.
+func endRead(w http.ResponseWriter) func() {
 	conn := http.NewResponseController(w)
-	return h.intake.budget.NewHold(r.Header.Get(headerCaller), func() { conn.SetReadDeadline(time.Unix(1, 0)) })
+	return func() { conn.SetReadDeadline(time.Unix(1, 0)) }
 }
 
 // relayedCall returns the call of a relayed request. It keeps the hold of its body once
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -268,3 +269,35 @@
 	}
 	is.Equal(p.OpenedConns(), uint64(1))
 }
+
+// Guards against a body that counts as stalled while its bytes come or its server is
+// slow, and against one whose read goes on after it was interrupted.
+func TestInterrupt(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe()
+	t.Cleanup(func() { w.Close() })
+	b, err := NewBody(r, maxBufferedBody+1)
+	is.NoErr(err)
+	b.OnInterrupt(func() { w.CloseWithError(os.ErrDeadlineExceeded) })
+	is.True(!b.Stalled(0)) // nobody reads it
+	body, ok := b.open()
+	is.True(ok)
+	go w.Write([]byte("x"))
+	_, err = body.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!b.Stalled(0))
+	result := make(chan error, 1)
+	go func() {
+		_, err := body.Read(make([]byte, 1))
+		result <- err
+	}()
+	for !b.Stalled(10 * time.Millisecond) {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!b.Interrupted())
+	b.Interrupt()
+	b.Interrupt()
+	is.True(b.Interrupted())
+	is.Equal(<-result, os.ErrDeadlineExceeded)
+	is.True(!b.Stalled(0))
+}
