budget: bytes may be added to a hold that was closed

What callers would see: a process that ends with a nil dereference as it stops, or as a connection of another host is closed. Cause: the connections of the addresses that aren't for callers may be closed by another goroutine (http.Server.Close, gRPC) than the one that reads and counts. Change: Add returns false after Close, and Close wakes an Add that waits. Result: TestAddAfterClose fails before (it waits for ever) and passes.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -161,12 +161,13 @@
 }
 
 // Add adds a number of bytes. It waits until bodies that were given up have released
-// theirs. It reports whether the body may go on.
+// theirs. It reports whether the body may go on: not after Close, which may come from
+// another goroutine.
 func (h *Hold) Add(n int64) bool {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.givenUp {
+	if h.givenUp || h.closed {
 		return false
 	}
 	h.progress = time.Now()
@@ -177,7 +178,7 @@
 	if h.bytes <= smallBytes {
 		limit += b.max / reserveShare
 	}
-	for !h.givenUp && b.used > limit {
+	for !h.givenUp && !h.closed && b.used > limit {
 		if b.used-b.leaving > limit {
 			if v := b.victim(); v != nil {
 				b.end(v)
@@ -188,7 +189,7 @@
 		}
 		b.wait(h)
 	}
-	return !h.givenUp
+	return !h.givenUp && !h.closed
 }
 
 // Indexes of Budget.waiting.
@@ -372,6 +373,7 @@
 		return
 	}
 	h.closed = true
+	b.wake(h)
 	b.open--
 	b.leave(h)
 	b.used -= h.bytes
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -173,6 +173,27 @@
 	})
 }
 
+// Guards against a connection that is closed by another goroutine while its reader adds
+// bytes, or waits for them.
+func TestAddAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(mb)
+		leaving := b.NewHold("a", func() {})
+		is.True(leaving.Add(mb))
+		waits := b.NewHold("b", func() {})
+		result := make(chan bool, 1)
+		go (&adder{hold: waits, bytes: mb / 2, result: result}).run()
+		synctest.Wait()
+		is.Equal(len(result), 0)
+		waits.Close()
+		is.True(!<-result)
+		is.True(!waits.Add(1))
+		leaving.Close()
+		is.Equal(b.Used(), int64(0))
+	})
+}
+
 // Guards against waiting holds that are all woken by each release.
 func TestWaitingAreNotWoken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
