--- a/cmd/laburnummux/crowdother_test.go
+++ b/cmd/laburnummux/crowdother_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// Guards against long bodies of operators' requests that stop a byte short, which a serve
+// host reads as a whole.
+func TestCrowdServeRevisions(t *testing.T) {
+	const (
+		length = 4 << 20 // the longest that is read
+		begin  = `{"author": "`
+	)
+	_, ps := startLimitedHosts(t, 1, crowdLimits)
+	p := ps[0]
+	cr := &crowd{addr: p.operators, clients: otherClients, send: func(c net.Conn, _ string) {
+		io.WriteString(c, serveHead("/apply", length)+begin)
+		sendRepeated(c, length-len(begin)-1, 64<<10)
+	}}
+	pid := p.cmd.Process.Pid
+	u := cr.run(t, pid, suspended, func() {
+		checkAnswers(t, p)
+		checkURL(t, "http://"+p.operators+"/status")
+	})
+	u.check(t, pid, crowdMemoryMB, crowdFDs)
+}
+
 // Guards against connections without a request at the addresses that aren't for
 // callers that take the descriptors of the process.
 func TestCrowdIdleOtherAddresses(t *testing.T) {
