serve: long relayed bodies are read with a large receive buffer

Change: a relayed request whose body is streamed has the buffer of a caller's long body, counted in the budget in the same way, until it is answered. Found in the last reading of the change; nothing of front changes but the signature of Bounds.Listener. Result: TestBoundedWindow is new (the buffer is large while the body is read, counted, and small after it). No run over a distance.

--- a/internal/caller/bounds.go
+++ b/internal/caller/bounds.go
@@ -74,15 +74,17 @@
 // received. Until then its bytes count.
 const MaxMessageTime = time.Second
 
-// Listener returns a listener whose connections are bounded.
-func (b *Bounds) Listener(l net.Listener, content Content) net.Listener {
-	return &boundedListener{Listener: l, bounds: b, content: content}
+// Listener returns a listener whose connections are bounded. readBuffer is the size of
+// their receive buffers in bytes; 0: the system sets it.
+func (b *Bounds) Listener(l net.Listener, content Content, readBuffer int) net.Listener {
+	return &boundedListener{Listener: l, bounds: b, content: content, readBuffer: readBuffer}
 }
 
 type boundedListener struct {
 	net.Listener
-	bounds  *Bounds
-	content Content
+	bounds     *Bounds
+	content    Content
+	readBuffer int
 }
 
 // Accept implements net.Listener.
@@ -92,7 +94,12 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &boundedConn{Conn: nc, tracked: NewTracked(nc), bounds: l.bounds, content: l.content}
+		window, err := WindowOf(nc, l.readBuffer, l.bounds.metrics)
+		if err != nil {
+			nc.Close()
+			continue
+		}
+		c := &boundedConn{Conn: nc, tracked: NewTracked(nc), bounds: l.bounds, content: l.content, window: window}
 		if l.bounds.conns.Admit(c.tracked) {
 			return c, nil
 		}
@@ -110,6 +117,7 @@
 	refused atomic.Bool // the request was given up
 
 	mu       sync.Mutex
+	window   Window
 	hold     *budget.Hold // memory of the request
 	counted  int64        // the same, with or without a hold
 	headRead bool         // the rest of the request is counted by its handler
@@ -202,6 +210,11 @@
 	c.mu.Lock()
 	h := c.hold
 	c.hold, c.counted, c.headRead, c.closed = nil, 0, false, closed
+	if closed {
+		c.window.Release()
+	} else {
+		c.window.Shrink()
+	}
 	c.mu.Unlock()
 	h.Close()
 }
@@ -248,8 +261,8 @@
 
 type boundedConnKey struct{}
 
-// WithBounded is for the ConnContext of servers whose handlers call HeadRead and
-// RequestRead.
+// WithBounded is for the ConnContext of servers whose handlers call HeadRead,
+// RequestStreams and RequestRead.
 func WithBounded(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, boundedConnKey{}, boundedConnOf(nc))
 }
@@ -266,6 +279,20 @@
 	c.headRead = true
 }
 
+// RequestStreams records that a request has a long body that is read while it is
+// handled. The receive buffer of its connection is large until it is answered.
+func RequestStreams(r *http.Request) {
+	c, ok := r.Context().Value(boundedConnKey{}).(*boundedConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.window.Grow(c.bounds.budget, c.tracked.Address())
+	}
+}
+
 // RequestRead records that a request was read to its end. It isn't given up, and its
 // connection isn't closed to make room for others, until it is answered. RequestRead
 // returns false if it was given up before.
--- a/internal/caller/bounds_test.go
+++ b/internal/caller/bounds_test.go
@@ -14,8 +14,12 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/listen"
 )
 
+// httpBufferBytes is the length of the buffer from which net/http's server reads.
+const httpBufferBytes = 4 << 10
+
 // boundedServer is a server whose connections are bounded.
 type boundedServer struct {
 	addr     string
@@ -34,7 +38,7 @@
 	s.bounds = NewBounds("test", maxConns, s.budget, NewMetrics(s.registry, s.budget), zap.NewNop())
 	srv := NewOperatorServer(h)
 	srv.ConnContext = WithBounded
-	go srv.Serve(s.bounds.Listener(l, content))
+	go srv.Serve(s.bounds.Listener(l, content, 0))
 	t.Cleanup(func() { srv.Close() })
 	return s
 }
@@ -147,6 +151,42 @@
 	is.True(strings.HasSuffix(string(b), fmt.Sprint(length)))
 }
 
+// Guards against long bodies between hosts that are read with a small receive buffer,
+// which is slow over a distance, and against a large one that isn't counted or stays.
+func TestBoundedWindow(t *testing.T) {
+	is := is.New(t)
+	l, err := listen.Open("127.0.0.1:0", listen.Bounds{ReadBuffer: otherReadBuffer})
+	is.NoErr(err)
+	b := budget.New(1 << 20)
+	reg := prometheus.NewRegistry()
+	bounds := NewBounds("test", 0, b, NewMetrics(reg, b), zap.NewNop())
+	used := make(chan int64, 1)
+	srv := NewOperatorServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		HeadRead(r)
+		RequestStreams(r)
+		used <- b.Used()
+		io.Copy(io.Discard, r.Body)
+	}))
+	srv.ConnContext = WithBounded
+	go srv.Serve(bounds.Listener(l, Requests, otherReadBuffer))
+	defer srv.Close()
+	resp, err := http.Post("http://"+l.Addr().String(), "", strings.NewReader(strings.Repeat("x", 1<<20)))
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	window := int64(listen.HeldFactor * (longReadBuffer - otherReadBuffer))
+	n := <-used
+	is.True(n >= window)
+	is.True(n <= window+4*httpBufferBytes) // what net/http has buffered of the request counts, too
+	for range 300 {
+		if b.Used() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(b.Used(), int64(0))
+	is.Equal(countOf(t, reg, "laburnummux_long_bodies_total", "large"), 1)
+}
+
 // Guards against messages that take more than the budget, and against bytes that stay
 // counted after their messages must have ended.
 func TestBoundedStreams(t *testing.T) {
@@ -159,7 +199,7 @@
 	client, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	defer client.Close()
-	server, err := bounds.Listener(l, Streams).Accept()
+	server, err := bounds.Listener(l, Streams, 0).Accept()
 	is.NoErr(err)
 	defer server.Close()
 	part := make([]byte, 256<<10)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,7 +15,7 @@
 // applies them to the addresses that aren't for callers, which net/http serves:
 //
 //	b := caller.NewBounds("operators", maxConns, budget, metrics, log)
-//	go caller.NewOperatorServer(h).Serve(b.Listener(listener, caller.Requests))
+//	go caller.NewOperatorServer(h).Serve(b.Listener(listener, caller.Requests, readBuffer))
 package caller
 
 import (
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -63,7 +63,7 @@
 	if m == nil {
 		return nil
 	}
-	return &Metrics{givenUp: m.givenUp, conns: m.others.MustCurryWith(prometheus.Labels{"address": name})}
+	return &Metrics{givenUp: m.givenUp, windows: m.windows, conns: m.others.MustCurryWith(prometheus.Labels{"address": name})}
 }
 
 // countLongBody counts a long body that was read with a large receive buffer, or a
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -157,7 +157,9 @@
 	} else if body, err = proxy.NewCountedBody(r.Body, r.ContentLength, hold.Add); err != nil {
 		return cl, ctx, cancel, false
 	}
-	if body.Buffered() && !caller.RequestRead(r) {
+	if !body.Buffered() {
+		caller.RequestStreams(r)
+	} else if !caller.RequestRead(r) {
 		hold.Cancel()
 	}
 	if !hold.Keep() {
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		b := caller.NewBounds(x.name, caller.ShareOfConns(h.intake.maxConns, x.divisor), h.intake.budget, h.intake.metrics, h.log)
-		d.netListeners[i] = b.Listener(d.netListeners[i], x.content)
+		d.netListeners[i] = b.Listener(d.netListeners[i], x.content, h.intake.otherBounds(x.divisor).ReadBuffer)
 	}
 }
 
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -85,12 +85,13 @@
 		if addr == "" {
 			continue
 		}
-		l, err := listen.Open(addr, s.capacity().OtherBounds(s.maxOperatorConns()))
+		bounds := s.capacity().OtherBounds(s.maxOperatorConns())
+		l, err := listen.Open(addr, bounds)
 		if err != nil {
 			return err
 		}
 		h.listeners = append(h.listeners, l)
-		hs := &httpServer{host: h, listener: h.operators.Listener(l, caller.Requests), server: caller.NewOperatorServer(handler)}
+		hs := &httpServer{host: h, listener: h.operators.Listener(l, caller.Requests, bounds.ReadBuffer), server: caller.NewOperatorServer(handler)}
 		go hs.run()
 	}
 	return nil
