serve: larger receive buffers for batches of other hosts

What callers would see: on hosts with memoryMB, a configuration of up to 1 MiB that another host passes on while the store is down wouldn't reach another data centre: 8 KiB per round trip of 10 ms take 0.9 s (computed), and a call has 150 ms. Change: 128 KiB for connections for batches. TestPeerBounds is new. No run over a distance.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -43,6 +43,15 @@
 	return in.capacity.OtherBounds(caller.ShareOfConns(in.maxConns, divisor))
 }
 
+// peerBounds returns the bounds of connections for batches of other hosts.
+func (in *intake) peerBounds() listen.Bounds {
+	b := in.otherBounds(peerConnShare)
+	if b.ReadBuffer > 0 {
+		b.ReadBuffer = peerReadBuffer
+	}
+	return b
+}
+
 // callerListener accepts callers' connections within the bounds of an intake.
 type callerListener struct {
 	net.Listener
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -248,3 +248,18 @@
 		is.Equal(maxCallerConns(tt.stated, tt.memory, tt.fds), tt.conns)
 	}
 }
+
+// Guards against receive buffers of connections for batches that are too small for a
+// configuration, or that are set where the memory isn't known.
+func TestPeerBounds(t *testing.T) {
+	tests := []struct {
+		memory     int64
+		readBuffer int
+	}{{0, 0}, {144e6, 128 << 10}}
+	for _, tt := range tests {
+		is := is.New(t)
+		in := &intake{maxConns: 659, capacity: newCapacity(tt.memory, 20_000)}
+		is.Equal(in.peerBounds().ReadBuffer, tt.readBuffer)
+		is.True(in.otherBounds(relayConnShare).ReadBuffer <= in.bounds().ReadBuffer)
+	}
+}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -62,7 +62,7 @@
 		bounds listen.Bounds
 	}{
 		{l.Callers(), h.intake.bounds()}, {l.Relay(), h.intake.otherBounds(relayConnShare)},
-		{l.Operators(), h.intake.otherBounds(operatorConnShare)}, {l.Peers(), h.intake.otherBounds(peerConnShare)},
+		{l.Operators(), h.intake.otherBounds(operatorConnShare)}, {l.Peers(), h.intake.peerBounds()},
 	} {
 		if d.netListeners[i], err = listen.Open(x.addr.String(), x.bounds); err != nil {
 			d.close()
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -30,6 +30,9 @@
 	relayConnShare    = 2
 	peerConnShare     = 2
 	operatorConnShare = 8
+	// peerReadBuffer is the receive buffer of connections for batches, in bytes. A
+	// configuration of 1 MiB has to reach another data centre within a call's timeout.
+	peerReadBuffer = 128 << 10
 	// maxKnownFDs is the most descriptors that are distinguished from more.
 	maxKnownFDs = 1 << 30
 	// streamBytes are the buffers of a response that is streamed to a caller.
