--- a/cmd/laburnummux/stalledbody_test.go
+++ b/cmd/laburnummux/stalledbody_test.go
@@ -18,21 +18,19 @@
 // Guards against callers whose long bodies stop short and occupy all slots of a service's
 // servers, so that the requests of others wait until their deadline and are refused.
 func TestCrowdStalledBodies(t *testing.T) {
-	const (
-		clients = 12 // two for each slot
-		// timeout is that of an ordinary request, which is sent after those of the
-		// clients. They have the timeout of the operation, 5 s, and thus end later.
-		timeout = 3500 * time.Millisecond
-	)
-	for _, hosts := range []int{1, 2} {
-		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
+	// timeout is that of an ordinary request, which is sent after those of the clients.
+	// They have the timeout of the operation, 5 s, and thus end later.
+	const timeout = 3500 * time.Millisecond
+	tests := []struct{ clients, hosts int }{{24, 1}, {24, 2}, {12, 1}, {12, 2}} // at 6 slots
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("clients=%d,hosts=%d", tt.clients, tt.hosts), func(t *testing.T) {
 			is := is.New(t)
-			_, ps := startLimitedHosts(t, hosts, crowdLimits)
+			_, ps := startLimitedHosts(t, tt.hosts, crowdLimits)
 			waitFor(t, func() bool { // ids from before the first grant are answered "unknown"
 				return send(t, ps[0], "/bookings", http.MethodPost, "").status == http.StatusOK
 			})
 			var conns []net.Conn
-			for range clients {
+			for range tt.clients {
 				c, err := net.Dial("tcp", ps[0].callers)
 				is.NoErr(err)
 				defer c.Close()
