limit: requests with complete bodies and streamed ones start by turns

Cause: each round of stopped bodies holds the slots for 1 s, and the ordinary request waited behind all of its caller's, three rounds. Their service time was in its estimate, too.

Change: the queue of a class has a lane for requests whose bodies are complete and one for streamed ones. They start by turns; each has its mean service time; and a full queue gives up a streamed request for a complete one, if it has more of those. So a complete request waits for one round at most. Bodies that were interrupted already count as slots that become free, so no more are ended than calls wait. GET /dump has both lanes.

--- a/cmd/laburnummux/stalledbody_test.go
+++ b/cmd/laburnummux/stalledbody_test.go
@@ -21,17 +21,27 @@
 	// timeout is that of an ordinary request, which is sent after those of the clients.
 	// They have the timeout of the operation, 5 s, and thus end later.
 	const timeout = 3500 * time.Millisecond
-	tests := []struct{ clients, hosts int }{{24, 1}, {24, 2}, {12, 1}, {12, 2}} // at 6 slots
+	tests := []struct {
+		clients, hosts int // at 6 slots
+		addresses      int // of the clients
+	}{
+		{24, 1, 1}, {24, 2, 1}, {12, 1, 1}, {12, 2, 1}, {24, 1, 24}, {24, 2, 24},
+	}
 	for _, tt := range tests {
-		t.Run(fmt.Sprintf("clients=%d,hosts=%d", tt.clients, tt.hosts), func(t *testing.T) {
+		name := fmt.Sprintf("clients=%d,hosts=%d", tt.clients, tt.hosts)
+		if tt.addresses > 1 {
+			name += fmt.Sprintf(",addresses=%d", tt.addresses)
+		}
+		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			_, ps := startLimitedHosts(t, tt.hosts, crowdLimits)
 			waitFor(t, func() bool { // ids from before the first grant are answered "unknown"
 				return send(t, ps[0], "/bookings", http.MethodPost, "").status == http.StatusOK
 			})
 			var conns []net.Conn
-			for range tt.clients {
-				c, err := net.Dial("tcp", ps[0].callers)
+			for i := range tt.clients {
+				d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(1+i%tt.addresses))}}
+				c, err := d.Dial("tcp", ps[0].callers)
 				is.NoErr(err)
 				defer c.Close()
 				conns = append(conns, c)
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -42,7 +42,7 @@
 		c.mu.Unlock()
 		return nil, ticket, misdirected(answer.NotDispatcher), false
 	}
-	offer := limit.Request{ID: id, Caller: cl.caller, Deadline: c.deadline(ctx, now)}
+	offer := limit.Request{ID: id, Caller: cl.caller, Streamed: !cl.request.Body.Buffered(), Deadline: c.deadline(ctx, now)}
 	if cl.operation.Class() == config.Bulk {
 		offer.Class = limit.Bulk
 	}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -139,15 +139,19 @@
 // bodies as calls wait for a slot. The caller must hold cell.mu.
 func (b *backend) interruptStalled() {
 	needed := len(b.queued)
-	for id, body := range b.streams {
-		if needed == 0 {
+	for _, body := range b.streams {
+		if body.Interrupted() {
+			needed-- // its slot will be free
+		}
+	}
+	for _, body := range b.streams {
+		if needed <= 0 {
 			return
 		}
-		if !body.Stalled(budget.StallTime) {
+		if body.Interrupted() || !body.Stalled(budget.StallTime) {
 			continue
 		}
 		needed--
-		delete(b.streams, id)
 		b.cell.host.intake.metrics.CountGivenUp(caller.ReasonStalled)
 		body.Interrupt()
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -24,7 +24,9 @@
 //   - Interactive requests have priority. Bulk requests hold at most BulkShare
 //     of the effective slots (at least one) and start only when no interactive
 //     request is queued.
-//   - Within a class callers are served round-robin; in one round the caller
+//   - Within a class, requests with complete bodies and streamed ones start by turns
+//     while both are queued: a slot may be held by a caller that sends slowly.
+//   - Within each of these lanes callers are served round-robin; in one round the caller
 //     whose first request has the earliest deadline is served first. The
 //     requests of one caller and class start in the order of arrival.
 //   - A request that is expected to miss its deadline in the queue is refused
@@ -85,6 +87,7 @@
 	ID       uint64
 	Class    Class
 	Caller   string
+	Streamed bool       // the body is received while the request runs
 	Deadline clock.Time // 0 means none
 }
 
@@ -123,7 +126,7 @@
 	byID             map[uint64]*entry
 	queues           [numClasses]classQueue
 	running          [numClasses]int
-	meanService      [numClasses]float64 // moving mean of the service time in ms
+	meanService      [numClasses][numLanes]float64 // moving mean of the service time in ms
 	warmupStart      clock.Time
 	warmingUp        bool
 	reducedSlots     float64 // slots right after the last reduction
@@ -156,8 +159,10 @@
 	}
 	s := &State{cfg: cfg, byID: make(map[uint64]*entry), earliestDeadline: never}
 	for c := range s.queues {
-		s.queues[c].byCaller = make(map[string]*callerQueue)
-		s.meanService[c] = float64(cfg.InitialServiceTime)
+		for l := range s.queues[c].lanes {
+			s.queues[c].lanes[l].byCaller = make(map[string]*callerQueue)
+			s.meanService[c][l] = float64(cfg.InitialServiceTime)
+		}
 	}
 	return s
 }
@@ -185,7 +190,7 @@
 	}
 	s.schedule(now)
 	q := &s.queues[r.Class]
-	if q.size == 0 && s.mayStart(now, r.Class) {
+	if q.size() == 0 && s.mayStart(now, r.Class) {
 		e := s.newEntry(r)
 		s.start(now, e)
 		return Verdict{Decision: Started}, s.actions
@@ -198,7 +203,7 @@
 	}
 	s.lastSeq++
 	e := s.newEntry(r)
-	q.push(e, s.lastSeq)
+	q.laneOf(e).push(e, s.lastSeq)
 	if r.Deadline != 0 && r.Deadline.Before(s.earliestDeadline) {
 		s.earliestDeadline = r.Deadline
 	}
@@ -216,7 +221,7 @@
 	if res.Shed {
 		s.reduceSlots(now, e.startedAt)
 	} else {
-		s.recordServiceTime(e.req.Class, res.ServiceTime)
+		s.recordServiceTime(e.req, res.ServiceTime)
 	}
 	s.freeEntry(e)
 	s.schedule(now)
@@ -229,7 +234,7 @@
 func (s *State) Cancel(now clock.Time, id uint64) (removed bool, acts []Action) {
 	s.actions = s.actions[:0]
 	if e := s.byID[id]; e != nil && !e.started {
-		s.queues[e.req.Class].remove(e)
+		s.queues[e.req.Class].laneOf(e).remove(e)
 		s.freeEntry(e)
 		s.counts.Cancelled++
 		removed = true
@@ -257,8 +262,8 @@
 	}
 	s.drainReason = reason
 	for c := range s.queues {
-		for s.queues[c].size > 0 {
-			s.refuseQueued(s.queues[c].active[0].head, reason)
+		for s.queues[c].size() > 0 {
+			s.refuseQueued(s.queues[c].peek(), reason)
 		}
 	}
 	s.earliestDeadline = never
@@ -273,12 +278,13 @@
 func (s *State) refuseQueued(e *entry, reason answer.Reason) {
 	s.actions = append(s.actions, Refuse{ID: e.req.ID, Reason: reason})
 	s.counts.Refused++
-	s.queues[e.req.Class].remove(e)
+	s.queues[e.req.Class].laneOf(e).remove(e)
 	s.freeEntry(e)
 }
 
 func (s *State) start(now clock.Time, e *entry) {
 	e.started, e.startedAt = true, now
 	s.running[e.req.Class]++
+	s.queues[e.req.Class].last = e.req.lane()
 	s.counts.Started++
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -30,6 +30,9 @@
 		{"earliest deadline in a round", []Request{
 			{ID: 1, Caller: "a", Deadline: 900}, {ID: 2, Caller: "b", Deadline: 300}, {ID: 3, Caller: "b", Deadline: 200},
 		}, []uint64{2, 1, 3}},
+		{"streamed and complete by turns", []Request{
+			{ID: 1, Caller: "a", Streamed: true}, {ID: 2, Caller: "b", Streamed: true}, {ID: 3, Caller: "c", Streamed: true}, {ID: 4, Caller: "a"}, {ID: 5, Caller: "a"},
+		}, []uint64{1, 4, 2, 5, 3}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -162,6 +165,41 @@
 	is.Equal(acts, []Action{Refuse{3, answer.QueueFull}})
 }
 
+// Guards against streamed requests that fill the queue and lock out the others.
+func TestQueueFullOfStreams(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1, QueuePerSlot: 3})
+	for id := uint64(1); id <= 4; id++ {
+		s.Offer(0, Request{ID: id, Streamed: true, Caller: string(rune('a' + id))})
+	}
+	v, acts := s.Offer(0, Request{ID: 5, Caller: "e"})
+	is.Equal(v.Decision, Queued)
+	is.Equal(acts, []Action{Refuse{4, answer.QueueFull}})
+	v, _ = s.Offer(0, Request{ID: 6, Streamed: true, Caller: "f"})
+	is.Equal(v, Verdict{Refused, answer.QueueFull})
+	is.Equal(startedIDs(s.Done(1, 1, Result{})), []uint64{5})
+}
+
+// Guards against an estimate for complete requests that includes all streamed ones, or
+// their service time in its own.
+func TestEstimateBesideStreams(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Slots: 1, InitialServiceTime: 20})
+	for id := uint64(1); id <= 60; id++ {
+		s.Offer(0, Request{ID: id, Streamed: true})
+		s.Done(0, id, Result{ServiceTime: 1000})
+	}
+	for id := uint64(101); id <= 105; id++ {
+		s.Offer(0, Request{ID: id, Streamed: true, Caller: "a"})
+	}
+	v, _ := s.Offer(0, Request{ID: 106, Deadline: 40, Caller: "b"}) // the running one, and its own
+	is.Equal(v.Decision, Queued)
+	v, _ = s.Offer(0, Request{ID: 107, Deadline: 900, Caller: "b"}) // and that, and a streamed one
+	is.Equal(v, Verdict{Refused, answer.DeadlineTooNear})
+	v, _ = s.Offer(0, Request{ID: 108, Deadline: 1100, Caller: "b"})
+	is.Equal(v.Decision, Queued)
+}
+
 // Guards against reuse of a slot whose request was cancelled while the server is
 // still processing it, and against new requests to a server that drains.
 func TestCancelAndDrain(t *testing.T) {
--- a/internal/limit/property_test.go
+++ b/internal/limit/property_test.go
@@ -24,12 +24,15 @@
 	os.Exit(m.Run())
 }
 
-// queueKey identifies the queued requests of one caller in one class.
+// queueKey identifies the queued requests of one caller in one lane of a class.
 type queueKey struct {
-	class  Class
-	caller string
+	class    Class
+	streamed bool
+	caller   string
 }
 
+func keyOf(r Request) queueKey { return queueKey{r.Class, r.Streamed, r.Caller} }
+
 // oracle tracks the queued and running requests from the verdicts and actions
 // alone.
 type oracle struct {
@@ -40,7 +43,8 @@
 	reqs      map[uint64]Request // queued or running
 	running   map[uint64]bool
 	queued    map[queueKey][]uint64
-	overtakes map[queueKey]map[string]int // starts of other callers since this one was last served
+	overtakes map[queueKey]map[string]int // starts of other callers of the lane since this one was last served
+	streamed  [numClasses]bool            // whether the last request that started was
 	lastID    uint64
 }
 
@@ -78,10 +82,16 @@
 			o.Fatalf("bulk request %d started while interactive requests are queued", id)
 		}
 	}
-	k := queueKey{r.Class, r.Caller}
+	k := keyOf(r)
 	delete(o.overtakes, k)
 	for other, ids := range o.queued {
-		if other.class != k.class || other.caller == k.caller || len(ids) == 0 {
+		if other.class == k.class && other.streamed != k.streamed && len(ids) > 0 && o.streamed[k.class] == k.streamed {
+			o.Fatalf("%v was served twice in succession while %v was queued", k, other)
+		}
+	}
+	o.streamed[k.class] = k.streamed
+	for other, ids := range o.queued {
+		if other.class != k.class || other.streamed != k.streamed || other.caller == k.caller || len(ids) == 0 {
 			continue
 		}
 		if o.overtakes[other] == nil {
@@ -95,7 +105,7 @@
 }
 
 func (o *oracle) dequeue(id uint64) (position int) {
-	k := queueKey{o.reqs[id].Class, o.reqs[id].Caller}
+	k := keyOf(o.reqs[id])
 	i := slices.Index(o.queued[k], id)
 	if i < 0 {
 		o.Fatalf("request %d is not queued", id)
@@ -147,7 +157,7 @@
 	o.lastID++
 	r := Request{
 		ID: o.lastID, Class: Class(rapid.IntRange(0, 1).Draw(t, "class")),
-		Caller: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+		Caller: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"), Streamed: rapid.Bool().Draw(t, "streamed"),
 	}
 	if d := rapid.IntRange(0, 120).Draw(t, "deadline"); d > 0 {
 		r.Deadline = o.now.Add(clock.Span(d))
@@ -163,7 +173,7 @@
 		o.started(r.ID)
 	case Queued:
 		o.reqs[r.ID] = r
-		k := queueKey{r.Class, r.Caller}
+		k := keyOf(r)
 		o.queued[k] = append(o.queued[k], r.ID)
 	case Refused:
 		o.refused(r, v.Reason)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -30,8 +30,69 @@
 	index      int    // in classQueue.active
 }
 
-// classQueue holds the queued requests of one class.
+// lane is the part of a class's queue that a request waits in.
+type lane int
+
+// Lanes. A streamed request holds its slot for as long as its caller takes to send the
+// body, so the others mustn't wait behind all of them.
+const (
+	complete lane = iota // the body has been received
+	streamed             // the body is received while the request runs
+	numLanes = 2
+)
+
+func (r Request) lane() lane {
+	if r.Streamed {
+		return streamed
+	}
+	return complete
+}
+
+// classQueue holds the queued requests of one class. While both lanes have some, they
+// start by turns.
 type classQueue struct {
+	lanes [numLanes]laneQueue
+	last  lane // of the last request that started
+}
+
+func (q *classQueue) size() int { return q.lanes[complete].size + q.lanes[streamed].size }
+
+func (q *classQueue) laneOf(e *entry) *laneQueue { return &q.lanes[e.req.lane()] }
+
+// peek returns the request to be started next, or nil.
+func (q *classQueue) peek() *entry {
+	next := 1 - q.last
+	if q.lanes[next].size == 0 {
+		next = q.last
+	}
+	return q.lanes[next].peek()
+}
+
+// aheadOf returns the numbers of queued requests that start before a new one, by lane.
+func (q *classQueue) aheadOf(r Request) (n [numLanes]int) {
+	own := r.lane()
+	other := 1 - own
+	n[own] = q.lanes[own].countAhead(r.Caller)
+	n[other] = n[own]
+	if q.last == own {
+		n[other]++ // the other lane has the next turn
+	}
+	n[other] = min(n[other], q.lanes[other].size)
+	return n
+}
+
+// longest returns the queue of the caller with the most queued requests in a lane, or
+// nil.
+func (q *classQueue) longest() *callerQueue {
+	c, s := q.lanes[complete].longest(), q.lanes[streamed].longest()
+	if c == nil || s != nil && s.size > c.size {
+		return s
+	}
+	return c
+}
+
+// laneQueue holds the queued requests of one lane of a class.
+type laneQueue struct {
 	byCaller map[string]*callerQueue // callers with queued requests
 	active   []*callerQueue          // the values of byCaller
 	size     int
@@ -39,7 +100,7 @@
 	free     []*callerQueue // for reuse
 }
 
-func (q *classQueue) push(e *entry, seq uint64) {
+func (q *laneQueue) push(e *entry, seq uint64) {
 	cq := q.byCaller[e.req.Caller]
 	if cq == nil {
 		if n := len(q.free); n > 0 {
@@ -64,7 +125,7 @@
 	q.size++
 }
 
-func (q *classQueue) remove(e *entry) {
+func (q *laneQueue) remove(e *entry) {
 	cq := e.callerQueue
 	if e.prev == nil {
 		cq.head = e.next
@@ -90,9 +151,9 @@
 	q.free = append(q.free, cq)
 }
 
-// peek returns the request to be started next, or nil. A linear scan is cheap
-// enough: the queue of a server with 6 slots has at most 96 requests.
-func (q *classQueue) peek() *entry {
+// peek returns the request of the lane to be started next, or nil. A linear scan is
+// cheap enough: the queue of a server with 6 slots has at most 96 requests.
+func (q *laneQueue) peek() *entry {
 	var best *callerQueue
 	for _, cq := range q.active {
 		if best == nil || precedes(cq, best) {
@@ -126,7 +187,7 @@
 
 // dequeue removes e, the request that peek returned. The next request of its
 // caller has to wait for the next round.
-func (q *classQueue) dequeue(e *entry) {
+func (q *laneQueue) dequeue(e *entry) {
 	q.round = max(q.round, e.callerQueue.round)
 	e.callerQueue.round = q.round + 1
 	q.remove(e)
@@ -137,12 +198,12 @@
 // would otherwise start just before their deadline and complete too late.
 func (s *State) willMissDeadline(now clock.Time, e *entry) bool {
 	c := e.req.Class
-	return s.queues[c].size > 1 && now.Add(clock.Span(math.Round(s.meanService[c]))).After(deadlineOf(e))
+	return s.queues[c].size() > 1 && now.Add(clock.Span(math.Round(s.meanService[c][e.req.lane()]))).After(deadlineOf(e))
 }
 
-// countAhead returns the number of queued requests that start before a new
-// request of caller.
-func (q *classQueue) countAhead(caller string) (n int) {
+// countAhead returns the number of queued requests of the lane that start before a
+// new request of caller.
+func (q *laneQueue) countAhead(caller string) (n int) {
 	own := 0
 	if cq := q.byCaller[caller]; cq != nil {
 		own = cq.size
@@ -154,7 +215,7 @@
 }
 
 // longest returns the queue of the caller with the most queued requests, or nil.
-func (q *classQueue) longest() *callerQueue {
+func (q *laneQueue) longest() *callerQueue {
 	var best *callerQueue
 	for _, cq := range q.active {
 		if best == nil || cq.size > best.size || cq.size == best.size && cq.tail.seq > best.tail.seq {
@@ -165,18 +226,23 @@
 }
 
 // displaceFor refuses one queued request in favour of r and reports whether it
-// did. An interactive request displaces a bulk request; otherwise the caller
-// with the most queued requests loses its newest if it has at least two more
+// did. An interactive request displaces a bulk request, and a complete one the newest
+// of the caller with the most streamed ones if these are the most. Otherwise the
+// caller with the most queued requests loses its newest if it has at least two more
 // than the caller of r.
 func (s *State) displaceFor(r Request) bool {
-	if r.Class == Interactive && s.queues[Bulk].size > 0 {
+	if r.Class == Interactive && s.queues[Bulk].size() > 0 {
 		s.refuseQueued(s.queues[Bulk].longest().tail, answer.QueueFull)
 		return true
 	}
 	q := &s.queues[r.Class]
+	if !r.Streamed && q.lanes[streamed].size > q.lanes[complete].size {
+		s.refuseQueued(q.lanes[streamed].longest().tail, answer.QueueFull)
+		return true
+	}
 	cq := q.longest()
 	own := 0
-	if o := q.byCaller[r.Caller]; o != nil {
+	if o := q.lanes[r.lane()].byCaller[r.Caller]; o != nil {
 		own = o.size
 	}
 	if cq == nil || cq.size < own+2 {
@@ -211,13 +277,13 @@
 		s.refuseExpired(now)
 	}
 	for c := range Class(numClasses) {
-		for s.queues[c].size > 0 && s.mayStart(now, c) {
+		for s.queues[c].size() > 0 && s.mayStart(now, c) {
 			e := s.queues[c].peek()
 			if s.willMissDeadline(now, e) {
 				s.refuseQueued(e, answer.DeadlineTooNear)
 				continue
 			}
-			s.queues[c].dequeue(e)
+			s.queues[c].laneOf(e).dequeue(e)
 			s.start(now, e)
 			s.actions = append(s.actions, Start{ID: e.req.ID})
 		}
@@ -229,17 +295,23 @@
 func (s *State) refuseExpired(now clock.Time) {
 	s.earliestDeadline = never
 	for c := range s.queues {
-		q := &s.queues[c]
-		for i := len(q.active) - 1; i >= 0; i-- {
-			for e := q.active[i].head; e != nil; {
-				next := e.next
-				if d := deadlineOf(e); !now.Before(d) {
-					s.refuseQueued(e, answer.DeadlinePassed)
-				} else {
-					s.earliestDeadline = min(s.earliestDeadline, d)
-				}
-				e = next
+		for l := range s.queues[c].lanes {
+			s.refuseExpiredOf(now, &s.queues[c].lanes[l])
+		}
+	}
+}
+
+// refuseExpiredOf is refuseExpired for a lane.
+func (s *State) refuseExpiredOf(now clock.Time, q *laneQueue) {
+	for i := len(q.active) - 1; i >= 0; i-- {
+		for e := q.active[i].head; e != nil; {
+			next := e.next
+			if d := deadlineOf(e); !now.Before(d) {
+				s.refuseQueued(e, answer.DeadlinePassed)
+			} else {
+				s.earliestDeadline = min(s.earliestDeadline, d)
 			}
+			e = next
 		}
 	}
 }
--- a/internal/limit/slots.go
+++ b/internal/limit/slots.go
@@ -55,8 +55,19 @@
 	s.reducedAt, s.reduced = now, true
 }
 
-func (s *State) recordServiceTime(c Class, d clock.Span) {
-	s.meanService[c] += (float64(max(d, 0)) - s.meanService[c]) * meanWeight
+func (s *State) recordServiceTime(r Request, d clock.Span) {
+	mean := &s.meanService[r.Class][r.lane()]
+	*mean += (float64(max(d, 0)) - *mean) * meanWeight
+}
+
+// queuedTime returns the service time of a number of requests of a class, by lane, in ms.
+func (s *State) queuedTime(c Class, n [numLanes]int) float64 {
+	return float64(n[complete])*s.meanService[c][complete] + float64(n[streamed])*s.meanService[c][streamed]
+}
+
+// longestMean returns the mean service time of a class's lane with the longer one, in ms.
+func (s *State) longestMean(c Class) float64 {
+	return max(s.meanService[c][complete], s.meanService[c][streamed])
 }
 
 // bulkSlots returns how many of the effective slots bulk requests may hold.
@@ -74,7 +85,7 @@
 	if c == Interactive {
 		return true
 	}
-	return s.queues[Interactive].size == 0 && s.running[Bulk] < s.bulkSlots(slots)
+	return s.queues[Interactive].size() == 0 && s.running[Bulk] < s.bulkSlots(slots)
 }
 
 // expectedLatency estimates the time until r would complete if it were queued
@@ -83,21 +94,24 @@
 // the queued interactive requests, which have priority.
 func (s *State) expectedLatency(now clock.Time, r Request) clock.Span {
 	slots := s.Slots(now)
-	position := float64(s.queues[r.Class].countAhead(r.Caller) + 1)
+	own := s.meanService[r.Class][r.lane()]
+	ahead := s.queues[r.Class].aheadOf(r)
+	ahead[r.lane()]++ // for one that runs and has to end first
 	var wait float64
 	switch r.Class {
 	case Interactive:
 		free := slots - s.running[Bulk]
 		if free < 1 { // a bulk request must end first
-			wait, free = s.meanService[Bulk]/float64(max(s.running[Bulk], 1)), 1
-			position--
+			wait, free = s.longestMean(Bulk)/float64(max(s.running[Bulk], 1)), 1
+			ahead[r.lane()]--
 		}
-		wait += position * s.meanService[Interactive] / float64(free)
+		wait += s.queuedTime(Interactive, ahead) / float64(free)
 	case Bulk:
-		wait = position*s.meanService[Bulk]/float64(s.bulkSlots(slots)) +
-			float64(s.queues[Interactive].size)*s.meanService[Interactive]/float64(slots)
+		lanes := &s.queues[Interactive].lanes
+		first := [numLanes]int{lanes[complete].size, lanes[streamed].size}
+		wait = s.queuedTime(Bulk, ahead)/float64(s.bulkSlots(slots)) + s.queuedTime(Interactive, first)/float64(slots)
 	}
-	return clock.Span(math.Round(wait + s.meanService[r.Class]))
+	return clock.Span(math.Round(wait + own))
 }
 
 // Next returns the time at which Expire is to be called: when the next deadline
@@ -127,7 +141,7 @@
 }
 
 // Waiting returns the number of queued requests.
-func (s *State) Waiting() int { return s.queues[Interactive].size + s.queues[Bulk].size }
+func (s *State) Waiting() int { return s.queues[Interactive].size() + s.queues[Bulk].size() }
 
 // Running returns the number of slots in use.
 func (s *State) Running() int { return s.running[Interactive] + s.running[Bulk] }
@@ -140,6 +154,10 @@
 	Running int            `json:"running"`
 	Waiting map[string]int `json:"waiting"` // by caller
 	MeanMs  float64        `json:"meanMs"`
+	// Streamed and StreamMs are the queued requests with streamed bodies, which Waiting
+	// includes, and their mean service time, which MeanMs doesn't include.
+	Streamed int     `json:"streamed"`
+	StreamMs float64 `json:"streamMs"`
 }
 
 // Dump is a snapshot of a State for encoding as JSON.
@@ -155,9 +173,15 @@
 func (s *State) Dump(now clock.Time) Dump {
 	d := Dump{Slots: s.cfg.Slots, Effective: s.Slots(now), Refusing: s.drainReason.String(), Counts: s.counts}
 	for c := range Class(numClasses) {
-		cd := ClassDump{Class: c.String(), Running: s.running[c], MeanMs: s.meanService[c], Waiting: make(map[string]int)}
-		for _, cq := range s.queues[c].active {
-			cd.Waiting[cq.caller] = cq.size
+		q := &s.queues[c]
+		cd := ClassDump{
+			Class: c.String(), Running: s.running[c], MeanMs: s.meanService[c][complete], Waiting: make(map[string]int),
+			Streamed: q.lanes[streamed].size, StreamMs: s.meanService[c][streamed],
+		}
+		for _, l := range q.lanes {
+			for _, cq := range l.active {
+				cd.Waiting[cq.caller] += cq.size
+			}
 		}
 		d.Classes = append(d.Classes, cd)
 	}
