caller: new connections aren't closed as idle before their first request

Cause: where there are too many connections, idle ones are closed first, and one that has just been accepted counts as idle until its first bytes are read. Beside callers with incomplete requests it is the only idle one.

Change: a connection that has sent nothing yet counts like one with an incomplete request for its first second: the address with most connections gives way, and of that the oldest.

TestNewConnectionIsKept failed 5 of 5 before, passes 20 of 20.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -19,6 +19,9 @@
 	maxScanned = 64
 	// maxSearched is how many are looked at if there is none among the first.
 	maxSearched = 512
+	// firstRequestTime is how long a new connection isn't taken for idle before it has
+	// sent anything. Distant callers need several round trips with TLS.
+	firstRequestTime = time.Second
 	// recoveredConns is the part of the bound, as a divisor, below which there are no
 	// longer too many connections.
 	recoveredConns = 2
@@ -57,7 +60,9 @@
 // Tracked is a caller's connection with what Conns has to know of it.
 type Tracked struct {
 	netConn net.Conn
-	address string       // of the caller, without the port
+	address string // of the caller, without the port
+	opened  time.Time
+	used    atomic.Bool  // a request was received, at least in part
 	since   atomic.Int64 // when the last request began or was answered, Unix ns
 	pending atomic.Int32 // requests whose response isn't written
 	reading atomic.Bool  // a request has been received in part
@@ -70,8 +75,8 @@
 
 // NewTracked returns a connection without requests.
 func NewTracked(nc net.Conn) *Tracked {
-	t := &Tracked{netConn: nc, address: addressOf(nc)}
-	t.since.Store(time.Now().UnixNano())
+	t := &Tracked{netConn: nc, address: addressOf(nc), opened: time.Now()}
+	t.since.Store(t.opened.UnixNano())
 	return t
 }
 
@@ -126,6 +131,7 @@
 // BeginRequest records that a request is being received.
 func (t *Tracked) BeginRequest() {
 	if !t.reading.Swap(true) {
+		t.used.Store(true)
 		t.since.Store(time.Now().UnixNano())
 	}
 }
@@ -133,6 +139,7 @@
 // Active records that the connection, which carries more than one request at a time, is
 // in use.
 func (t *Tracked) Active() {
+	t.used.Store(true)
 	t.since.Store(time.Now().UnixNano())
 	t.reading.Store(true)
 }
@@ -155,10 +162,13 @@
 // Idle reports whether the connection has no request in progress.
 func (t *Tracked) Idle() bool { return t.pending.Load() == 0 && !t.reading.Load() }
 
+// isNew reports whether the connection may still be about to send its first request.
+func (t *Tracked) isNew() bool { return !t.used.Load() && time.Since(t.opened) < firstRequestTime }
+
 // Admit adds a connection. If there are as many as allowed, it closes another one: the
 // one that has been idle for longest, else the one of the address with most
-// connections that has been reading a request for longest. It returns false if none
-// can be closed, because all have requests in progress.
+// connections that has been reading a request for longest, or awaiting its first one. It
+// returns false if none can be closed, because all have requests in progress.
 func (s *Conns) Admit(t *Tracked) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,11 +244,11 @@
 			break
 		}
 		switch {
-		case t.Idle():
+		case t.pending.Load() > 0:
+		case t.Idle() && !t.isNew():
 			if idle == nil || t.since.Load() < idle.since.Load() {
 				idle = t
 			}
-		case t.pending.Load() > 0:
 		case incomplete == nil, s.byAddress[t.address] > s.byAddress[incomplete.address],
 			s.byAddress[t.address] == s.byAddress[incomplete.address] && t.since.Load() < incomplete.since.Load():
 			incomplete = t
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -173,8 +173,7 @@
 	if err = c.awaitRequest(limits.Idle); err != nil {
 		return nil, err
 	}
-	c.reading.Store(true)
-	c.since.Store(time.Now().UnixNano())
+	c.BeginRequest()
 	if err = c.beginRequest(); err != nil {
 		return nil, err
 	}
--- a/internal/caller/memory_test.go
+++ b/internal/caller/memory_test.go
@@ -46,7 +46,13 @@
 
 func connect(t *testing.T, addr string) *client {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
+	return connectFrom(t, "127.0.0.1", addr)
+}
+
+func connectFrom(t *testing.T, from, addr string) *client {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -279,6 +285,24 @@
 	}
 }
 
+// Guards against new connections that are closed as idle, to make room for others, before
+// their callers could send a request: ordinary ones beside a crowd of incomplete requests.
+func TestNewConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	_, addr := startBounded(t, 4, func(context.Context, *Request) Response { return Response{Status: 200} })
+	for range 3 {
+		connect(t, addr).post(t, 100, 50)
+	}
+	ordinary := connectFrom(t, "127.0.0.2", addr)
+	for range 3 {
+		connect(t, addr).post(t, 100, 50)
+	}
+	time.Sleep(50 * time.Millisecond)
+	ordinary.post(t, 100, 100)
+	status, _, _ := ordinary.response(t)
+	is.Equal(status, 200)
+}
+
 // Guards against requests that wait for memory after their connections were closed to make
 // room for others: they would be in no bound any more.
 func TestEvictedWhileWaiting(t *testing.T) {
