serve: responses that aren't read give up slots that others wait for

Cause: a response holds the slot of its server until it is written or its deadline of 5 s passes.

Change: the writing of a response is watched like the reading of a streamed body (proxy.Transfer for both). While calls wait for a slot, one whose caller has taken nothing for 1 s is ended and its connection closed; a caller of a response that is cut sees that it isn't whole.

--- a/cmd/laburnummux/stalledbody_test.go
+++ b/cmd/laburnummux/stalledbody_test.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// Guards against callers that don't read long responses and occupy the slots of a server, so
+// that the requests of others wait until their deadline and are refused.
+func TestCrowdStalledResponses(t *testing.T) {
+	// timeout is that of an ordinary request. The clients have that of the operation, 5 s.
+	const timeout = 3500 * time.Millisecond
+	const slots = 2 // of the key's server
+	tests := []struct{ clients, hosts int }{{4, 1}, {4, 2}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("clients=%d,hosts=%d", tt.clients, tt.hosts), func(t *testing.T) {
+			is := is.New(t)
+			_, ps := startLimitedHosts(t, tt.hosts, crowdLimits)
+			for i := range tt.clients {
+				c, err := net.Dial("tcp", ps[0].callers)
+				is.NoErr(err)
+				defer c.Close()
+				is.NoErr(c.(*net.TCPConn).SetReadBuffer(clientBuffer))
+				io.WriteString(c, "GET /ledger/tin-1?size=64000000 HTTP/1.1\r\nHost: h\r\n\r\n")
+				if i < slots {
+					_, err = io.ReadFull(c, make([]byte, 1000)) // it has a slot
+					is.NoErr(err)
+				}
+			}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ps[0].callers+"/ledger/tin-1", nil)
+			is.NoErr(err)
+			req.Header.Set(answer.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			is.Equal(resp.StatusCode, http.StatusOK)
+		})
+	}
+}
+
 // checkInterrupted fails the test unless a request of the connections was ended as too
 // slow, without the claim that it hasn't run.
 func checkInterrupted(t *testing.T, conns []net.Conn) {
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -13,8 +13,6 @@
 	"syscall"
 	"time"
 
-	"github.com/laburnummux/laburnummux/internal/budget"
-	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/grant"
@@ -39,7 +37,7 @@
 
 // backend is a backend server that this host dispatches to, with its request
 // queue, its connections, and the worker that probes the server and sends it its
-// grants. cell.mu guards queued, streams, limiter, incarnation, down, lostAttempts and
+// grants. cell.mu guards queued, running, limiter, incarnation, down, lostAttempts and
 // attemptEnded.
 type backend struct {
 	cell         *cell
@@ -52,7 +50,7 @@
 	cancel       context.CancelFunc
 	limiter      *limit.State
 	queued       map[uint64]*queuedCall
-	streams      map[uint64]*proxy.Body // bodies of running calls that aren't buffered
+	running      map[uint64]runningCall
 	incarnation  string
 	down         bool          // the server has refused a connection since its last response
 	lostAttempts []lostAttempt // attempts whose connection was lost since the last successful probe
@@ -73,6 +71,12 @@
 	decision chan answer.Reason // ReasonNone: the call has a slot
 }
 
+// runningCall is a call that holds a slot.
+type runningCall struct {
+	hash      keys.Hash
+	transfers transfers
+}
+
 func newBackend(c *cell, s grant.Server) *backend {
 	srv := c.svc.Server()
 	secure := c.host.security.serverTLS(s.Server, s.Address)
@@ -91,7 +95,7 @@
 		limiter: limit.New(limit.Config{
 			Slots: srv.Slots(), QueuePerSlot: c.svc.QueuePerSlot(), BulkShare: c.svc.Share(config.Bulk), Warmup: srv.Warmup(),
 		}),
-		queued: make(map[uint64]*queuedCall), streams: make(map[uint64]*proxy.Body), attemptEnded: make(chan struct{}),
+		queued: make(map[uint64]*queuedCall), running: make(map[uint64]runningCall), attemptEnded: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	b.cancel = cancel
@@ -132,31 +136,35 @@
 // which slots have become available. The caller must hold cell.mu.
 func (b *backend) expire(now clock.Time) {
 	b.apply(b.limiter.Expire(now))
-	b.interruptStalled()
+	b.interruptStalled(now)
 }
 
-// interruptStalled ends as many running calls whose callers have stopped sending their
-// bodies as calls wait for a slot. The caller must hold cell.mu.
-func (b *backend) interruptStalled() {
+// interruptStalled ends running calls whose callers have stopped sending their bodies or
+// reading their responses: as many as calls wait for a slot, and those whose range is being
+// released, since it has no owner until they have ended. The caller must hold cell.mu.
+func (b *backend) interruptStalled(now clock.Time) {
 	needed := len(b.queued)
-	for _, body := range b.streams {
-		if body.Interrupted() {
+	for _, r := range b.running {
+		if r.transfers.interrupted() {
 			needed-- // its slot will be free
 		}
 	}
-	for _, body := range b.streams {
-		if needed <= 0 {
-			return
-		}
-		if body.Interrupted() || !body.Stalled(budget.StallTime) {
+	for _, r := range b.running {
+		if !r.transfers.stalled() || needed <= 0 && !b.isReleasing(now, r.hash) {
 			continue
 		}
 		needed--
-		b.cell.host.intake.metrics.CountGivenUp(caller.ReasonStalled)
-		body.Interrupt()
+		b.cell.host.intake.metrics.CountGivenUp(r.transfers.interrupt())
 	}
 }
 
+// isReleasing reports whether the range of a key is being released. The caller must hold
+// cell.mu.
+func (b *backend) isReleasing(now clock.Time, h keys.Hash) bool {
+	_, err := b.cell.leases.Check(now, b.name, h)
+	return errors.Is(err, lease.ErrReleasing)
+}
+
 // apply executes the limiter's decisions about queued calls.
 func (b *backend) apply(acts []limit.Action) {
 	for _, a := range acts {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -133,7 +133,8 @@
 		w.Header().Set("Connection", "close")
 		return c.bodyRefusal(&cl, cc, err)
 	}
-	body.OnInterrupt(cc.endRead)
+	cl.transfers = newTransfers(w, cc.endRead)
+	body.Watch(cl.transfers.upload)
 	cl.request.Body = body
 	if body.Buffered() && !cc.keepBody() || !body.Buffered() && !cc.streamBody(cancel) {
 		w.Header().Set("Connection", "close")
@@ -160,7 +161,7 @@
 			res.Close()
 			return errGivenUp
 		}
-		return res.WriteTo(w)
+		return res.WriteWatched(w, cl.transfers.download)
 	})
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -27,6 +27,7 @@
 	id        string // request id
 	caller    string
 	request   proxy.Request
+	transfers transfers
 	// idFromCaller reports that the caller chose the id, so that the request may
 	// be a retry.
 	idFromCaller bool
@@ -191,9 +192,7 @@
 		c.mu.Unlock()
 		return misdirected(leaseReason(err))
 	}
-	if !cl.request.Body.Buffered() {
-		b.streams[id] = cl.request.Body
-	}
+	b.running[id] = runningCall{hash: cl.hash, transfers: cl.transfers}
 	c.mu.Unlock()
 
 	// Another attempt may need the original header, so this one gets a copy.
@@ -208,7 +207,7 @@
 	select {
 	case r := <-sent:
 		res = c.attemptResult(cl, r, deliver)
-		if res.outcome == answer.Unknown && cl.request.Body.Interrupted() {
+		if res.outcome == answer.Unknown && cl.transfers.upload.Interrupted() {
 			res.reason = answer.TooSlow
 		}
 		c.release(b, id, ticket, cl, r, c.host.clk.Now().Sub(now))
@@ -222,7 +221,7 @@
 			c.release(b, id, ticket, cl, r, c.host.clk.Now().Sub(now))
 		}()
 		switch {
-		case cl.request.Body.Interrupted(): // which cancels ctx, too
+		case cl.transfers.upload.Interrupted(): // which cancels ctx, too
 			return unknown(answer.TooSlow)
 		case errors.Is(ctx.Err(), context.Canceled):
 			return unknown(answer.Cancelled)
@@ -326,7 +325,7 @@
 	defer c.mu.Unlock()
 	now := c.host.clk.Now()
 	reason, _ := refusal(r)
-	delete(b.streams, id)
+	delete(b.running, id)
 	b.apply(b.limiter.Done(now, id, limit.Result{Shed: reason == answer.Shed, ServiceTime: serviceTime}))
 	c.leases.End(now, cl.server, cl.hash)
 	if r.Failure() == proxy.ConnLost {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -98,11 +98,12 @@
 		writeOutcome(w, http.StatusMisdirectedRequest, misdirected(answer.NotDispatcher))
 		return
 	}
-	cl.request.Body.OnInterrupt(endRead(w))
+	cl.transfers = newTransfers(w, endRead(w))
+	cl.request.Body.Watch(cl.transfers.upload)
 	w.Header().Set(answer.HeaderAttempt, r.Header.Get(answer.HeaderAttempt)) // lets the sender match the response to its request
 	res := h.dispatch(ctx, cl, func(res *proxy.Result) error {
 		w.Header().Set(answer.HeaderOutcome, answer.Answered.String())
-		return res.WriteTo(w)
+		return res.WriteWatched(w, cl.transfers.download)
 	})
 	switch {
 	case res.deliverErr != nil:
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,10 +22,7 @@
 	rest     io.Reader
 	length   int64 // in bytes; -1 if unknown
 	consumed atomic.Bool
-
-	interrupt   func()       // ends a read of rest; may be nil
-	interrupted atomic.Bool  // Interrupt was called
-	readSince   atomic.Int64 // when the read of rest in progress began, Unix ns; 0: there is none
+	transfer *Transfer // watches the reading of rest; may be nil
 }
 
 // NewBody buffers the first bytes of r, whose length is -1 if unknown. An
@@ -72,26 +68,9 @@
 // the request.
 func NewUnbufferedBody(r io.Reader, length int64) *Body { return &Body{rest: r, length: length} }
 
-// OnInterrupt sets the function that ends a read of the part that isn't buffered. It is
-// called before the body is sent.
-func (b *Body) OnInterrupt(f func()) { b.interrupt = f }
-
-// Interrupt ends the read of a body whose sender has stopped, and with it the attempt.
-func (b *Body) Interrupt() {
-	if b.interrupt == nil || b.interrupted.Swap(true) {
-		return
-	}
-	b.interrupt()
-}
-
-// Interrupted reports whether Interrupt was called.
-func (b *Body) Interrupted() bool { return b.interrupted.Load() }
-
-// Stalled reports whether the body has been waiting for bytes of its sender for a time.
-func (b *Body) Stalled(d time.Duration) bool {
-	since := b.readSince.Load()
-	return since != 0 && time.Since(time.Unix(0, since)) >= d
-}
+// Watch has a transfer watch the reading of the part that isn't buffered. It is called
+// before the body is sent.
+func (b *Body) Watch(t *Transfer) { b.transfer = t }
 
 // Length returns the length in bytes, or -1 if it is unknown.
 func (b *Body) Length() int64 { return b.length }
@@ -133,7 +112,7 @@
 // Read implements io.Reader.
 func (r restReader) Read(p []byte) (int, error) {
 	r.body.consumed.Store(true)
-	r.body.readSince.Store(time.Now().UnixNano())
-	defer r.body.readSince.Store(0)
+	r.body.transfer.begin()
+	defer r.body.transfer.end()
 	return r.body.rest.Read(p)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -333,7 +333,10 @@
 // WriteTo writes the response to w and closes the result. It returns an error
 // if the response is truncated; the handler must then abort its connection, so
 // that the client doesn't take the truncated response for a complete one.
-func (r *Result) WriteTo(w http.ResponseWriter) (err error) {
+func (r *Result) WriteTo(w http.ResponseWriter) error { return r.WriteWatched(w, nil) }
+
+// WriteWatched is WriteTo with a transfer that watches the writing; it may be nil.
+func (r *Result) WriteWatched(w http.ResponseWriter, t *Transfer) (err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("proxy.WriteTo: %w", err)
@@ -350,22 +353,29 @@
 		h.Set("Content-Length", strconv.Itoa(len(r.head)))
 	}
 	w.WriteHeader(r.status)
-	if _, err = w.Write(r.head); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	if err = writeWatched(w, r.head, t); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return err
 	}
 	if r.complete {
 		return nil
 	}
-	return streamBody(w, r.body)
+	return streamBody(w, r.body, t)
+}
+
+func writeWatched(w io.Writer, p []byte, t *Transfer) error {
+	t.begin()
+	defer t.end()
+	_, err := w.Write(p)
+	return err
 }
 
-func streamBody(w http.ResponseWriter, body io.Reader) error {
+func streamBody(w http.ResponseWriter, body io.Reader, t *Transfer) error {
 	buf := make([]byte, 32<<10)
 	rc := http.NewResponseController(w)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
+			if werr := writeWatched(w, buf[:n], t); werr != nil {
 				return werr
 			}
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -278,26 +278,28 @@
 	t.Cleanup(func() { w.Close() })
 	b, err := NewBody(r, maxBufferedBody+1)
 	is.NoErr(err)
-	b.OnInterrupt(func() { w.CloseWithError(os.ErrDeadlineExceeded) })
-	is.True(!b.Stalled(0)) // nobody reads it
+	tr := NewTransfer(func() { w.CloseWithError(os.ErrDeadlineExceeded) })
+	b.Watch(tr)
+	is.True(!tr.Stalled(0)) // nobody reads it
+	is.True(!tr.Interrupt())
 	body, ok := b.open()
 	is.True(ok)
 	go w.Write([]byte("x"))
 	_, err = body.Read(make([]byte, 1))
 	is.NoErr(err)
-	is.True(!b.Stalled(0))
+	is.True(!tr.Stalled(0))
 	result := make(chan error, 1)
 	go func() {
 		_, err := body.Read(make([]byte, 1))
 		result <- err
 	}()
-	for !b.Stalled(10 * time.Millisecond) {
+	for !tr.Stalled(10 * time.Millisecond) {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(!b.Interrupted())
-	b.Interrupt()
-	b.Interrupt()
-	is.True(b.Interrupted())
+	is.True(!tr.Interrupted())
+	is.True(tr.Interrupt())
+	is.True(!tr.Interrupt())
+	is.True(tr.Interrupted())
 	is.Equal(<-result, os.ErrDeadlineExceeded)
-	is.True(!b.Stalled(0))
+	is.True(!tr.Stalled(0))
 }
