serve: test that closed connections end streamed requests; small corrections of the last changes

Cause: said that a streamed request is cancelled when its connection is closed to make room, without a test; a stopped transfer that had just gone on would have been counted as ended.

Change: TestEvictedStreams; transfers that have gone on aren't counted; comments.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -153,8 +153,10 @@
 		if !r.transfers.stalled() || needed <= 0 && !b.isReleasing(now, r.hash) {
 			continue
 		}
-		needed--
-		b.cell.host.intake.metrics.CountGivenUp(r.transfers.interrupt())
+		if reason := r.transfers.interrupt(); reason != "" {
+			needed--
+			b.cell.host.intake.metrics.CountGivenUp(reason)
+		}
 	}
 }
 
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,12 +30,18 @@
 // /endless.
 func startCallers(t *testing.T, maxBytes int64) (b *budget.Budget, addr string) {
 	t.Helper()
-	return startBoundedCallers(t, maxBytes, 0)
+	b, addr, _ = startBoundedCallers(t, maxBytes, 0)
+	return b, addr
 }
 
-// startBoundedCallers is startCallers with a bound of connections.
-func startBoundedCallers(t *testing.T, maxBytes int64, maxConns int) (b *budget.Budget, addr string) {
+// streamCounts counts requests that have a streamed body.
+type streamCounts struct{ opened, ended atomic.Int32 }
+
+// startBoundedCallers is startCallers with a bound of connections. Requests to /stream
+// have streamed bodies, and wait until they are cancelled.
+func startBoundedCallers(t *testing.T, maxBytes int64, maxConns int) (b *budget.Budget, addr string, streams *streamCounts) {
 	t.Helper()
+	streams = new(streamCounts)
 	b = caller.NewBudget(maxBytes, zap.NewNop())
 	m := caller.NewMetrics(prometheus.NewRegistry(), b)
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
@@ -44,6 +52,16 @@
 	s := &http.Server{ConnContext: withCallerConn, ConnState: trackCaller, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := callerConnOf(r)
 		c.beginBody()
+		if r.URL.Path == "/stream" {
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			if c.streamBody(cancel) {
+				streams.opened.Add(1)
+				<-ctx.Done()
+				streams.ended.Add(1)
+			}
+			return
+		}
 		if _, err := proxy.NewCountedBody(streamedBody{r.Body, c}, r.ContentLength, c.count); err != nil {
 			res := c.refuse()
 			writeOutcome(w, httpStatus(res), res)
@@ -60,7 +78,7 @@
 	})}
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
-	return b, nl.Addr().String()
+	return b, nl.Addr().String(), streams
 }
 
 func dialCaller(t *testing.T, addr, text string) net.Conn {
@@ -272,6 +290,17 @@
 	}
 }
 
+// Guards against streamed requests that go on after their connections were closed to make
+// room for others: nobody reads from those, so that isn't noticed.
+func TestEvictedStreams(t *testing.T) {
+	_, addr, streams := startBoundedCallers(t, 1<<20, 4)
+	for i := range 8 {
+		dialCaller(t, addr, "POST /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n")
+		awaitTrue(t, func() bool { return int(streams.opened.Load()) == i+1 })
+	}
+	awaitTrue(t, func() bool { return streams.ended.Load() == 4 })
+}
+
 // Guards against requests that wait for memory after their connections were closed to make
 // room for others.
 func TestEvictedWhileWaiting(t *testing.T) {
@@ -286,7 +315,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			const maxBytes = 1 << 20
-			b, addr := startBoundedCallers(t, maxBytes, 4)
+			b, addr, _ := startBoundedCallers(t, maxBytes, 4)
 			leaving := b.NewHold("other", func() {}) // others wait for its bytes
 			is.True(leaving.Add(maxBytes))
 			leaving.Cancel()
--- a/internal/entry/transfers.go
+++ b/internal/entry/transfers.go
@@ -31,11 +31,14 @@
 	return !ts.interrupted() && (ts.upload.Stalled(budget.StallTime) || ts.download.Stalled(budget.StallTime))
 }
 
-// interrupt ends a stalled call and returns the reason for the metrics.
+// interrupt ends a stalled call and returns the reason for the metrics, or "" if the call
+// has gone on.
 func (ts transfers) interrupt() string {
-	if ts.upload.Interrupt() {
+	switch {
+	case ts.upload.Interrupt():
 		return caller.ReasonStalled
+	case ts.download.Interrupt():
+		return caller.ReasonResponse
 	}
-	ts.download.Interrupt()
-	return caller.ReasonResponse
+	return ""
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -34,8 +34,10 @@
 //     reaches the head of the queue too late to meet its deadline and another
 //     request is queued for the slot.
 //   - When the queue is full, an interactive request displaces the newest
-//     request of the caller with the most bulk requests, and a request of a
-//     caller with few requests displaces the newest of the caller with the most.
+//     request of the caller with the most bulk requests, one with a complete body
+//     the newest of the caller with the most streamed ones if these are in the
+//     majority, and a request of a caller with few requests the newest of the
+//     caller with the most.
 package limit
 
 import (
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -27,7 +27,7 @@
 	head, tail *entry
 	size       int
 	round      uint64 // round in which the caller is served next
-	index      int    // in classQueue.active
+	index      int    // in laneQueue.active
 }
 
 // lane is the part of a class's queue that a request waits in.
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -7,7 +7,7 @@
 
 // Transfer watches a step of a request that waits for its caller: the reading of a body
 // that isn't buffered, or the writing of a response. The request holds a slot of its server
-// meanwhile. A nil Transfer watches nothing.
+// meanwhile.
 type Transfer struct {
 	interrupt func() // ends the step
 
@@ -46,7 +46,7 @@
 	return t.interrupted
 }
 
-// begin records that a wait for the caller begins.
+// begin records that a wait for the caller begins. t may be nil, as for end.
 func (t *Transfer) begin() {
 	if t == nil {
 		return
