--- a/internal/caller/memory_test.go
+++ b/internal/caller/memory_test.go
@@ -303,6 +303,22 @@
 	is.Equal(status, 200)
 }
 
+// Guards against a request that is closed to make room while it is being sent, beside new
+// connections from other addresses that send nothing.
+func TestRequestBesideNewConnections(t *testing.T) {
+	is := is.New(t)
+	_, addr := startBounded(t, 4, func(context.Context, *Request) Response { return Response{Status: 200} })
+	ordinary := connect(t, addr)
+	ordinary.post(t, 100, 50)
+	for i := range 8 {
+		connectFrom(t, fmt.Sprintf("127.0.1.%d", i+1), addr)
+		time.Sleep(10 * time.Millisecond)
+	}
+	ordinary.Write(make([]byte, 50)) // fails if the connection was closed
+	status, _, _ := ordinary.response(t)
+	is.Equal(status, 200)
+}
+
 // Guards against requests that wait for memory after their connections were closed to make
 // room for others: they would be in no bound any more.
 func TestEvictedWhileWaiting(t *testing.T) {
