caller, relay: a line and a counter for each 4xx of the host itself

Callers saw 4xx responses to proper requests, and the logs couldn't tell which of four hypotheses holds: 400, 413 and 431 were in no line, a no-route line had neither the version in force nor host and path, and the line of a server's failure didn't say whether the server had signed it.

Change: "request rejected" lines and laburnummux_requests_rejected_total for requests that are rejected while they are read; config, vhost and path on no-route; signed on failures of servers, and laburnummux_unsigned_responses_total.

No logic changes.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -64,7 +64,9 @@
 type Config struct {
 	Handle func(ctx context.Context, r *Request) Response
 	Limits func() intent.Limits
-	Log    *zap.Logger
+	// Version returns the version of the configuration in force, for the log. May be nil.
+	Version func() uint64
+	Log     *zap.Logger
 	// Budget bounds the memory of requests until their response, and of responses
 	// until they are written. nil: a budget of 1 GiB.
 	Budget   *budget.Budget
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -43,6 +43,8 @@
 	window    Window            // of run
 	inRequest bool              // a request is being read; of run
 	inHead    bool              // its header is being read; of run
+	received  int64             // bytes read from the socket since it began; of run
+	readErr   error             // last error of the socket; of run
 	limited   *io.LimitedReader // source of reader
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -115,16 +117,6 @@
 	close(ex.done)
 }
 
-// protocolError is the error of an invalid request, with the status of the
-// response.
-type protocolError struct {
-	status int
-	header http.Header // of the response
-	err    error
-}
-
-func (e *protocolError) Error() string { return e.err.Error() }
-
 // handleReadError handles the error that ends the reading of requests. An
 // invalid request gets an error response after the responses to the requests
 // in progress. If the caller has disconnected, these are cancelled.
@@ -136,7 +128,8 @@
 		}
 		return
 	}
-	ex := &exchange{done: make(chan struct{}), close: true, response: Response{Status: pe.status, Header: pe.header, Close: true}}
+	c.reportRejection(pe)
+	ex := &exchange{done: make(chan struct{}), close: true, response: Response{Status: pe.reason.status(), Header: pe.header, Close: true}}
 	close(ex.done)
 	c.pending.Add(1)
 	c.exchanges <- ex
@@ -184,11 +177,11 @@
 	if err != nil {
 		switch {
 		case c.limited.N <= 0:
-			return nil, &protocolError{status: http.StatusRequestHeaderFieldsTooLarge, err: err}
+			return nil, &protocolError{reason: rejectedLongHeader, err: err}
 		case isDisconnect(err):
 			return nil, err
 		}
-		return nil, &protocolError{status: http.StatusBadRequest, err: err}
+		return nil, &protocolError{reason: rejectedHeader, err: err}
 	}
 	c.inHead = false
 	c.limited.N = limits.BodyBytes + int64(limits.HeaderBytes) + readBufferBytes
@@ -197,7 +190,7 @@
 	}
 	body, err := c.readBody(r, limits.BodyBytes)
 	if err != nil {
-		return nil, err
+		return nil, describe(err, r)
 	}
 	if c.hold != nil && !c.hold.Keep() {
 		return nil, ErrGivenUp
@@ -242,7 +235,7 @@
 
 func (c *conn) readBody(r *http.Request, maxBytes int64) (b segment.Body, err error) {
 	if r.ContentLength > maxBytes {
-		return b, &protocolError{status: http.StatusRequestEntityTooLarge, err: fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength)}
+		return b, &protocolError{reason: rejectedLongBody, err: fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength)}
 	}
 	if r.ContentLength == 0 {
 		return b, nil
@@ -259,11 +252,11 @@
 	var ne net.Error
 	switch {
 	case errors.Is(err, segment.ErrTooLong):
-		return b, &protocolError{status: http.StatusRequestEntityTooLarge, err: fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
+		return b, &protocolError{reason: rejectedLongBody, err: fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
 	case errors.As(err, &ne) && ne.Timeout():
-		return b, &protocolError{status: http.StatusRequestTimeout, err: err}
+		return b, &protocolError{reason: rejectedSlowBody, err: err}
 	case err != nil && !isDisconnect(err):
-		return b, &protocolError{status: http.StatusBadRequest, err: err}
+		return b, &protocolError{reason: rejectedBody, err: err}
 	}
 	return b, err
 }
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -69,6 +69,8 @@
 func (s source) Read(p []byte) (n int, err error) {
 	c := s.conn
 	n, err = c.netConn.Read(p)
+	c.received += int64(n)
+	c.readErr = err
 	switch {
 	case !c.inRequest || n == 0:
 	case c.inHead:
@@ -85,6 +87,7 @@
 func (c *conn) beginRequest() error {
 	c.inRequest, c.inHead, c.counted = true, true, 0
 	buffered, err := c.reader.Peek(c.reader.Buffered())
+	c.received, c.readErr = int64(len(buffered)), nil
 	if err == nil && !c.count(HeadCost(buffered)) {
 		err = ErrGivenUp
 	}
@@ -179,16 +182,14 @@
 	case c.Evicted(): // counted as a connection
 	case givenUp && stalled:
 		m.CountGivenUp(ReasonStalled)
-		return &protocolError{status: http.StatusRequestTimeout, err: ErrGivenUp}
+		return &protocolError{reason: rejectedStalled, err: ErrGivenUp}
 	case givenUp:
 		m.CountGivenUp(ReasonMemory)
-		return &protocolError{
-			status: http.StatusServiceUnavailable, err: ErrGivenUp, header: http.Header{"Retry-After": {RetryAfter()}},
-		}
+		return &protocolError{reason: rejectedMemory, err: ErrGivenUp, header: http.Header{"Retry-After": {RetryAfter()}}}
 	case !errors.As(err, &pe):
-	case pe.status == http.StatusRequestEntityTooLarge:
+	case pe.reason == rejectedLongBody:
 		m.CountGivenUp(ReasonTooLong)
-	case pe.status == http.StatusRequestTimeout:
+	case pe.reason == rejectedSlowBody:
 		m.CountGivenUp(ReasonTimeout)
 	}
 	return err
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/laburnummux/laburnummux/internal/budget"
@@ -25,6 +27,7 @@
 	conns   *prometheus.CounterVec
 	others  *prometheus.CounterVec // as conns, of the other addresses
 	windows *prometheus.CounterVec
+	rejects *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a Server and of its budget.
@@ -43,10 +46,13 @@
 	m.windows = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "laburnummux_long_bodies_total", Help: "Long bodies of callers' requests by the size of the receive buffer that they were read with: short if the memory of bodies was in use.",
 	}, []string{"buffer"})
+	m.rejects = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_requests_rejected_total", Help: "Callers' requests that were refused while they were read, by reason and status.",
+	}, []string{"reason", "status"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "laburnummux_body_bytes", Help: "Memory of the headers and bodies of callers' requests, and of servers' responses.",
 	}, func() float64 { return float64(b.Used()) })
-	reg.MustRegister(m.givenUp, m.conns, m.others, m.windows, held)
+	reg.MustRegister(m.givenUp, m.conns, m.others, m.windows, m.rejects, held)
 	return m
 }
 
@@ -63,7 +69,7 @@
 	if m == nil {
 		return nil
 	}
-	return &Metrics{givenUp: m.givenUp, windows: m.windows, conns: m.others.MustCurryWith(prometheus.Labels{"address": name})}
+	return &Metrics{givenUp: m.givenUp, windows: m.windows, rejects: m.rejects, conns: m.others.MustCurryWith(prometheus.Labels{"address": name})}
 }
 
 // countLongBody counts a long body that was read with a large receive buffer, or a
@@ -79,6 +85,12 @@
 	m.windows.WithLabelValues(buffer).Inc()
 }
 
+func (m *Metrics) countRejection(r rejection) {
+	if m != nil {
+		m.rejects.WithLabelValues(r.String(), strconv.Itoa(r.status())).Inc()
+	}
+}
+
 func (m *Metrics) countConn(reason string) {
 	if m != nil {
 		m.conns.WithLabelValues(reason).Inc()
--- /dev/null
+++ b/internal/caller/reject_test.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/intent"
+)
+
+// rejecting is a server whose log and metrics are read by a test.
+type rejecting struct {
+	listener net.Listener
+	logs     *observer.ObservedLogs
+	registry *prometheus.Registry
+}
+
+func newRejecting(t *testing.T, limits intent.Limits) *rejecting {
+	core, logs := observer.New(zap.InfoLevel)
+	r := &rejecting{logs: logs, registry: prometheus.NewRegistry()}
+	b := budget.New(DefaultBudget)
+	s := New(Config{
+		Handle: func(context.Context, *Request) Response { return Response{Status: http.StatusOK} },
+		Limits: func() intent.Limits { return limits }, Version: func() uint64 { return 7 },
+		Log: zap.New(core), Budget: b, Metrics: NewMetrics(r.registry, b),
+	})
+	var err error
+	if r.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.listener.Close() })
+	a := &acceptor{server: s, listener: r.listener}
+	go a.run()
+	return r
+}
+
+// send sends a part of a request on a connection of its own, and returns the status of
+// the response, or 0 if the connection is closed without one.
+func (r *rejecting) send(t *testing.T, part string) (status int) {
+	c, err := net.Dial("tcp", r.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err = io.WriteString(c, part); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// rejections returns the counter of rejections by "reason status".
+func (r *rejecting) rejections(t *testing.T) map[string]int {
+	families, err := r.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for _, f := range families {
+		if f.GetName() != "laburnummux_requests_rejected_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			counts[m.GetLabel()[0].GetValue()+" "+m.GetLabel()[1].GetValue()] = int(m.GetCounter().GetValue())
+		}
+	}
+	return counts
+}
+
+// Guards against a rejected request that neither the log nor a counter explains.
+func TestRejectionsAreReported(t *testing.T) {
+	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: clock.Second}
+	long := strings.Repeat("x", 2000)
+	tests := []struct {
+		name   string
+		send   string
+		status int
+		why    string
+		path   string
+	}{
+		{"malformed", "GET\r\n\r\n", 400, "header", ""},
+		{"long header", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + long + "\r\n\r\n", 431, "long-header", ""},
+		{"long body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", 413, "long-body", "/a"},
+		{"malformed chunk", "POST /" + long[:100] + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n", 400, "body", "/" + long[:maxLoggedBytes-1]},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRejecting(t, limits)
+			is.Equal(r.send(t, tt.send), tt.status)
+			is.Equal(r.rejections(t), map[string]int{fmt.Sprint(tt.why, " ", tt.status): 1})
+			lines := r.logs.FilterMessage("request rejected").All()
+			is.Equal(len(lines), 1)
+			m := lines[0].ContextMap()
+			is.Equal(m["why"], tt.why)
+			is.Equal(m["status"], int64(tt.status))
+			is.Equal(m["config"], uint64(7))
+			is.True(m["bytes"].(int64) > 0)
+			is.True(len(m["error"].(string)) <= maxErrorBytes)
+			if tt.path != "" {
+				is.Equal(m["vhost"], "h")
+				is.Equal(m["path"], tt.path)
+			}
+		})
+	}
+}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -132,7 +132,7 @@
 	m := caller.NewMetrics(cfg.Registry, bodies)
 	maxConns := s.maxCallerConns()
 	h.callers = caller.New(caller.Config{
-		Handle: h.relay.Handle, Limits: h.limits, Log: cfg.Log,
+		Handle: h.relay.Handle, Limits: h.limits, Version: h.ConfigVersion, Log: cfg.Log,
 		Budget: bodies, MaxConns: maxConns, ReadBuffer: s.capacity().CallerBounds(maxConns).ReadBuffer, Metrics: m,
 	})
 	h.operators = caller.NewBounds("operators", s.maxOperatorConns(), bodies, m, cfg.Log)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -74,6 +74,7 @@
 	openedConn bool          // a connection was opened for it
 	leftAt     stage         // when its caller disconnected
 	lastErr    error
+	unsigned   bool // the final response is a server's that it didn't sign
 	// admissionDone ends its admission to the server that it is placed on, or is nil.
 	admissionDone func(place.Result)
 }
@@ -314,6 +315,7 @@
 		return resp, false
 	case answered:
 		if !result.placement.Failed || !idempotent || c.pause(result.reply) > 0 || !c.takeRetry() {
+			c.unsigned = !result.reply.Signed
 			return c.finish(caller.Response{Status: res.Status, Header: endToEnd(res.Header), Body: res.Body, Hold: res.Hold}, reasonAnswered), true
 		}
 		c.mayHaveRun = true
@@ -408,13 +410,25 @@
 	r := c.relay
 	took := r.cfg.Clock.Now().Sub(c.started)
 	r.cfg.Metrics.observeRequest(c.service, why, resp.Status, took)
+	if c.unsigned {
+		r.cfg.Metrics.observeUnsigned(c.service, resp.Status)
+	}
 	if ce := r.cfg.Log.Check(zap.InfoLevel, "request"); ce != nil {
 		fields := []zap.Field{
 			zap.String("id", c.meta.ID), zap.String("why", why), zap.Int("status", resp.Status), zap.Int64("ms", int64(took)),
 			zap.Int64("queuedMs", int64(c.queueTime)), zap.Int("sends", c.sends),
 		}
+		if c.cfg != nil {
+			fields = append(fields, zap.Uint64("config", c.cfg.Version()))
+		}
 		if c.route != nil {
-			fields = append(fields, zap.Uint64("config", c.cfg.Version()), zap.String("route", c.route.Name), zap.String("service", string(c.service)))
+			fields = append(fields, zap.String("route", c.route.Name), zap.String("service", string(c.service)))
+		}
+		if why == reasonNoRoute {
+			fields = append(fields, zap.String("vhost", caller.LogText(c.req.Host)), zap.String("path", caller.LogText(c.req.Path)))
+		}
+		if why == reasonAnswered && resp.Status >= http.StatusBadRequest {
+			fields = append(fields, zap.Bool("signed", !c.unsigned))
 		}
 		if c.meta.HasKey {
 			fields = append(fields, zap.Uint16("key", uint16(c.meta.Key)))
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -18,6 +18,7 @@
 	sends       *prometheus.CounterVec
 	connsOpened prometheus.Counter
 	mismatched  prometheus.Counter
+	unsigned    *prometheus.CounterVec
 	callersLeft *prometheus.CounterVec
 	tickDelay   prometheus.Histogram
 	coldMetrics
@@ -41,11 +42,14 @@
 	m.callersLeft = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "laburnummux_callers_left_total", Help: "Requests whose caller left before the final response, by service and where the request was.",
 	}, []string{"service", "stage"})
+	m.unsigned = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_unsigned_responses_total", Help: "Responses of servers without a signature that were passed on, by service and status.",
+	}, []string{"service", "status"})
 	m.tickDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "laburnummux_tick_delay_seconds", Help: "How late the process is: the delay of a timer that expires 20 to 100 times a second.", Buckets: prometheus.ExponentialBuckets(0.002, 4, 7),
 	})
 	m.coldMetrics = newColdMetrics(reg)
-	reg.MustRegister(m.requests, m.latency, m.sends, m.connsOpened, m.mismatched, m.callersLeft, m.tickDelay)
+	reg.MustRegister(m.requests, m.latency, m.sends, m.connsOpened, m.mismatched, m.callersLeft, m.tickDelay, m.unsigned)
 	return m
 }
 
@@ -57,6 +61,13 @@
 	m.latency.WithLabelValues(string(s)).Observe(took.Std().Seconds())
 }
 
+func (m *Metrics) observeUnsigned(s keys.Service, status int) {
+	if m == nil {
+		return
+	}
+	m.unsigned.WithLabelValues(string(s), strconv.Itoa(status)).Inc()
+}
+
 func (m *Metrics) observeCallerLeft(s keys.Service, at stage) {
 	if m == nil {
 		return
