caller: a request that ends early isn't rejected as malformed

Callers whose header was cut within a line by its timeout got 400, and 400 was counted for callers that had disconnected. bufio.Reader.ReadLine returns the first part of a line and drops the error, so http.ReadRequest parsed it as if it were complete; the end of a body in chunks has an error of its own, which isn't io.ErrUnexpectedEOF. The text of the parser's error decided.

Change: the connection's last error of reading is kept, and decides. A timeout gives 408, which promises that the request has not run; before, a header that was cut between two lines was closed without a response. A disconnected caller gets none. An invalid escape in a path now gets 400 and not a closed connection: *url.Error was taken for an error of the network.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -79,9 +79,10 @@
 
 // Server serves the requests of callers' connections.
 type Server struct {
-	cfg      Config
-	conns    *Conns
-	draining atomic.Bool
+	cfg         Config
+	conns       *Conns
+	bodyTimeout time.Duration // for the reading of a request body
+	draining    atomic.Bool
 }
 
 // New returns a Server without connections.
@@ -89,7 +90,7 @@
 	if cfg.Budget == nil {
 		cfg.Budget = budget.New(DefaultBudget)
 	}
-	s := &Server{cfg: cfg, conns: NewConns(cfg.MaxConns, cfg.Metrics)}
+	s := &Server{cfg: cfg, conns: NewConns(cfg.MaxConns, cfg.Metrics), bodyTimeout: bodyTimeout}
 	s.conns.LogPressure("callers", cfg.Log)
 	return s
 }
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -119,10 +119,11 @@
 
 // handleReadError handles the error that ends the reading of requests. An
 // invalid request gets an error response after the responses to the requests
-// in progress. If the caller has disconnected, these are cancelled.
+// in progress. If the caller has disconnected, or the last response is being
+// written, these are cancelled.
 func (c *conn) handleReadError(err error) {
 	var pe *protocolError
-	if !errors.As(err, &pe) {
+	if !errors.As(err, &pe) || c.closing.Load() {
 		if !errors.Is(err, errIdle) {
 			c.cancel()
 		}
@@ -175,13 +176,7 @@
 	}
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
-		switch {
-		case c.limited.N <= 0:
-			return nil, &protocolError{reason: rejectedLongHeader, err: err}
-		case isDisconnect(err):
-			return nil, err
-		}
-		return nil, &protocolError{reason: rejectedHeader, err: err}
+		return nil, c.headerError(err)
 	}
 	c.inHead = false
 	c.limited.N = limits.BodyBytes + int64(limits.HeaderBytes) + readBufferBytes
@@ -207,11 +202,26 @@
 	return &exchange{req: req, hold: c.takeHold(), isHead: r.Method == http.MethodHead, close: r.Close, done: make(chan struct{})}, nil
 }
 
-// isDisconnect reports whether err means that the connection is closed, broken
-// or timed out, as opposed to an invalid request.
-func isDisconnect(err error) bool {
-	var ne net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne) || errors.Is(err, net.ErrClosed)
+// headerError returns the error of a header that http.ReadRequest didn't accept. It
+// parses what was received before the connection ended as if it were complete, and
+// then returns an error about that.
+func (c *conn) headerError(err error) error {
+	switch {
+	case c.readErr != nil:
+		return c.endOfInput(rejectedSlowHeader)
+	case c.limited.N <= 0:
+		return &protocolError{reason: rejectedLongHeader, err: err}
+	}
+	return &protocolError{reason: rejectedHeader, err: err}
+}
+
+// endOfInput returns the error of a request whose input has ended before it was
+// complete: the caller is too slow, or has disconnected.
+func (c *conn) endOfInput(slow rejection) error {
+	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+		return &protocolError{reason: slow, err: c.readErr}
+	}
+	return c.readErr
 }
 
 // awaitRequest waits for the first byte of a request. A connection isn't idle
@@ -222,14 +232,12 @@
 			return err
 		}
 		_, err := c.reader.Peek(1)
-		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() {
-			if c.pending.Load() > 0 {
-				continue
-			}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if c.pending.Load() == 0 {
 			return errIdle
 		}
-		return err
 	}
 }
 
@@ -245,18 +253,19 @@
 			return b, err
 		}
 	}
-	if err = c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err = c.setReadDeadline(time.Now().Add(c.server.bodyTimeout)); err != nil {
 		return b, err
 	}
 	b, err = segment.Read(r.Body, r.ContentLength, maxBytes, c.count)
-	var ne net.Error
 	switch {
+	case err == nil:
+		return b, nil
 	case errors.Is(err, segment.ErrTooLong):
 		return b, &protocolError{reason: rejectedLongBody, err: fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
-	case errors.As(err, &ne) && ne.Timeout():
-		return b, &protocolError{reason: rejectedSlowBody, err: err}
-	case err != nil && !isDisconnect(err):
-		return b, &protocolError{reason: rejectedBody, err: err}
+	case c.readErr != nil:
+		return b, c.endOfInput(rejectedSlowBody)
+	case c.limited.N <= 0:
+		return b, err // its chunks have more lines than bytes
 	}
-	return b, err
+	return b, &protocolError{reason: rejectedBody, err: err}
 }
--- a/internal/caller/reject.go
+++ b/internal/caller/reject.go
@@ -16,6 +16,7 @@
 const (
 	rejectedHeader     rejection = iota // header
 	rejectedLongHeader                  // long-header
+	rejectedSlowHeader                  // slow-header
 	rejectedBody                        // body
 	rejectedLongBody                    // long-body
 	rejectedSlowBody                    // slow-body
@@ -30,7 +31,7 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case rejectedLongBody:
 		return http.StatusRequestEntityTooLarge
-	case rejectedSlowBody, rejectedStalled:
+	case rejectedSlowHeader, rejectedSlowBody, rejectedStalled:
 		return http.StatusRequestTimeout
 	case rejectedMemory:
 		return http.StatusServiceUnavailable
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -26,13 +26,14 @@
 	listener net.Listener
 	logs     *observer.ObservedLogs
 	registry *prometheus.Registry
+	server   *Server
 }
 
 func newRejecting(t *testing.T, limits intent.Limits) *rejecting {
 	core, logs := observer.New(zap.InfoLevel)
 	r := &rejecting{logs: logs, registry: prometheus.NewRegistry()}
 	b := budget.New(DefaultBudget)
-	s := New(Config{
+	r.server = New(Config{
 		Handle: func(context.Context, *Request) Response { return Response{Status: http.StatusOK} },
 		Limits: func() intent.Limits { return limits }, Version: func() uint64 { return 7 },
 		Log: zap.New(core), Budget: b, Metrics: NewMetrics(r.registry, b),
@@ -42,7 +43,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { r.listener.Close() })
-	a := &acceptor{server: s, listener: r.listener}
+	a := &acceptor{server: r.server, listener: r.listener}
 	go a.run()
 	return r
 }
@@ -121,3 +122,58 @@
 		})
 	}
 }
+
+// Guards against a request that ends early and is rejected as if it were malformed.
+func TestIncompleteRequestIsNotMalformed(t *testing.T) {
+	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: 200 * clock.Millisecond, Idle: clock.Second}
+	const chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct {
+		name string
+		send string
+	}{
+		{"method", "GE"},
+		{"request line", "GET /a HT"},
+		{"header name", "GET /a HTTP/1.1\r\nHo"},
+		{"header value", "GET /a HTTP/1.1\r\nHost: h\r\nX: "},
+		{"header line", "GET /a HTTP/1.1\r\nHost: h\r\n"},
+		{"end of header", "GET /a HTTP/1.1\r\nHost: h\r\n\r"},
+		{"body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx"},
+		{"chunk size", chunked + "3"},
+		{"chunk", chunked + "3\r\nx"},
+		{"end of chunk", chunked + "3\r\nxyz\r"},
+		{"last chunk", chunked + "3\r\nxyz\r\n0\r\n"},
+		{"end of body", chunked + "3\r\nxyz\r\n0\r\n\r"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := newRejecting(t, limits)
+			r.server.bodyTimeout = limits.HeaderWait.Std()
+			is.Equal(r.send(t, tt.send), http.StatusRequestTimeout)
+			for reason := range r.rejections(t) {
+				is.True(strings.HasSuffix(reason, " 408"))
+			}
+		})
+	}
+}
+
+// Guards against a rejection of a caller that disconnects in the middle of a request.
+func TestDisconnectIsNoRejection(t *testing.T) {
+	tests := []string{"GE", "GET /a HTTP/1.1\r\nHo", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n"}
+	for _, part := range tests {
+		t.Run(fmt.Sprintf("%q", part), func(t *testing.T) {
+			is := is.New(t)
+			r := newRejecting(t, intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: clock.Second})
+			c, err := net.Dial("tcp", r.listener.Addr().String())
+			is.NoErr(err)
+			_, err = io.WriteString(c, part)
+			is.NoErr(err)
+			is.NoErr(c.(*net.TCPConn).CloseWrite())
+			_, err = io.ReadAll(c) // until the server has closed the connection
+			is.NoErr(err)
+			is.Equal(r.rejections(t), map[string]int{})
+			c.Close()
+		})
+	}
+}
--- a/internal/caller/rejection_string.go
+++ b/internal/caller/rejection_string.go
@@ -10,16 +10,17 @@
 	var x [1]struct{}
 	_ = x[rejectedHeader-0]
 	_ = x[rejectedLongHeader-1]
-	_ = x[rejectedBody-2]
-	_ = x[rejectedLongBody-3]
-	_ = x[rejectedSlowBody-4]
-	_ = x[rejectedStalled-5]
-	_ = x[rejectedMemory-6]
+	_ = x[rejectedSlowHeader-2]
+	_ = x[rejectedBody-3]
+	_ = x[rejectedLongBody-4]
+	_ = x[rejectedSlowBody-5]
+	_ = x[rejectedStalled-6]
+	_ = x[rejectedMemory-7]
 }
 
-const _rejection_name = "headerlong-headerbodylong-bodyslow-bodystalledmemory"
+const _rejection_name = "headerlong-headerslow-headerbodylong-bodyslow-bodystalledmemory"
 
-var _rejection_index = [...]uint8{0, 6, 17, 21, 30, 39, 46, 52}
+var _rejection_index = [...]uint8{0, 6, 17, 28, 32, 41, 50, 57, 63}
 
 func (i rejection) String() string {
 	idx := int(i) - 0
