caller: skip an empty line before a request

A caller that sends an empty line after a body, or before its first request, got 400. RFC 9112, section 2.2, asks servers to ignore at least one.

Change: awaitRequest skips one, CR LF or LF alone; a second one is still an invalid request. The connection stays idle meanwhile.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -225,13 +225,51 @@
 }
 
 // awaitRequest waits for the first byte of a request. A connection isn't idle
-// while a response is pending.
+// while a response is pending. One empty line before the request is skipped.
 func (c *conn) awaitRequest(idle clock.Span) error {
+	if err := c.awaitInput(idle, 1); err != nil {
+		return err
+	}
+	first, err := c.reader.Peek(1)
+	if err != nil {
+		return err
+	}
+	switch first[0] {
+	case '\n':
+		return c.skipLine(idle, 1)
+	case '\r':
+		return c.skipEmptyLine(idle)
+	}
+	return nil
+}
+
+// skipEmptyLine skips an empty line that ends with CR and LF.
+func (c *conn) skipEmptyLine(idle clock.Span) error {
+	if err := c.awaitInput(idle, len("\r\n")); err != nil {
+		return err
+	}
+	line, err := c.reader.Peek(len("\r\n"))
+	if err != nil || line[1] != '\n' {
+		return err
+	}
+	return c.skipLine(idle, len(line))
+}
+
+// skipLine skips a number of buffered bytes and waits for the byte that follows them.
+func (c *conn) skipLine(idle clock.Span, n int) error {
+	if _, err := c.reader.Discard(n); err != nil {
+		return err
+	}
+	return c.awaitInput(idle, 1)
+}
+
+// awaitInput waits until at least n bytes are buffered.
+func (c *conn) awaitInput(idle clock.Span, n int) error {
 	for {
 		if err := c.netConn.SetReadDeadline(time.Now().Add(idle.Std())); err != nil {
 			return err
 		}
-		_, err := c.reader.Peek(1)
+		_, err := c.reader.Peek(n)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -177,3 +177,35 @@
 		})
 	}
 }
+
+// Guards against an empty line before a request that has it rejected (RFC 9112, section 2.2).
+func TestEmptyLineBeforeRequest(t *testing.T) {
+	tests := []struct {
+		name string
+		send string
+		want []int
+	}{
+		{"first request", "\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{200}},
+		{"line feed", "\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{200}},
+		{"after a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []int{200, 200}},
+		{"two lines", "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{400}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRejecting(t, intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: clock.Second})
+			c, err := net.Dial("tcp", r.listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+			_, err = io.WriteString(c, tt.send)
+			is.NoErr(err)
+			reader := bufio.NewReader(c)
+			for _, status := range tt.want {
+				resp, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, status)
+			}
+		})
+	}
+}
