caller: a host without a configuration answers 503 to long requests

Callers with a body over 1 MiB or a header over 16 KiB got 413 or 431 from a host that had just started, or started in an outage of the store, though the operator's limits allowed their requests. Such a host knows no limits; it applied its own as if they were the operator's. The class: a default that stands for a value that isn't known yet decides a final response.

Change: without a configuration a request beyond these limits is refused as not run, with a Retry-After, and the reason no-config.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -38,20 +38,23 @@
 	server    *Server
 	socket    syscall.RawConn // of netConn
 	reader    *bufio.Reader
-	hold      *budget.Hold      // memory of the request that is being read, see count; of run
-	counted   int64             // its memory, with or without a hold; of run
-	window    Window            // of run
-	inRequest bool              // a request is being read; of run
-	inHead    bool              // its header is being read; of run
-	received  int64             // bytes read from the socket since it began; of run
-	readErr   error             // last error of the socket; of run
-	limited   *io.LimitedReader // source of reader
-	ctx       context.Context
-	cancel    context.CancelFunc
-	exchanges chan *exchange
-	waitMu    sync.Mutex
-	waiting   bool        // run is in awaitPending and reads nothing; guarded by waitMu
-	closing   atomic.Bool // the last response is being written
+	hold      *budget.Hold // memory of the request that is being read, see count; of run
+	counted   int64        // its memory, with or without a hold; of run
+	window    Window       // of run
+	inRequest bool         // a request is being read; of run
+	inHead    bool         // its header is being read; of run
+	received  int64        // bytes read from the socket since it began; of run
+	readErr   error        // last error of the socket; of run
+	// configured says that the limits of the request that is being read are those of a
+	// configuration; of run.
+	configured bool
+	limited    *io.LimitedReader // source of reader
+	ctx        context.Context
+	cancel     context.CancelFunc
+	exchanges  chan *exchange
+	waitMu     sync.Mutex
+	waiting    bool        // run is in awaitPending and reads nothing; guarded by waitMu
+	closing    atomic.Bool // the last response is being written
 }
 
 // exchange is a request and its response, which is set when done is closed.
@@ -162,6 +165,7 @@
 
 // readExchange reads a request with its body.
 func (c *conn) readExchange() (ex *exchange, err error) {
+	c.configured = c.server.configured() // before the limits, which may change in between
 	limits := c.server.cfg.Limits()
 	c.limited.N = int64(limits.HeaderBytes)
 	if err = c.awaitRequest(limits.Idle); err != nil {
@@ -210,11 +214,20 @@
 	case c.readErr != nil:
 		return c.endOfInput(rejectedSlowHeader)
 	case c.limited.N <= 0:
-		return &protocolError{reason: rejectedLongHeader, err: err}
+		return c.tooLong(rejectedLongHeader, err)
 	}
 	return &protocolError{reason: rejectedHeader, err: err}
 }
 
+// tooLong returns the error of a request that exceeds a limit. Without a configuration
+// it may be within the operator's limits, and can be sent again later.
+func (c *conn) tooLong(reason rejection, err error) error {
+	if !c.configured {
+		return &protocolError{reason: rejectedNoConfig, err: err, header: http.Header{"Retry-After": {RetryAfter()}}}
+	}
+	return &protocolError{reason: reason, err: err}
+}
+
 // endOfInput returns the error of a request whose input has ended before it was
 // complete: the caller is too slow, or has disconnected.
 func (c *conn) endOfInput(slow rejection) error {
@@ -281,7 +294,7 @@
 
 func (c *conn) readBody(r *http.Request, maxBytes int64) (b segment.Body, err error) {
 	if r.ContentLength > maxBytes {
-		return b, &protocolError{reason: rejectedLongBody, err: fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength)}
+		return b, c.tooLong(rejectedLongBody, fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength))
 	}
 	if r.ContentLength == 0 {
 		return b, nil
@@ -299,7 +312,7 @@
 	case err == nil:
 		return b, nil
 	case errors.Is(err, segment.ErrTooLong):
-		return b, &protocolError{reason: rejectedLongBody, err: fmt.Errorf("body exceeds the limit of %d bytes", maxBytes)}
+		return b, c.tooLong(rejectedLongBody, fmt.Errorf("body exceeds the limit of %d bytes", maxBytes))
 	case c.readErr != nil:
 		return b, c.endOfInput(rejectedSlowBody)
 	case c.limited.N <= 0:
--- a/internal/caller/reject.go
+++ b/internal/caller/reject.go
@@ -22,6 +22,7 @@
 	rejectedSlowBody                    // slow-body
 	rejectedStalled                     // stalled
 	rejectedMemory                      // memory
+	rejectedNoConfig                    // no-config
 )
 
 // status returns the status of the response.
@@ -33,7 +34,7 @@
 		return http.StatusRequestEntityTooLarge
 	case rejectedSlowHeader, rejectedSlowBody, rejectedStalled:
 		return http.StatusRequestTimeout
-	case rejectedMemory:
+	case rejectedMemory, rejectedNoConfig:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
--- a/internal/caller/rejection_string.go
+++ b/internal/caller/rejection_string.go
@@ -16,11 +16,12 @@
 	_ = x[rejectedSlowBody-5]
 	_ = x[rejectedStalled-6]
 	_ = x[rejectedMemory-7]
+	_ = x[rejectedNoConfig-8]
 }
 
-const _rejection_name = "headerlong-headerslow-headerbodylong-bodyslow-bodystalledmemory"
+const _rejection_name = "headerlong-headerslow-headerbodylong-bodyslow-bodystalledmemoryno-config"
 
-var _rejection_index = [...]uint8{0, 6, 17, 28, 32, 41, 50, 57, 63}
+var _rejection_index = [...]uint8{0, 6, 17, 28, 32, 41, 50, 57, 63, 72}
 
 func (i rejection) String() string {
 	idx := int(i) - 0
