relay: a server's unsigned failure isn't passed on

Callers of proper requests got a 4xx that nobody had signed, for example from a faulty server or from something that responds at its address: to them the host had turned the request away. classify took every unsigned status of 400 or more, other than 408, 421, 429 and 503, for the server's own failure. The class: a response is trusted by its status, and not by what proves where it comes from.

Change: a response without a signature is never passed on. An idempotent request is sent once more if its budget allows; otherwise the caller gets 502, which promises nothing, as the request may have run. Unsigned 408, 429 and 503 were treated so before, so the codec needn't tell these statuses apart any more. The counter and the cause in the log name the status.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -74,7 +74,6 @@
 	openedConn bool          // a connection was opened for it
 	leftAt     stage         // when its caller disconnected
 	lastErr    error
-	unsigned   bool // the final response is a server's that it didn't sign
 	// admissionDone ends its admission to the server that it is placed on, or is nil.
 	admissionDone func(place.Result)
 }
@@ -265,6 +264,15 @@
 	outcome   sendOutcome
 	reply     Reply
 	placement place.Result
+	err       error
+}
+
+// unsignedError is the error of a response that the server didn't sign: something
+// between it and this host may have sent it. The value is the status.
+type unsignedError int
+
+func (e unsignedError) Error() string {
+	return "relay: response without a signature, status " + strconv.Itoa(int(e))
 }
 
 // classify derives the outcome of a send, and its result for placement.
@@ -280,7 +288,7 @@
 	case res.Err != nil:
 		result.outcome, result.placement.ConnFailed = connLost, true
 	}
-	if res.Err != nil {
+	if result.err = res.Err; res.Err != nil {
 		return result
 	}
 	result.reply = c.relay.cfg.Codec.Reply(res.Status, res.Header)
@@ -289,8 +297,11 @@
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
-	case res.Header.Get("Content-Encoding") != "",
-		!result.reply.Signed && (res.Status < http.StatusBadRequest || result.reply.NotRunStatus):
+	case !result.reply.Signed:
+		result.err = unsignedError(res.Status)
+		c.relay.cfg.Metrics.observeUnsigned(c.service, res.Status)
+		result.outcome, result.placement.Failed = mismatched, true
+	case res.Header.Get("Content-Encoding") != "":
 		result.outcome, result.placement.Failed = mismatched, true
 	default:
 		result.outcome, result.placement.Failed = answered, res.Status >= http.StatusInternalServerError
@@ -301,7 +312,7 @@
 // nextStep returns the final response, or final = false if the request is to be
 // sent again.
 func (c *call) nextStep(ctx context.Context, sv fleet.Server, res link.Result, result sendResult) (resp caller.Response, final bool) {
-	c.lastErr = res.Err
+	c.lastErr = result.err
 	c.openedConn = c.openedConn || res.NewConn
 	idempotent := c.route.Repeat == intent.Idempotent
 	switch result.outcome {
@@ -315,7 +326,6 @@
 		return resp, false
 	case answered:
 		if !result.placement.Failed || !idempotent || c.pause(result.reply) > 0 || !c.takeRetry() {
-			c.unsigned = !result.reply.Signed
 			return c.finish(caller.Response{Status: res.Status, Header: endToEnd(res.Header), Body: res.Body, Hold: res.Hold}, reasonAnswered), true
 		}
 		c.mayHaveRun = true
@@ -410,9 +420,6 @@
 	r := c.relay
 	took := r.cfg.Clock.Now().Sub(c.started)
 	r.cfg.Metrics.observeRequest(c.service, why, resp.Status, took)
-	if c.unsigned {
-		r.cfg.Metrics.observeUnsigned(c.service, resp.Status)
-	}
 	if ce := r.cfg.Log.Check(zap.InfoLevel, "request"); ce != nil {
 		fields := []zap.Field{
 			zap.String("id", c.meta.ID), zap.String("why", why), zap.Int("status", resp.Status), zap.Int64("ms", int64(took)),
@@ -427,9 +434,6 @@
 		if why == reasonNoRoute {
 			fields = append(fields, zap.String("vhost", caller.LogText(c.req.Host)), zap.String("path", caller.LogText(c.req.Path)))
 		}
-		if why == reasonAnswered && resp.Status >= http.StatusBadRequest {
-			fields = append(fields, zap.Bool("signed", !c.unsigned))
-		}
 		if c.meta.HasKey {
 			fields = append(fields, zap.Uint16("key", uint16(c.meta.Key)))
 		}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -22,8 +22,6 @@
 	ID     string // Meta.ID of the request that the response belongs to
 	Signed bool
 	NotRun bool // the server didn't run the request and never will
-	// NotRunStatus says that a caller takes the status for NotRun.
-	NotRunStatus bool
 	// Leaving means that the server is about to end.
 	Leaving bool
 	// Pause is how long a server that rejected the request wants no other one from
--- a/internal/relay/report_test.go
+++ b/internal/relay/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,7 +13,10 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/intent"
+	"github.com/laburnummux/laburnummux/internal/link"
+	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
 // Guards against a 404 in the log without the configuration, host and path it was about.
@@ -32,25 +36,39 @@
 	is.Equal(m["path"], path[:64])
 }
 
-// Guards against a server's failure in the log that doesn't say whether the server signed it.
-func TestUnsignedFailureIsReported(t *testing.T) {
-	for _, unsigned := range []bool{false, true} {
-		t.Run(map[bool]string{false: "signed", true: "unsigned"}[unsigned], func(t *testing.T) {
+// Guards against an unsigned response that neither the log nor a counter explains.
+func TestUnsignedResponseIsReported(t *testing.T) {
+	for _, signed := range []bool{true, false} {
+		t.Run(fmt.Sprint("signed ", signed), func(t *testing.T) {
 			is := is.New(t)
 			core, logs := observer.New(zap.InfoLevel)
 			reg := prometheus.NewRegistry()
 			r := newRelay()
-			r.cfg.Log, r.cfg.Metrics = zap.New(core), NewMetrics(reg)
-			c := &call{relay: r, service: "ledger", unsigned: unsigned}
-			c.finish(caller.Response{Status: http.StatusNotFound}, reasonAnswered)
-			is.Equal(logs.All()[0].ContextMap()["signed"], !unsigned)
+			r.cfg.Log, r.cfg.Metrics, r.cfg.Codec = zap.New(core), NewMetrics(reg), replyCodec(signed)
+			c := &call{relay: r, service: "ledger"}
+			result := c.classify(context.Background(), link.Result{Sent: true, Status: http.StatusNotFound})
+			is.Equal(result.outcome == answered, signed)
+			c.lastErr = result.err
+			c.finish(caller.Response{Status: http.StatusBadGateway}, reasonAnswerLost)
+			cause, ok := logs.All()[0].ContextMap()["cause"].(string)
+			is.Equal(ok, !signed)
+			is.Equal(strings.Contains(cause, "404"), !signed)
 			families, err := reg.Gather()
 			is.NoErr(err)
 			counted := false
 			for _, f := range families {
 				counted = counted || f.GetName() == "laburnummux_unsigned_responses_total"
 			}
-			is.Equal(counted, unsigned)
+			is.Equal(counted, !signed)
 		})
 	}
 }
+
+// replyCodec reads every response as signed, or every one as unsigned.
+type replyCodec bool
+
+func (replyCodec) Meta(http.Header) Meta { return Meta{} }
+
+func (replyCodec) Forward(http.Header, clock.Span, keys.Server) {}
+
+func (s replyCodec) Reply(int, http.Header) Reply { return Reply{Signed: bool(s)} }
