caller: new connections that send nothing make room before a request that is being sent

An ordinary caller's request was closed while it was being sent, beside new connections from other addresses that sent nothing. Since a new connection counts like an incomplete request for its first second, and among addresses with as many connections the oldest was closed: the request.

Change: connections know when they last received bytes. An address with more connections still goes first, and idle connections before all.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -49,9 +50,9 @@
 }
 
 // Admit adds a connection. If there are as many as allowed, it closes another one: the
-// one that has been idle for longest, else the one of the address with most
-// connections that has been reading a request for longest, or awaiting its first one. It
-// returns false if none can be closed, because all have requests in progress.
+// one that has been idle for longest, else one of the address with most connections
+// whose request is incomplete. It returns false if none
+// can be closed, because all have requests in progress.
 func (s *Conns) Admit(t *Tracked) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,28 +121,35 @@
 // victim returns the connection that is closed to make room, or nil, among
 // maxScanned random ones, or up to maxSearched if none of those can be. s.mu is held.
 func (s *Conns) victim() (v *Tracked, reason string) {
-	var idle, incomplete *Tracked
+	var use expendability
+	now := time.Now()
 	scanned := 0
 	for t := range s.open {
-		if scanned++; scanned > maxSearched || scanned > maxScanned && (idle != nil || incomplete != nil) {
+		if scanned++; scanned > maxSearched || scanned > maxScanned && v != nil {
 			break
 		}
-		switch {
-		case t.pending.Load() > 0:
-		case t.Idle() && !t.isNew():
-			if idle == nil || t.since.Load() < idle.since.Load() {
-				idle = t
-			}
-		case incomplete == nil, s.byAddress[t.address] > s.byAddress[incomplete.address],
-			s.byAddress[t.address] == s.byAddress[incomplete.address] && t.since.Load() < incomplete.since.Load():
-			incomplete = t
+		u := t.expendability(now)
+		if u != inProgress && (v == nil || s.goesBefore(t, u, v, use)) {
+			v, use = t, u
 		}
 	}
 	switch {
-	case idle != nil:
-		return idle, reasonIdle
-	case incomplete != nil:
-		return incomplete, reasonIncomplete
+	case v == nil:
+		return nil, reasonRefused
+	case use == idle:
+		return v, reasonIdle
 	}
-	return nil, reasonRefused
+	return v, reasonIncomplete
+}
+
+// goesBefore reports whether a connection is closed before another one: idle ones first,
+// then those of the address with most connections. s.mu is held.
+func (s *Conns) goesBefore(t *Tracked, use expendability, other *Tracked, otherUse expendability) bool {
+	if use == idle || otherUse == idle {
+		return use < otherUse || use == otherUse && t.since.Load() < other.since.Load()
+	}
+	if n, m := s.byAddress[t.address], s.byAddress[other.address]; n != m {
+		return n > m
+	}
+	return use < otherUse || use == otherUse && t.since.Load() < other.since.Load()
 }
--- a/internal/caller/bounds.go
+++ b/internal/caller/bounds.go
@@ -127,6 +127,9 @@
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	if n > 0 {
+		c.tracked.RecordInput()
+	}
 	switch {
 	case n == 0:
 	case c.content == Streams && !c.countRecent(int64(n)), c.content != Streams && !c.count(p[:n]):
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -71,6 +71,9 @@
 	n, err = c.netConn.Read(p)
 	c.received += int64(n)
 	c.readErr = err
+	if n > 0 {
+		c.RecordInput()
+	}
 	switch {
 	case !c.inRequest || n == 0:
 	case c.inHead:
--- a/internal/caller/tracked.go
+++ b/internal/caller/tracked.go
@@ -23,6 +23,7 @@
 	since   atomic.Int64 // when the last request began or was answered, Unix ns
 	pending atomic.Int32 // requests whose response isn't written
 	reading atomic.Bool  // a request has been received in part
+	input   atomic.Int64 // when bytes were last received, Unix ns; 0: never
 
 	mu      sync.Mutex
 	evicted bool               // the connection was closed to make room
@@ -30,6 +31,18 @@
 	cancel  context.CancelFunc // of the last request with OnEvict; may be nil
 }
 
+// expendability is what a connection is used for. Connections are closed to make room in
+// the order of the values, and never with the last one.
+type expendability int
+
+const (
+	idle           expendability = iota
+	stalledRequest               // a part of a request, and nothing more for a while
+	silent                       // new, and nothing received yet
+	incomplete                   // a request is being received
+	inProgress                   // a request awaits its response, or that is being read
+)
+
 // NewTracked returns a connection without requests.
 func NewTracked(nc net.Conn) *Tracked {
 	t := &Tracked{netConn: nc, address: addressOf(nc), opened: time.Now()}
@@ -122,6 +135,26 @@
 // isNew reports whether the connection may still be about to send its first request.
 func (t *Tracked) isNew() bool { return !t.used.Load() && time.Since(t.opened) < firstRequestTime }
 
+// RecordInput records that bytes were received.
+func (t *Tracked) RecordInput() { t.input.Store(time.Now().UnixNano()) }
+
+// expendability returns in which order connections of callers with equally many are
+// closed to make room.
+func (t *Tracked) expendability(now time.Time) expendability {
+	input := t.input.Load()
+	switch {
+	case t.pending.Load() > 0:
+		return inProgress
+	case t.Idle() && !t.isNew():
+		return idle
+	case input == 0:
+		return silent
+	case now.UnixNano()-input > int64(budget.StallTime):
+		return stalledRequest
+	}
+	return incomplete
+}
+
 // addressOf returns the address of a caller without the port.
 func addressOf(nc net.Conn) string {
 	host, _, err := net.SplitHostPort(nc.RemoteAddr().String())
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -138,6 +138,7 @@
 // received counts received bytes, which were read into a buffer of a size. It returns
 // false if the request was given up.
 func (c *callerConn) received(p []byte, size int) bool {
+	c.tracked.RecordInput()
 	var cost int64
 	if size <= httpBufferBytes {
 		cost = caller.HeadCost(p)
