caller: a connection whose caller doesn't read its response makes room for another

Ordinary callers were refused beside callers that don't read their responses: where all connections have requests in progress, a new one was closed at once, and a response that isn't read is in progress until its timeout of 10 s.

Change: a connection knows since when the write of a part of its response (64 KiB) is in progress. After 1 s it may be closed to make room, behind stopped requests and before silent connections; reason unread. Without too many connections nothing changes.

Evidence: TestRequestBesideStoppedCallers/response fails before (the connection is closed without a response) and passes with the change; its case of stopped bodies passes on both.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -51,7 +51,7 @@
 
 // Admit adds a connection. If there are as many as allowed, it closes another one: the
 // one that has been idle for longest, else one of the address with most connections
-// whose request is incomplete. It returns false if none
+// whose request is incomplete or whose response isn't being read. It returns false if none
 // can be closed, because all have requests in progress.
 func (s *Conns) Admit(t *Tracked) bool {
 	s.mu.Lock()
@@ -138,6 +138,8 @@
 		return nil, reasonRefused
 	case use == idle:
 		return v, reasonIdle
+	case use == unreadResponse:
+		return v, reasonUnread
 	}
 	return v, reasonIncomplete
 }
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +33,9 @@
 	// its connection, unless the connection has other requests in progress. Counting
 	// each short request took 3 of 18 microseconds.
 	UncountedBytes = 8 << 10
+	// maxWriteBytes is the longest part of a response that is written at once. A caller that
+	// doesn't read is noticed when a part isn't written.
+	maxWriteBytes = 64 << 10
 	// minRetryAfter and maxRetryAfter bound when the caller of a request that was given
 	// up for want of memory may send it again, in seconds: callers that are refused
 	// together come back one by one.
@@ -201,16 +205,26 @@
 // writeBody writes a long body without a copy, segment by segment.
 func (c *conn) writeBody(body segment.Body, h *budget.Hold) error {
 	for _, s := range body.Segments() {
-		if _, err := c.netConn.Write(s); err != nil {
-			return err
-		}
-		if h != nil {
-			h.Progress()
+		for part := range slices.Chunk(s, maxWriteBytes) {
+			if err := c.write(part); err != nil {
+				return err
+			}
+			if h != nil {
+				h.Progress()
+			}
 		}
 	}
 	return nil
 }
 
+// write writes a part of a response.
+func (c *conn) write(p []byte) error {
+	c.beginWrite()
+	defer c.endWrite()
+	_, err := c.netConn.Write(p)
+	return err
+}
+
 // release releases the memory of the exchange's response, which is written or
 // dropped.
 func (ex *exchange) release(m *Metrics) {
--- a/internal/caller/memory_test.go
+++ b/internal/caller/memory_test.go
@@ -319,6 +319,43 @@
 	is.Equal(status, 200)
 }
 
+// Guards against an ordinary request that is refused beside callers that don't read their
+// responses, or that stopped within a request, on all connections.
+func TestRequestBesideStoppedCallers(t *testing.T) {
+	tests := []struct {
+		name string
+		stop func(t *testing.T, c *client)
+	}{
+		{"response", func(t *testing.T, c *client) { c.post(t, 1, 1) }},
+		{"body", func(t *testing.T, c *client) { c.post(t, 100, 50) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			body := segment.Of(make([]byte, 32<<20))
+			_, addr := startBounded(t, 4, func(_ context.Context, r *Request) Response {
+				if r.Body.Len() == 1 {
+					return Response{Status: 200, Body: body}
+				}
+				return Response{Status: 200}
+			})
+			for i := range 4 {
+				tt.stop(t, connectFrom(t, fmt.Sprintf("127.0.1.%d", i+1), addr))
+			}
+			time.Sleep(budget.StallTime + 200*time.Millisecond)
+			ordinary := connect(t, addr)
+			ordinary.post(t, 100, 50)
+			for i := range 3 { // the stopped ones make room for these
+				connectFrom(t, fmt.Sprintf("127.0.2.%d", i+1), addr)
+			}
+			ordinary.Write(make([]byte, 50)) // fails if the connection was closed
+			status, _, _ := ordinary.response(t)
+			is.Equal(status, 200)
+		})
+	}
+}
+
 // Guards against requests that wait for memory after their connections were closed to make
 // room for others: they would be in no bound any more.
 func TestEvictedWhileWaiting(t *testing.T) {
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -18,6 +18,7 @@
 
 	reasonIdle       = "idle"       // closed without a request
 	reasonIncomplete = "incomplete" // closed with an incomplete request
+	reasonUnread     = "unread"     // closed with a response that its caller doesn't read
 	reasonRefused    = "refused"    // closed at once: all others have requests in progress
 )
 
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -111,7 +111,7 @@
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return true
 	}
-	if _, err := c.netConn.Write(b.Bytes()); err != nil {
+	if c.write(b.Bytes()) != nil {
 		return true
 	}
 	if c.writeBody(body, resp.Hold) != nil {
--- a/internal/caller/tracked.go
+++ b/internal/caller/tracked.go
@@ -24,6 +24,7 @@
 	pending atomic.Int32 // requests whose response isn't written
 	reading atomic.Bool  // a request has been received in part
 	input   atomic.Int64 // when bytes were last received, Unix ns; 0: never
+	blocked atomic.Int64 // since when the write in progress has written nothing, Unix ns; 0: there is none
 
 	mu      sync.Mutex
 	evicted bool               // the connection was closed to make room
@@ -38,6 +39,7 @@
 const (
 	idle           expendability = iota
 	stalledRequest               // a part of a request, and nothing more for a while
+	unreadResponse               // the caller has read nothing of a response for a while
 	silent                       // new, and nothing received yet
 	incomplete                   // a request is being received
 	inProgress                   // a request awaits its response, or that is being read
@@ -138,18 +140,27 @@
 // RecordInput records that bytes were received.
 func (t *Tracked) RecordInput() { t.input.Store(time.Now().UnixNano()) }
 
+// beginWrite records that a part of a response is about to be written, and endWrite that
+// it was.
+func (t *Tracked) beginWrite() { t.blocked.Store(time.Now().UnixNano()) }
+
+func (t *Tracked) endWrite() { t.blocked.Store(0) }
+
 // expendability returns in which order connections of callers with equally many are
 // closed to make room.
 func (t *Tracked) expendability(now time.Time) expendability {
-	input := t.input.Load()
+	input, blocked := t.input.Load(), t.blocked.Load()
+	stallTime := int64(budget.StallTime)
 	switch {
+	case blocked != 0 && now.UnixNano()-blocked > stallTime:
+		return unreadResponse
 	case t.pending.Load() > 0:
 		return inProgress
 	case t.Idle() && !t.isNew():
 		return idle
 	case input == 0:
 		return silent
-	case now.UnixNano()-input > int64(budget.StallTime):
+	case now.UnixNano()-input > stallTime:
 		return stalledRequest
 	}
 	return incomplete
