--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
@@ -20,20 +19,6 @@
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
-// Reasons in logs and metrics, besides those of place.
-const (
-	reasonAnswered     = "answered"
-	reasonNoConfig     = "no-config"
-	reasonNoRoute      = "no-route"
-	reasonQuarantined  = "quarantined"
-	reasonTimeout      = "timeout"
-	reasonCallerGone   = "caller-gone"
-	reasonAnswerLost   = "answer-lost"
-	reasonRejected     = "rejected"
-	reasonNoConnection = "no-connection"
-	reasonNotAdmitted  = "not-admitted"
-)
-
 // exclusiveRetryDelay is the delay before a request that the quarantine didn't
 // admit to a server is placed again: a suspect has to run alone, and other
 // requests must not run beside it.
@@ -247,68 +232,6 @@
 	c.relay.quarantine.End(now, ticket, completed)
 }
 
-// sendOutcome is the outcome of one send.
-type sendOutcome int
-
-const (
-	answered   sendOutcome = iota // complete, signed response
-	notRun                        // the server reports that it didn't run the request
-	dialFailed                    // no connection could be opened
-	connLost                      // the connection was lost before a complete response
-	mismatched                    // the response isn't the server's response to this request
-	cancelled                     // ctx has ended, or the caller has left
-)
-
-// sendResult is the classified result of one send.
-type sendResult struct {
-	outcome   sendOutcome
-	reply     Reply
-	placement place.Result
-	err       error
-}
-
-// unsignedError is the error of a response that the server didn't sign: something
-// between it and this host may have sent it. The value is the status.
-type unsignedError int
-
-func (e unsignedError) Error() string {
-	return "relay: response without a signature, status " + strconv.Itoa(int(e))
-}
-
-// classify derives the outcome of a send, and its result for placement.
-func (c *call) classify(ctx context.Context, res link.Result) (result sendResult) {
-	switch {
-	case ctx.Err() != nil && res.Err != nil, errors.Is(res.Err, link.ErrAbandoned):
-		result.outcome, result.placement.Cancelled = cancelled, true
-		result.placement.TimedOut = res.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded)
-	case errors.Is(res.Err, link.ErrDial):
-		result.outcome, result.placement.ConnFailed = dialFailed, true
-	case errors.Is(res.Err, link.ErrMismatched), errors.Is(res.Err, link.ErrMalformed):
-		result.outcome, result.placement.Failed = mismatched, true
-	case res.Err != nil:
-		result.outcome, result.placement.ConnFailed = connLost, true
-	}
-	if result.err = res.Err; res.Err != nil {
-		return result
-	}
-	result.reply = c.relay.cfg.Codec.Reply(res.Status, res.Header)
-	result.placement.Load, result.placement.HasLoad = result.reply.Load, result.reply.HasLoad
-	result.placement.Slowdown = result.reply.Slowdown
-	switch {
-	case result.reply.NotRun:
-		result.outcome, result.placement.Shed = notRun, true
-	case !result.reply.Signed:
-		result.err = unsignedError(res.Status)
-		c.relay.cfg.Metrics.observeUnsigned(c.service, res.Status)
-		result.outcome, result.placement.Failed = mismatched, true
-	case res.Header.Get("Content-Encoding") != "":
-		result.outcome, result.placement.Failed = mismatched, true
-	default:
-		result.outcome, result.placement.Failed = answered, res.Status >= http.StatusInternalServerError
-	}
-	return result
-}
-
 // nextStep returns the final response, or final = false if the request is to be
 // sent again.
 func (c *call) nextStep(ctx context.Context, sv fleet.Server, res link.Result, result sendResult) (resp caller.Response, final bool) {
@@ -414,42 +337,3 @@
 	}
 	return c.finish(caller.Response{Status: http.StatusServiceUnavailable, Header: h}, why)
 }
-
-// finish logs and counts the final response.
-func (c *call) finish(resp caller.Response, why string) caller.Response {
-	r := c.relay
-	took := r.cfg.Clock.Now().Sub(c.started)
-	r.cfg.Metrics.observeRequest(c.service, why, resp.Status, took)
-	if ce := r.cfg.Log.Check(zap.InfoLevel, "request"); ce != nil {
-		fields := []zap.Field{
-			zap.String("id", c.meta.ID), zap.String("why", why), zap.Int("status", resp.Status), zap.Int64("ms", int64(took)),
-			zap.Int64("queuedMs", int64(c.queueTime)), zap.Int("sends", c.sends),
-		}
-		if c.cfg != nil {
-			fields = append(fields, zap.Uint64("config", c.cfg.Version()))
-		}
-		if c.route != nil {
-			fields = append(fields, zap.String("route", c.route.Name), zap.String("service", string(c.service)))
-		}
-		if why == reasonNoRoute {
-			fields = append(fields, zap.String("vhost", caller.LogText(c.req.Host)), zap.String("path", caller.LogText(c.req.Path)))
-		}
-		if c.meta.HasKey {
-			fields = append(fields, zap.Uint16("key", uint16(c.meta.Key)))
-		}
-		if len(c.tried) > 0 {
-			fields = append(fields, zap.String("server", string(c.tried[len(c.tried)-1])))
-		}
-		if why == reasonCallerGone {
-			fields = append(fields, zap.Stringer("stage", c.leftAt))
-		}
-		if c.openedConn {
-			fields = append(fields, zap.Bool("opened", true))
-		}
-		if c.lastErr != nil {
-			fields = append(fields, zap.NamedError("cause", c.lastErr))
-		}
-		ce.Write(fields...)
-	}
-	return resp
-}
