caller: the path of an absolute URL is the one that was sent

A request for http://HOST, without a path, got 404 also where a route has the prefix /. In an absolute URL the path was matched decoded, so that http://HOST/x%2Fy took another route than /x%2Fy.

Cause: only targets that begin with a slash were taken as sent; the others had the decoded path of net/url.

Change: the path of an absolute URL isn't decoded, and an empty one stands for a slash (RFC 9112, 3.2.1 and 3.2.2). The target that is forwarded stays as it was sent. Targets without a host in them (*, opaque) and CONNECT match as before.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -195,15 +195,24 @@
 		return nil, ErrGivenUp
 	}
 	req := &Request{
-		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, Body: body,
+		Method: r.Method, Target: r.RequestURI, Path: sentPath(r), Host: r.Host, Header: r.Header, Body: body,
 		HasContentLength: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != "",
 		RemoteAddr:       c.netConn.RemoteAddr().String(),
 		Left:             c.left,
 	}
+	return &exchange{req: req, hold: c.takeHold(), isHead: r.Method == http.MethodHead, close: r.Close, done: make(chan struct{})}, nil
+}
+
+// sentPath returns the path of a request without decoding it. That of an absolute URL
+// may be empty, which stands for a slash.
+func sentPath(r *http.Request) string {
 	if raw, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(raw, "/") {
-		req.Path = raw
+		return raw
 	}
-	return &exchange{req: req, hold: c.takeHold(), isHead: r.Method == http.MethodHead, close: r.Close, done: make(chan struct{})}, nil
+	if r.URL.Scheme != "" && r.URL.Host != "" && r.URL.Path == "" {
+		return "/"
+	}
+	return r.URL.EscapedPath()
 }
 
 // headerError returns the error of a header that http.ReadRequest didn't accept. It
