--- a/internal/front/snapshot_test.go
+++ b/internal/front/snapshot_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +15,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -97,3 +101,87 @@
 	_, _, ok = l.since(epoch.At(1, 3*maxChanges-2))
 	is.True(!ok)
 }
+
+// configWithRoutes returns a version with as many thousand routes as its number.
+func configWithRoutes(version uint64) *intent.Config {
+	doc := intent.Document{Version: version}
+	for i := range version * 1000 {
+		doc.Routes = append(doc.Routes, intent.Route{
+			Name: fmt.Sprint("route-", i), Host: "tins.example", Prefix: fmt.Sprintf("/route-%d/", i),
+			Parts: []intent.WeightedService{{Service: "catalogue", Weight: 1}},
+		})
+	}
+	return intent.New(doc)
+}
+
+// Guards against a version that replaces a later one, or that comes without some of
+// its routes, on a host that fetches long configurations from several hosts at once,
+// one of which breaks off its responses.
+func TestLongConfigurationsOfSeveralHosts(t *testing.T) {
+	is := is.New(t)
+	const versions = 6
+	var addrs []string
+	for v := range uint64(versions) {
+		source := newTestHost()
+		source.applyConfig(configWithRoutes(v + 1))
+		srv := httptest.NewServer(http.HandlerFunc(source.serveSnapshot))
+		t.Cleanup(srv.Close)
+		addrs = append(addrs, strings.TrimPrefix(srv.URL, "http://"))
+	}
+	short := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		full := httptest.NewRecorder()
+		source := newTestHost()
+		source.applyConfig(configWithRoutes(versions + 1))
+		source.serveSnapshot(full, r)
+		io.CopyN(w, full.Body, int64(full.Body.Len()/2))
+	}))
+	t.Cleanup(short.Close)
+	addrs = append(addrs, strings.TrimPrefix(short.URL, "http://"))
+
+	h := newTestHost()
+	var fetches, watch sync.WaitGroup
+	done := make(chan struct{})
+	watch.Go(func() {
+		last := uint64(0)
+		for {
+			if c := h.relay.Config(); c != nil {
+				last = checkVersion(t, c, last)
+			}
+			select {
+			case <-done:
+				return
+			default:
+			}
+		}
+	})
+	for range 4 {
+		order := rand.Perm(len(addrs))
+		fetches.Go(func() {
+			for _, i := range order {
+				err := h.fetchSnapshot(t.Context(), http.DefaultClient, addrs[i], 0, epoch.Revision{})
+				if (err != nil) != (i == versions) {
+					t.Errorf("fetch from host %d: %v", i, err)
+				}
+			}
+		})
+	}
+	fetches.Wait()
+	close(done)
+	watch.Wait()
+	is.Equal(h.ConfigVersion(), uint64(versions))
+}
+
+// checkVersion checks that a version is no older than the last one and has all of
+// its routes.
+func checkVersion(t *testing.T, c *intent.Config, last uint64) uint64 {
+	v := c.Version()
+	if v < last || c.RouteCount() != int(v)*1000 {
+		t.Errorf("version %d with %d routes after version %d", v, c.RouteCount(), last)
+	}
+	for i := range v * 1000 {
+		if i%97 == 0 && c.Match("tins.example", fmt.Sprintf("/route-%d/x", i)) == nil {
+			t.Errorf("version %d lacks route %d", v, i)
+		}
+	}
+	return v
+}
