--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -1,13 +1,10 @@
 package front
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"net"
+	"compress/gzip"
 	"net/http"
 	"strconv"
-	"time"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -16,7 +13,6 @@
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/intent"
-	"github.com/laburnummux/laburnummux/internal/link"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
 
@@ -25,16 +21,8 @@
 	// changesParam is in the query if the fetching host takes changes in place of
 	// the whole list of servers. Hosts of earlier versions don't.
 	changesParam = "changes"
-	// snapshotTimeout bounds the fetch of a snapshot. After it, the host fetches
-	// from another one.
-	snapshotTimeout  = 400 * time.Millisecond
-	maxSnapshotBytes = 32 << 20
-	// firstHostFetchDelay is how long the first host of a data centre waits for
-	// a newer snapshot in its own data centre before it fetches one from another
-	// data centre. The other hosts wait for otherHostFetchDelay, as it is enough
-	// if one host fetches from another data centre.
-	firstHostFetchDelay = 30 * time.Millisecond
-	otherHostFetchDelay = 300 * time.Millisecond
+	// minCompressedBytes is the length from which on a snapshot is compressed.
+	minCompressedBytes = 4 << 10
 )
 
 // snapshot is the configuration and the list of servers as a host fetches them
@@ -141,11 +129,29 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	if _, err := w.Write(b); err != nil {
+	if err := sendSnapshot(w, r, b); err != nil {
 		h.log.Debug("cannot send snapshot to another host", zap.Error(err))
 	}
 }
 
+// sendSnapshot sends an encoded snapshot, compressed if it is long: a configuration may
+// have 1 MiB, most of which repeats.
+func sendSnapshot(w http.ResponseWriter, r *http.Request, b []byte) (err error) {
+	if len(b) < minCompressedBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, err = w.Write(b)
+		return err
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if _, err = z.Write(b); err != nil {
+		return err
+	}
+	return z.Close()
+}
+
 // ageWarmups sets the warm-up of each server to the remaining time. h.mu is held.
 func (h *Host) ageWarmups(list []fleet.Server) {
 	now := h.clock.Now()
@@ -166,100 +172,3 @@
 	}
 	return left
 }
-
-// checkSnapshot wakes fetchSnapshots if a host's heartbeat told of a newer snapshot.
-func (h *Host) checkSnapshot(now clock.Time, from keys.Host) {
-	config, servers, _ := h.snapshotVersions(now)
-	if !h.members.sentNewer(now, from, config, servers) {
-		return
-	}
-	select {
-	case h.snapshotAvailable <- struct{}{}:
-	default:
-	}
-}
-
-// fetchSnapshots fetches newer snapshots from other hosts.
-func (h *Host) fetchSnapshots(ctx context.Context) error {
-	_, port, err := net.SplitHostPort(h.cfg.Settings.Control)
-	if err != nil {
-		h.log.Warn("cannot fetch snapshots from other hosts: no valid control address in the settings", zap.Error(err))
-		<-ctx.Done()
-		return nil
-	}
-	client := &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{
-		DialContext: link.Dialer(snapshotTimeout / 2).DialContext, IdleConnTimeout: time.Minute,
-	}}
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-h.snapshotAvailable:
-		}
-		now := h.clock.Now()
-		config, servers, _ := h.snapshotVersions(now)
-		ip := h.members.newerSnapshotAddr(now, config, servers, true)
-		if ip == "" {
-			wait := otherHostFetchDelay
-			if h.members.isFirstInDC(now) {
-				wait = firstHostFetchDelay
-			}
-			sleep(ctx, wait)
-			config, servers, _ = h.snapshotVersions(now)
-			ip = h.members.newerSnapshotAddr(now, config, servers, false)
-		}
-		if ip == "" {
-			continue
-		}
-		if err := h.fetchSnapshot(ctx, client, net.JoinHostPort(ip, port), config, servers); err != nil {
-			h.log.Info("cannot fetch snapshot from another host; avoiding that host for 1 s", zap.Error(err))
-			h.members.markUnreachable(h.clock.Now(), ip)
-			continue
-		}
-		sleep(ctx, serverChangePause) // changes often come in groups, and each is applied to the whole list
-	}
-}
-
-// fetchSnapshot fetches what is newer than the given versions and applies it.
-func (h *Host) fetchSnapshot(ctx context.Context, client *http.Client, addr string, config uint64, servers epoch.Revision) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("front: fetch snapshot from %s: %w", addr, err)
-		}
-	}()
-	url := fmt.Sprintf("http://%s%s?config=%d&servers=%d&epoch=%d&%s=1", addr, snapshotPath, config, servers.Number(), servers.Epoch(), changesParam)
-	url += fmt.Sprintf("&%s=%s", evacParam, h.members.ownEvacRev())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	began := h.clock.Now()
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("HTTP status %d", resp.StatusCode)
-	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
-	if err != nil {
-		return err
-	}
-	var s snapshot
-	if err = cbor.Unmarshal(b, &s); err != nil {
-		return err
-	}
-	if s.Config != nil {
-		h.applyConfig(intent.New(*s.Config))
-	}
-	h.applyEvacSnapshot(s.Evac, began)
-	grace := s.grace(began, h.cfg.Settings.registrationGrace())
-	switch {
-	case s.Changes:
-		h.applyChanges(s.events(), epoch.At(s.Epoch, s.ServersRev), grace)
-	case s.ServersRev > 0:
-		h.replaceServers(s.Servers, peerRevision(s.Epoch, s.ServersRev, servers), grace)
-	}
-	return nil
-}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -65,6 +65,8 @@
 	serversAsOf        clock.Time     // earliest time at which it can have sent that confirmation
 	configConfirmed    bool           // the store has confirmed the configuration at least once
 	serversConfirmed   bool           // and the servers
+	fetchFails         bool           // no snapshot could be fetched from another host
+	fetchFailsSince    clock.Time     // if fetchFails
 }
 
 // confirmationAge returns the time since the store last confirmed both the
@@ -88,15 +90,15 @@
 }
 
 // shouldWatch reports whether this host has to watch the store itself: it is one
-// of the watchers (see members.watchState), or no other host has a fresh
-// snapshot.
+// of the watchers (see members.watchState), no other host has a fresh snapshot, or it
+// can't be fetched.
 func (h *Host) shouldWatch() bool {
 	now := h.clock.Now()
 	if now < h.watchFrom {
 		return false
 	}
 	watcher, age := h.members.watchState(now)
-	if watcher {
+	if watcher || h.cannotFetch(now) {
 		return true
 	}
 	limit := h.changeDeadline(staleFraction)
