caller: the limits in force when a request begins apply to it

A caller on a connection that was open before a configuration got 413 or 431 for a request that this configuration allows. The limits were read when the connection began to await its next request, which may be as long before the request as the idle timeout. On a host whose first configuration arrived in that time it was a 503.

Change: readExchange reads the limits again when the first byte of a request has arrived, and adjusts what may be read.

Evidence: 6 of 6 cases of TestLimitsChangeOnOpenConnection failed before (413, 413, 431, and 503 three times), and pass with the change, 3 of 3 runs with -race.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -165,12 +165,14 @@
 
 // readExchange reads a request with its body.
 func (c *conn) readExchange() (ex *exchange, err error) {
-	c.configured = c.server.configured() // before the limits, which may change in between
-	limits := c.server.cfg.Limits()
-	c.limited.N = int64(limits.HeaderBytes)
-	if err = c.awaitRequest(limits.Idle); err != nil {
+	before := c.server.cfg.Limits()
+	c.limited.N = int64(before.HeaderBytes)
+	if err = c.awaitRequest(before.Idle); err != nil {
 		return nil, err
 	}
+	c.configured = c.server.configured() // before the limits, which may change in between
+	limits := c.server.cfg.Limits()      // they may have changed while the connection was idle
+	c.limited.N += int64(limits.HeaderBytes - before.HeaderBytes)
 	c.BeginRequest()
 	if err = c.beginRequest(); err != nil {
 		return nil, err
