caller: the idle time of a connection begins with its last response

A connection was closed as idle soon after a long response: the time ran from when the connection began to await the next request, which is while the response is pending. With an idle timeout of 600 ms and a response after 500 ms the caller had 100 ms for its next request, though it may reuse the connection for the whole timeout.

Change: awaitInput goes on for what is left of the idle timeout since the last response.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -287,17 +287,23 @@
 	return c.awaitInput(idle, 1)
 }
 
-// awaitInput waits until at least n bytes are buffered.
+// awaitInput waits until at least n bytes are buffered. The idle time begins when the
+// last response is written.
 func (c *conn) awaitInput(idle clock.Span, n int) error {
-	for {
-		if err := c.netConn.SetReadDeadline(time.Now().Add(idle.Std())); err != nil {
+	for wait := idle.Std(); ; {
+		if err := c.netConn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return err
 		}
 		_, err := c.reader.Peek(n)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if c.pending.Load() == 0 {
+		wait = idle.Std()
+		if c.pending.Load() > 0 {
+			continue
+		}
+		wait = min(wait, wait-time.Since(time.Unix(0, c.since.Load())))
+		if wait <= 0 || c.ctx.Err() != nil { // or the last response was written, see finish
 			return errIdle
 		}
 	}
