caller: a 100 Continue isn't written into another response

The body of a response had "HTTP/1.1 100 Continue" in it if the caller had sent a request with Expect: 100-continue behind the one that was being answered: run wrote it while loop wrote the response in parts.

Change: it is written when the earlier requests of the connection have been answered.

Evidence: TestContinueIsNotPartOfResponse failed 3 of 3 before, with a body that differs, and passes 3 of 3 with -race. TestIncompleteHeaderBehindRequest passes before and after: an incomplete header behind a request gets 408 after its response.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -309,6 +310,17 @@
 	}
 }
 
+// writeContinue asks for the body of a request, after the responses to earlier ones.
+func (c *conn) writeContinue() error {
+	if !c.awaitPending(0) {
+		return c.ctx.Err()
+	}
+	if c.closing.Load() {
+		return net.ErrClosed
+	}
+	return c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+}
+
 func (c *conn) readBody(r *http.Request, maxBytes int64) (b segment.Body, err error) {
 	if r.ContentLength > maxBytes {
 		return b, c.tooLong(rejectedLongBody, fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength))
@@ -317,7 +329,7 @@
 		return b, nil
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if err = c.writeContinue(); err != nil {
 			return b, err
 		}
 	}
