caller: a longer idle timeout applies to idle connections

A connection that was idle when the operator raised idle_timeout, or when a host got its first configuration, was closed after the former timeout, while its caller could use it for the new one.

Change: awaitInput reads the limits again when the former timeout has passed.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -299,7 +299,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		wait = idle.Std()
+		wait = c.server.cfg.Limits().Idle.Std()
 		if c.pending.Load() > 0 {
 			continue
 		}
--- a/internal/caller/idle_test.go
+++ b/internal/caller/idle_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +52,34 @@
 		time.Sleep(400 * time.Millisecond) // within the idle time
 	}
 }
+
+// Guards against a connection that is closed by an idle timeout that has been replaced by a longer one.
+func TestIdleTimeoutChange(t *testing.T) {
+	is := is.New(t)
+	var idle atomic.Int64
+	idle.Store(int64(300 * clock.Millisecond))
+	s := New(Config{
+		Handle: func(context.Context, *Request) Response { return Response{Status: http.StatusOK} },
+		Limits: func() intent.Limits {
+			return intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: clock.Span(idle.Load())}
+		},
+		Log: zap.NewNop(),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	a := &acceptor{server: s, listener: l}
+	go a.run()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	time.Sleep(100 * time.Millisecond)
+	idle.Store(int64(2 * clock.Second))
+	time.Sleep(500 * time.Millisecond)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
