caller: a slow reader of a response isn't taken for one that reads nothing

A caller that reads 4 KiB every 200 ms counted as one that doesn't read after 1 s, and its connection could be closed to make room, with requests that its servers had already. The write of 64 KiB tells nothing of what it has written, and a socket frees its buffer in large steps.

Change: such a connection may be closed after 3 s, not 1 s; the comment says what is measured. Slower readers than that can still be hit, only where connections are at their bound.

Evidence: TestRequestBesideStoppedCallers passes with 3 s.

--- a/internal/caller/tracked.go
+++ b/internal/caller/tracked.go
@@ -24,7 +24,7 @@
 	pending atomic.Int32 // requests whose response isn't written
 	reading atomic.Bool  // a request has been received in part
 	input   atomic.Int64 // when bytes were last received, Unix ns; 0: never
-	blocked atomic.Int64 // since when the write in progress has written nothing, Unix ns; 0: there is none
+	blocked atomic.Int64 // since when a part of a response is being written, Unix ns; 0: none is
 
 	mu      sync.Mutex
 	evicted bool               // the connection was closed to make room
@@ -32,6 +32,10 @@
 	cancel  context.CancelFunc // of the last request with OnEvict; may be nil
 }
 
+// unreadTime is how long the write of a part of a response may take before its connection
+// may be closed to make room. A slow caller may take seconds to free a socket's buffer.
+const unreadTime = 3 * time.Second
+
 // expendability is what a connection is used for. Connections are closed to make room in
 // the order of the values, and never with the last one.
 type expendability int
@@ -39,7 +43,7 @@
 const (
 	idle           expendability = iota
 	stalledRequest               // a part of a request, and nothing more for a while
-	unreadResponse               // the caller has read nothing of a response for a while
+	unreadResponse               // the caller reads a response slowly, or nothing of it
 	silent                       // new, and nothing received yet
 	incomplete                   // a request is being received
 	inProgress                   // a request awaits its response, or that is being read
@@ -150,9 +154,8 @@
 // closed to make room.
 func (t *Tracked) expendability(now time.Time) expendability {
 	input, blocked := t.input.Load(), t.blocked.Load()
-	stallTime := int64(budget.StallTime)
 	switch {
-	case blocked != 0 && now.UnixNano()-blocked > stallTime:
+	case blocked != 0 && now.UnixNano()-blocked > int64(unreadTime):
 		return unreadResponse
 	case t.pending.Load() > 0:
 		return inProgress
@@ -160,7 +163,7 @@
 		return idle
 	case input == 0:
 		return silent
-	case now.UnixNano()-input > stallTime:
+	case now.UnixNano()-input > int64(budget.StallTime):
 		return stalledRequest
 	}
 	return incomplete
