relay: a signature that the Connection header lists doesn't count

A faulty server that lists its signature in the Connection header had its failure passed on without it, as if it were the host's own: the signature was checked before the hop-by-hop headers are removed.

Change: a response with a Connection header has to be signed also without the headers that this lists.

Evidence: TestSignatureInConnectionHeader fails before in its case of a listed signature, and passes with the change.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -60,7 +60,7 @@
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
-	case !result.reply.Signed:
+	case !result.reply.Signed || !c.keepsSignature(res):
 		result.err = unsignedError(res.Status)
 		c.relay.cfg.Metrics.observeUnsigned(c.service, res.Status)
 		result.outcome, result.placement.Failed = mismatched, true
@@ -71,3 +71,9 @@
 	}
 	return result
 }
+
+// keepsSignature reports whether a signed response still is when its hop-by-hop headers
+// are removed: its Connection header could list the signature.
+func (c *call) keepsSignature(res link.Result) bool {
+	return len(res.Header["Connection"]) == 0 || c.relay.cfg.Codec.Reply(res.Status, endToEnd(res.Header)).Signed
+}
--- a/internal/relay/report_test.go
+++ b/internal/relay/report_test.go
@@ -72,3 +72,33 @@
 func (replyCodec) Forward(http.Header, clock.Span, keys.Server) {}
 
 func (s replyCodec) Reply(int, http.Header) Reply { return Reply{Signed: bool(s)} }
+
+// Guards against a signed failure that is passed on without its signature, as if it were the host's.
+func TestSignatureInConnectionHeader(t *testing.T) {
+	tests := []struct {
+		connection string
+		want       bool // it is passed on
+	}{
+		{"", true},
+		{"close", true},
+		{"close, Signature", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.connection, func(t *testing.T) {
+			r := newRelay()
+			r.cfg.Codec = headerCodec{}
+			h := http.Header{"Signature": {"s"}}
+			if tt.connection != "" {
+				h["Connection"] = []string{tt.connection}
+			}
+			c := &call{relay: r, service: "ledger"}
+			result := c.classify(context.Background(), link.Result{Sent: true, Status: http.StatusNotFound, Header: h})
+			is.New(t).Equal(result.outcome == answered, tt.want)
+		})
+	}
+}
+
+// headerCodec reads responses with a header Signature as signed.
+type headerCodec struct{ replyCodec }
+
+func (headerCodec) Reply(_ int, h http.Header) Reply { return Reply{Signed: h.Get("Signature") != ""} }
