caller: an empty line before a request is no part of its header

Callers saw 431 for a header of exactly max_header_bytes that followed an empty line, which RFC 9112, section 2.2, lets a server skip.

Cause: the empty line was skipped, but its two bytes stayed counted, so the header ended two bytes short of its end.

Change: the bytes of the skipped line are added to the limit again.

The new row of TestEmptyLineBeforeRequest failed before (431, not 200) and passes now.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -285,6 +285,7 @@
 	if _, err := c.reader.Discard(n); err != nil {
 		return err
 	}
+	c.limited.N += int64(n) // the line is no part of the header
 	return c.awaitInput(idle, 1)
 }
 
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -188,6 +188,7 @@
 		{"first request", "\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{200}},
 		{"line feed", "\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{200}},
 		{"after a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []int{200, 200}},
+		{"before the longest header", "\r\nGET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 1000-len("GET /a HTTP/1.1\r\nHost: h\r\nX: \r\n\r\n")) + "\r\n\r\n", []int{200}},
 		{"two lines", "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", []int{400}},
 	}
 	for _, tt := range tests {
