caller: a header that was received in time isn't late because it is read late

Cause: a read fails when its deadline has passed, even if the bytes are in the socket.

Change: after the deadline of a header, what the connection has received is still read. As soon as nothing is there, the request gets 408 as before.

TestHeaderReadLate failed before (408, not 200) and passes now.

--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/budget"
+	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
@@ -36,6 +38,9 @@
 	// maxWriteBytes is the longest part of a response that is written at once. A caller that
 	// doesn't read is noticed when a part isn't written.
 	maxWriteBytes = 64 << 10
+	// receivedTimeout bounds the reading of bytes that are in the socket. It only has to be
+	// long enough that the deadline isn't over before the read.
+	receivedTimeout = time.Second
 	// minRetryAfter and maxRetryAfter bound when the caller of a request that was given
 	// up for want of memory may send it again, in seconds: callers that are refused
 	// together come back one by one.
@@ -73,6 +78,9 @@
 func (s source) Read(p []byte) (n int, err error) {
 	c := s.conn
 	n, err = c.netConn.Read(p)
+	if c.inRequest && c.inHead && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readReceived(p)
+	}
 	c.received += int64(n)
 	c.readErr = err
 	if n > 0 {
@@ -90,6 +98,19 @@
 	return n, err
 }
 
+// readReceived reads bytes of a header that were received before its deadline, or soon
+// after it, but are read later because the process got no processor time.
+func (c *conn) readReceived(p []byte) (int, error) {
+	if n, err := listen.Unread(c.socket); err != nil || n == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if err := c.setReadDeadline(time.Now().Add(receivedTimeout)); err != nil {
+		return 0, err
+	}
+	defer c.endRead()
+	return c.netConn.Read(p)
+}
+
 // beginRequest begins to count the memory of a request. Its first bytes are buffered.
 func (c *conn) beginRequest() error {
 	c.inRequest, c.inHead, c.counted = true, true, 0
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -210,3 +210,65 @@
 		})
 	}
 }
+
+// lateListener has connections that are read late.
+type lateListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c.(*net.TCPConn), delay: l.delay}, nil
+}
+
+// lateConn delays all reads but the first one.
+type lateConn struct {
+	*net.TCPConn
+	delay time.Duration
+	reads int
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads > 1 {
+		time.Sleep(c.delay)
+	}
+	return c.TCPConn.Read(p)
+}
+
+// Guards against the rejection of a header that was received in time and is read after
+// its deadline, and against one that never ends as a result.
+func TestHeaderReadLate(t *testing.T) {
+	const wait = 100 * clock.Millisecond
+	tests := []struct {
+		name   string
+		rest   string
+		status int
+	}{
+		{"complete", "st: h\r\n\r\n", http.StatusOK},
+		{"incomplete", "st: h\r\n", http.StatusRequestTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: wait, Idle: clock.Second}
+			s := New(Config{Handle: respondLength, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			a := &acceptor{server: s, listener: &lateListener{Listener: l, delay: 2 * wait.Std()}}
+			go a.run()
+			c := connect(t, l.Addr().String())
+			_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHo")
+			is.NoErr(err)
+			time.Sleep(wait.Std() / 5) // the first part is read
+			_, err = io.WriteString(c, tt.rest)
+			is.NoErr(err)
+			status, _, _ := c.response(t)
+			is.Equal(status, tt.status)
+		})
+	}
+}
