caller: the last responses reach a caller that sends more behind them

Callers that sent more behind the last request to be answered (after 400, 408, 413, 431 or 503, while draining, with Connection: close) and that read late got a reset, and earlier responses that broke off.

Cause: run stopped reading as soon as no request was pending, and closed the socket with unread input or got more of it, which makes the system send a reset and drop what it had not yet sent. The time to linger only held for callers that sent nothing more.

Change: run discards input until the caller closes the connection, 500 ms at most, as the comment at lingerTimeout already says.

TestLastResponseIsDelivered failed before (unexpected EOF in both rows) and passes now.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -105,6 +105,7 @@
 	close(c.exchanges)
 	<-written
 	c.cancel()
+	c.linger()
 	c.netConn.Close()
 	c.window.Release()
 	c.server.conns.Remove(c.Tracked)
@@ -161,6 +162,16 @@
 	}
 }
 
+// linger discards input after the last response, until the caller closes the connection
+// or lingerTimeout is over.
+func (c *conn) linger() {
+	if !c.closing.Load() || c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	c.limited.N = math.MaxInt64
+	io.Copy(io.Discard, c.reader) // an error ends the connection
+}
+
 // errIdle ends a connection that was idle for longer than Limits.Idle.
 var errIdle = errors.New("caller: connection exceeded the idle timeout")
 
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -272,3 +272,39 @@
 		})
 	}
 }
+
+// Guards against a connection that is reset, and loses responses that the caller hasn't
+// read yet, because the caller sends more behind the last request that is answered.
+func TestLastResponseIsDelivered(t *testing.T) {
+	const long = "GET /a/5 HTTP/1.1\r\nHost: h\r\n"
+	tests := []struct {
+		name string
+		send string
+		last int
+	}{
+		{"invalid request", long + "\r\nGET\r\n\r\n", http.StatusBadRequest},
+		{"close asked for", long + "Connection: close\r\n\r\n", http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := &handled{ran: make(map[string]bool)}
+			_, addr := startValid(t, condition{}, h)
+			c := connect(t, addr)
+			is.NoErr(c.Conn.(*net.TCPConn).SetReadBuffer(32 << 10))
+			_, err := io.WriteString(c, tt.send)
+			is.NoErr(err)
+			for range 5 {
+				time.Sleep(20 * time.Millisecond) // the response is written, and not read
+				io.WriteString(c, "GET /a/6 HTTP/1.1\r\nHost: h\r\n\r\n")
+			}
+			status, _, n := c.response(t)
+			is.Equal(status, http.StatusOK)
+			is.True(n > longResponse)
+			if tt.last != http.StatusOK {
+				status, _, _ = c.response(t)
+				is.Equal(status, tt.last)
+			}
+		})
+	}
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -55,9 +55,8 @@
 		return
 	}
 	if tc, ok := c.netConn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
-		// run reads until the caller closes its side or the deadline expires, and
-		// then closes the connection.
-		if tc.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		// run ends its read, lingers and closes the connection.
+		if tc.SetReadDeadline(time.Unix(1, 0)) == nil {
 			return
 		}
 	}
