--- a/internal/front/fetch.go
+++ b/internal/front/fetch.go
@@ -174,8 +174,20 @@
 	return n, err
 }
 
+// fetchResult returns the result of a fetch for the metrics.
+func fetchResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, errStalled):
+		return "stalled"
+	}
+	return "error"
+}
+
 // recordFetch records whether snapshots can be fetched from other hosts.
 func (h *Host) recordFetch(now clock.Time, err error) {
+	h.metrics.fetches.WithLabelValues(fetchResult(err)).Inc()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
--- a/internal/front/fetch_test.go
+++ b/internal/front/fetch_test.go
@@ -61,9 +61,10 @@
 		name    string
 		source  *slowSource
 		version uint64
+		result  string
 	}{
-		{"slow", &slowSource{body: body, parts: 10, pause: 100 * time.Millisecond}, 6},
-		{"stopped", &slowSource{body: body, parts: 10, pause: 10 * time.Millisecond, stop: 5}, 0},
+		{"slow", &slowSource{body: body, parts: 10, pause: 100 * time.Millisecond}, 6, "ok"},
+		{"stopped", &slowSource{body: body, parts: 10, pause: 10 * time.Millisecond, stop: 5}, 0, "stalled"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -74,7 +75,7 @@
 			h := newTestHost()
 			began := time.Now()
 			err := h.fetchSnapshot(t.Context(), newSnapshotClient(), strings.TrimPrefix(srv.URL, "http://"), 0, epoch.Revision{})
-			is.Equal(err == nil, tt.version != 0)
+			is.Equal(fetchResult(err), tt.result)
 			is.Equal(h.ConfigVersion(), tt.version)
 			is.True(time.Since(began) < maxSnapshotTime/2) // a stopped one doesn't hold the host up
 		})
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -22,6 +22,7 @@
 	storeEpoch   prometheus.Gauge
 	movedShare   prometheus.Gauge
 	keyCalls     *prometheus.CounterVec
+	fetches      *prometheus.CounterVec
 
 	evacuated          prometheus.Gauge
 	evacuationsIgnored prometheus.Counter
@@ -40,11 +41,14 @@
 			Name: "laburnummux_key_calls_total", Help: "Grants and releases by outcome.",
 		}, []string{"call", "outcome"}),
 	}
+	m.fetches = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "laburnummux_snapshot_fetches_total", Help: "Fetches of configurations and lists of servers from other hosts by result.",
+	}, []string{"result"})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "laburnummux_evacuated_datacentres", Help: "Data centres whose servers get no requests."})
 	m.evacuationsIgnored = prometheus.NewCounter(prometheus.CounterOpts{Name: "laburnummux_evacuations_ignored_total", Help: "Entries of evacuations without effect: of an unknown data centre, or too many."})
 	m.mesh = mesh.NewMetrics(reg)
 	m.admission = newAdmissionMetrics(reg)
-	reg.MustRegister(m.evacuated, m.evacuationsIgnored, m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
+	reg.MustRegister(m.fetches, m.evacuated, m.evacuationsIgnored, m.storeCalls, m.assignerTerm, m.storeEpoch, m.movedShare, m.keyCalls)
 	return m
 }
 
