caller, relay: clearer names and comments in the changed code

Cause: a reader new to the project stopped at names that aren't usual terms (expendability, silent, endOfInput, goesBefore, describe, keepsSignature), at comments with an unclear "it" or "its", at readBody without a doc comment, and at a type and a constant that stood behind their use in tracked.go.

Change: evictionClass, awaitingFirst, requestPending, evictsBefore, incompleteError, limitError, hasConfig, withHostAndPath, readLate, lateReadTimeout and signedEndToEnd replace the former names. Two metric help texts say "rejected" and "from backend servers"; no metric name, label or log field changes. Three tests start their server with serveConn in place of a copy of it; no check is removed. serveConn sets the same deadline of 10 s.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -121,37 +121,37 @@
 // victim returns the connection that is closed to make room, or nil, among
 // maxScanned random ones, or up to maxSearched if none of those can be. s.mu is held.
 func (s *Conns) victim() (v *Tracked, reason string) {
-	var use expendability
+	var class evictionClass
 	now := time.Now()
 	scanned := 0
 	for t := range s.open {
 		if scanned++; scanned > maxSearched || scanned > maxScanned && v != nil {
 			break
 		}
-		u := t.expendability(now)
-		if u != inProgress && (v == nil || s.goesBefore(t, u, v, use)) {
-			v, use = t, u
+		tc := t.evictionClass(now)
+		if tc != requestPending && (v == nil || s.evictsBefore(t, tc, v, class)) {
+			v, class = t, tc
 		}
 	}
 	switch {
 	case v == nil:
 		return nil, reasonRefused
-	case use == idle:
+	case class == idle:
 		return v, reasonIdle
-	case use == unreadResponse:
+	case class == unreadResponse:
 		return v, reasonUnread
 	}
 	return v, reasonIncomplete
 }
 
-// goesBefore reports whether a connection is closed before another one: idle ones first,
-// then those of the address with most connections. s.mu is held.
-func (s *Conns) goesBefore(t *Tracked, use expendability, other *Tracked, otherUse expendability) bool {
-	if use == idle || otherUse == idle {
-		return use < otherUse || use == otherUse && t.since.Load() < other.since.Load()
+// evictsBefore reports whether t is closed before other: idle connections first, then those
+// of the address with most connections, then by class and age. s.mu is held.
+func (s *Conns) evictsBefore(t *Tracked, class evictionClass, other *Tracked, otherClass evictionClass) bool {
+	if class == idle || otherClass == idle {
+		return class < otherClass || class == otherClass && t.since.Load() < other.since.Load()
 	}
 	if n, m := s.byAddress[t.address], s.byAddress[other.address]; n != m {
 		return n > m
 	}
-	return use < otherUse || use == otherUse && t.since.Load() < other.since.Load()
+	return class < otherClass || class == otherClass && t.since.Load() < other.since.Load()
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -65,7 +65,8 @@
 	Handle func(ctx context.Context, r *Request) Response
 	Limits func() intent.Limits
 	// Version returns the version of the configuration that Limits comes from, or 0 as
-	// long as there is none: then a request beyond them may be valid. nil: there is one.
+	// long as there is none: then a request that exceeds them is rejected with 503 and
+	// Retry-After. nil: there is one.
 	Version func() uint64
 	Log     *zap.Logger
 	// Budget bounds the memory of requests until their response, and of responses
@@ -82,7 +83,7 @@
 type Server struct {
 	cfg         Config
 	conns       *Conns
-	bodyTimeout time.Duration // for the reading of a request body
+	bodyTimeout time.Duration // of the reading of a request body; shorter in tests
 	draining    atomic.Bool
 }
 
@@ -132,8 +133,8 @@
 // CloseIdle closes the connections without a request in progress.
 func (s *Server) CloseIdle() { s.conns.CloseIdle() }
 
-// configured reports whether there is a configuration.
-func (s *Server) configured() bool { return s.cfg.Version == nil || s.cfg.Version() > 0 }
+// hasConfig reports whether there is a configuration.
+func (s *Server) hasConfig() bool { return s.cfg.Version == nil || s.cfg.Version() > 0 }
 
 // ConnCount returns the number of open connections.
 func (s *Server) ConnCount() int { return s.conns.Len() }
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -39,23 +39,21 @@
 	server    *Server
 	socket    syscall.RawConn // of netConn
 	reader    *bufio.Reader
-	hold      *budget.Hold // memory of the request that is being read, see count; of run
-	counted   int64        // its memory, with or without a hold; of run
-	window    Window       // of run
-	inRequest bool         // a request is being read; of run
-	inHead    bool         // its header is being read; of run
-	received  int64        // bytes read from the socket since it began; of run
-	readErr   error        // last error of the socket; of run
-	// configured says that the limits of the request that is being read are those of a
-	// configuration; of run.
-	configured bool
-	limited    *io.LimitedReader // source of reader
-	ctx        context.Context
-	cancel     context.CancelFunc
-	exchanges  chan *exchange
-	waitMu     sync.Mutex
-	waiting    bool        // run is in awaitPending and reads nothing; guarded by waitMu
-	closing    atomic.Bool // the last response is being written
+	hold      *budget.Hold      // memory of the request that is being read, see count; of run
+	counted   int64             // its memory, with or without a hold; of run
+	window    Window            // of run
+	inRequest bool              // a request is being read; of run
+	inHead    bool              // its header is being read; of run
+	received  int64             // bytes of that request that were read from the socket; of run
+	readErr   error             // last error of the socket; of run
+	hasConfig bool              // the limits of that request are those of a configuration; of run
+	limited   *io.LimitedReader // source of reader
+	ctx       context.Context
+	cancel    context.CancelFunc
+	exchanges chan *exchange
+	waitMu    sync.Mutex
+	waiting   bool        // run is in awaitPending and reads nothing; guarded by waitMu
+	closing   atomic.Bool // the last response is being written
 }
 
 // exchange is a request and its response, which is set when done is closed.
@@ -182,8 +180,8 @@
 	if err = c.awaitRequest(before.Idle); err != nil {
 		return nil, err
 	}
-	c.configured = c.server.configured() // before the limits, which may change in between
-	limits := c.server.cfg.Limits()      // they may have changed while the connection was idle
+	c.hasConfig = c.server.hasConfig() // before the limits, which may change in between
+	limits := c.server.cfg.Limits()    // they may have changed while the connection was idle
 	c.limited.N += int64(limits.HeaderBytes - before.HeaderBytes)
 	c.BeginRequest()
 	if err = c.beginRequest(); err != nil {
@@ -203,7 +201,7 @@
 	}
 	body, err := c.readBody(r, limits.BodyBytes)
 	if err != nil {
-		return nil, describe(err, r)
+		return nil, withHostAndPath(err, r)
 	}
 	if c.hold != nil && !c.hold.Keep() {
 		return nil, ErrGivenUp
@@ -229,31 +227,31 @@
 	return r.URL.EscapedPath()
 }
 
-// headerError returns the error of a header that http.ReadRequest didn't accept. It
-// parses what was received before the connection ended as if it were complete, and
-// then returns an error about that.
+// headerError returns the error of a header that http.ReadRequest didn't accept.
+// At the end of the input http.ReadRequest takes a part of a line for a complete one, so its
+// error doesn't show that the input has ended.
 func (c *conn) headerError(err error) error {
 	switch {
 	case c.readErr != nil:
-		return c.endOfInput(rejectedSlowHeader)
+		return c.incompleteError(rejectedSlowHeader)
 	case c.limited.N <= 0:
-		return c.tooLong(rejectedLongHeader, err)
+		return c.limitError(rejectedLongHeader, err)
 	}
 	return &protocolError{reason: rejectedHeader, err: err}
 }
 
-// tooLong returns the error of a request that exceeds a limit. Without a configuration
-// it may be within the operator's limits, and can be sent again later.
-func (c *conn) tooLong(reason rejection, err error) error {
-	if !c.configured {
+// limitError returns the error of a request that exceeds a limit. Without a configuration
+// the limits are defaults, and those of the operator may be higher: the caller may retry.
+func (c *conn) limitError(reason rejection, err error) error {
+	if !c.hasConfig {
 		return &protocolError{reason: rejectedNoConfig, err: err, header: http.Header{"Retry-After": {RetryAfter()}}}
 	}
 	return &protocolError{reason: reason, err: err}
 }
 
-// endOfInput returns the error of a request whose input has ended before it was
-// complete: the caller is too slow, or has disconnected.
-func (c *conn) endOfInput(slow rejection) error {
+// incompleteError returns the error of a request that is incomplete because its deadline
+// has expired, which is a rejection, or because the caller has disconnected.
+func (c *conn) incompleteError(slow rejection) error {
 	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		return &protocolError{reason: slow, err: c.readErr}
 	}
@@ -322,7 +320,7 @@
 	}
 }
 
-// writeContinue asks for the body of a request, after the responses to earlier ones.
+// writeContinue writes a 100 Continue after the responses to earlier requests.
 func (c *conn) writeContinue() error {
 	if !c.awaitPending(0) {
 		return c.ctx.Err()
@@ -333,9 +331,10 @@
 	return c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
 
+// readBody reads the body of a request, up to maxBytes.
 func (c *conn) readBody(r *http.Request, maxBytes int64) (b segment.Body, err error) {
 	if r.ContentLength > maxBytes {
-		return b, c.tooLong(rejectedLongBody, fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength))
+		return b, c.limitError(rejectedLongBody, fmt.Errorf("body of %d bytes exceeds the limit", r.ContentLength))
 	}
 	if r.ContentLength == 0 {
 		return b, nil
@@ -353,11 +352,11 @@
 	case err == nil:
 		return b, nil
 	case errors.Is(err, segment.ErrTooLong):
-		return b, c.tooLong(rejectedLongBody, fmt.Errorf("body exceeds the limit of %d bytes", maxBytes))
+		return b, c.limitError(rejectedLongBody, fmt.Errorf("body exceeds the limit of %d bytes", maxBytes))
 	case c.readErr != nil:
-		return b, c.endOfInput(rejectedSlowBody)
+		return b, c.incompleteError(rejectedSlowBody)
 	case c.limited.N <= 0:
-		return b, err // its chunks have more lines than bytes
+		return b, err // the lines of the chunks take more than the limit leaves for them
 	}
 	return b, &protocolError{reason: rejectedBody, err: err}
 }
--- a/internal/caller/idle_test.go
+++ b/internal/caller/idle_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -21,7 +20,7 @@
 func TestIdleTimeBeginsAfterResponse(t *testing.T) {
 	is := is.New(t)
 	const idle = 600 * clock.Millisecond
-	s := New(Config{
+	c := serveConn(t, Config{
 		Handle: func(_ context.Context, req *Request) Response {
 			if req.Path == "/slow" {
 				time.Sleep(500 * time.Millisecond)
@@ -33,18 +32,9 @@
 		},
 		Log: zap.NewNop(),
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	a := &acceptor{server: s, listener: l}
-	go a.run()
-	c, err := net.Dial("tcp", l.Addr().String())
-	is.NoErr(err)
-	defer c.Close()
-	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
 	reader := bufio.NewReader(c)
 	for _, path := range []string{"/slow", "/next"} {
-		_, err = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		is.NoErr(err)
 		resp, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
@@ -58,26 +48,17 @@
 	is := is.New(t)
 	var idle atomic.Int64
 	idle.Store(int64(300 * clock.Millisecond))
-	s := New(Config{
+	c := serveConn(t, Config{
 		Handle: func(context.Context, *Request) Response { return Response{Status: http.StatusOK} },
 		Limits: func() intent.Limits {
 			return intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: clock.Second, Idle: clock.Span(idle.Load())}
 		},
 		Log: zap.NewNop(),
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	a := &acceptor{server: s, listener: l}
-	go a.run()
-	c, err := net.Dial("tcp", l.Addr().String())
-	is.NoErr(err)
-	defer c.Close()
-	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
 	time.Sleep(100 * time.Millisecond)
 	idle.Store(int64(2 * clock.Second))
 	time.Sleep(500 * time.Millisecond)
-	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -19,7 +18,7 @@
 	"github.com/laburnummux/laburnummux/internal/intent"
 )
 
-// Guards against a request on an open connection that is rejected by limits that were replaced before it began.
+// Guards against a request on an open connection that is rejected by limits that were replaced before the request began.
 func TestLimitsChangeOnOpenConnection(t *testing.T) {
 	long := strings.Repeat("x", 1000)
 	tests := []struct {
@@ -38,18 +37,10 @@
 				var current atomic.Uint64
 				limits.Store(&intent.Limits{HeaderBytes: 500, BodyBytes: 500, HeaderWait: clock.Second, Idle: 5 * clock.Second})
 				current.Store(version)
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				defer l.Close()
-				a := &acceptor{server: New(Config{
+				c := serveConn(t, Config{
 					Handle: func(context.Context, *Request) Response { return Response{Status: http.StatusOK} },
 					Limits: func() intent.Limits { return *limits.Load() }, Version: current.Load, Log: zap.NewNop(),
-				}), listener: l}
-				go a.run()
-				c, err := net.Dial("tcp", l.Addr().String())
-				is.NoErr(err)
-				defer c.Close()
-				is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+				})
 				reader := bufio.NewReader(c)
 				send := func(request string) int {
 					_, err := io.WriteString(c, request)
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -38,9 +38,9 @@
 	// maxWriteBytes is the longest part of a response that is written at once. A caller that
 	// doesn't read is noticed when a part isn't written.
 	maxWriteBytes = 64 << 10
-	// receivedTimeout bounds the reading of bytes that are in the socket. It only has to be
-	// long enough that the deadline isn't over before the read.
-	receivedTimeout = time.Second
+	// lateReadTimeout bounds the read of bytes that are already in the socket's buffer. It
+	// only has to be longer than the time between the setting of the deadline and the read.
+	lateReadTimeout = time.Second
 	// minRetryAfter and maxRetryAfter bound when the caller of a request that was given
 	// up for want of memory may send it again, in seconds: callers that are refused
 	// together come back one by one.
@@ -79,7 +79,7 @@
 	c := s.conn
 	n, err = c.netConn.Read(p)
 	if c.inRequest && c.inHead && errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readReceived(p)
+		n, err = c.readLate(p)
 	}
 	c.received += int64(n)
 	c.readErr = err
@@ -98,13 +98,13 @@
 	return n, err
 }
 
-// readReceived reads bytes of a header that were received before its deadline, or soon
-// after it, but are read later because the process got no processor time.
-func (c *conn) readReceived(p []byte) (int, error) {
+// readLate reads bytes of a header that are in the socket's buffer after its deadline: the
+// process may have got no processor time to read them earlier.
+func (c *conn) readLate(p []byte) (int, error) {
 	if n, err := listen.Unread(c.socket); err != nil || n == 0 {
 		return 0, os.ErrDeadlineExceeded
 	}
-	if err := c.setReadDeadline(time.Now().Add(receivedTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
 		return 0, err
 	}
 	defer c.endRead()
@@ -238,7 +238,7 @@
 	return nil
 }
 
-// write writes a part of a response.
+// write writes a part of a response and records the write for Tracked.evictionClass.
 func (c *conn) write(p []byte) error {
 	c.beginWrite()
 	defer c.endWrite()
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -48,7 +48,7 @@
 		Name: "laburnummux_long_bodies_total", Help: "Long bodies of callers' requests by the size of the receive buffer that they were read with: short if the memory of bodies was in use.",
 	}, []string{"buffer"})
 	m.rejects = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "laburnummux_requests_rejected_total", Help: "Callers' requests that were refused while they were read, by reason and status.",
+		Name: "laburnummux_requests_rejected_total", Help: "Callers' requests that were rejected while they were read, by reason and status.",
 	}, []string{"reason", "status"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "laburnummux_body_bytes", Help: "Memory of the headers and bodies of callers' requests, and of servers' responses.",
--- a/internal/caller/pipelined_test.go
+++ b/internal/caller/pipelined_test.go
@@ -77,15 +77,20 @@
 	is.Equal(err, io.EOF)
 }
 
-// servePipelined returns a connection to a server.
+// servePipelined returns a connection to a server with the limits of these tests.
 func servePipelined(t *testing.T, handle func(context.Context, *Request) Response) net.Conn {
+	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: 300 * clock.Millisecond, Idle: clock.Second}
+	return serveConn(t, Config{Handle: handle, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()})
+}
+
+// serveConn starts a server and returns a connection to it, whose deadline is 10 s.
+func serveConn(t *testing.T, cfg Config) net.Conn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: 300 * clock.Millisecond, Idle: clock.Second}
-	a := &acceptor{server: New(Config{Handle: handle, Limits: func() intent.Limits { return limits }, Log: zap.NewNop()}), listener: l}
+	a := &acceptor{server: New(cfg), listener: l}
 	go a.run()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/caller/reject.go
+++ b/internal/caller/reject.go
@@ -9,7 +9,7 @@
 
 //go:generate go tool stringer -type=rejection -linecomment -output=rejection_string.go
 
-// rejection is why a request was refused while it was being read.
+// rejection is the reason why a request was rejected while it was being read.
 type rejection int
 
 // Reasons of rejections.
@@ -25,7 +25,7 @@
 	rejectedNoConfig                    // no-config
 )
 
-// status returns the status of the response.
+// status returns the HTTP status of the response.
 func (r rejection) status() int {
 	switch r {
 	case rejectedLongHeader:
@@ -51,8 +51,8 @@
 
 func (e *protocolError) Error() string { return e.err.Error() }
 
-// describe adds the host and path of a request to the error of its body.
-func describe(err error, r *http.Request) error {
+// withHostAndPath adds the host and path of a request to the error of its body.
+func withHostAndPath(err error, r *http.Request) error {
 	var pe *protocolError
 	if errors.As(err, &pe) {
 		pe.host, pe.path = r.Host, r.URL.Path
@@ -60,8 +60,8 @@
 	return err
 }
 
-// maxLoggedBytes bounds a text of a caller in a line of the log, and maxErrorBytes an
-// error that quotes one.
+// maxLoggedBytes and maxErrorBytes bound how much of a text of the caller, and of an error
+// that quotes one, is logged.
 const (
 	maxLoggedBytes = 64
 	maxErrorBytes  = 200
--- a/internal/caller/reject_test.go
+++ b/internal/caller/reject_test.go
@@ -240,7 +240,7 @@
 }
 
 // Guards against the rejection of a header that was received in time and is read after
-// its deadline, and against one that never ends as a result.
+// its deadline, and against a header without an end that is never rejected as a result.
 func TestHeaderReadLate(t *testing.T) {
 	const wait = 100 * clock.Millisecond
 	tests := []struct {
--- a/internal/caller/tracked.go
+++ b/internal/caller/tracked.go
@@ -14,6 +14,24 @@
 // anything. Distant callers need several round trips with TLS.
 const firstRequestTime = time.Second
 
+// unreadTime is how long the write of a part of a response may take before its connection
+// may be closed to make room. A slow caller may take seconds to free a socket's buffer.
+const unreadTime = 3 * time.Second
+
+// evictionClass says how soon a connection is closed to make room, among those of addresses
+// with equally many connections: lower values first, and requestPending never. idle is first
+// whatever the address.
+type evictionClass int
+
+const (
+	idle           evictionClass = iota
+	stalledRequest               // a part of a request, and no more bytes for budget.StallTime
+	unreadResponse               // a part of a response has been blocked for unreadTime
+	awaitingFirst                // a new connection, from which nothing was received yet
+	incomplete                   // a request is being received
+	requestPending               // a request awaits its response, or the response is being written
+)
+
 // Tracked is a caller's connection with what Conns has to know of it.
 type Tracked struct {
 	netConn net.Conn
@@ -24,7 +42,7 @@
 	pending atomic.Int32 // requests whose response isn't written
 	reading atomic.Bool  // a request has been received in part
 	input   atomic.Int64 // when bytes were last received, Unix ns; 0: never
-	blocked atomic.Int64 // since when a part of a response is being written, Unix ns; 0: none is
+	blocked atomic.Int64 // when the write in progress began, Unix ns; 0: there is none
 
 	mu      sync.Mutex
 	evicted bool               // the connection was closed to make room
@@ -32,23 +50,6 @@
 	cancel  context.CancelFunc // of the last request with OnEvict; may be nil
 }
 
-// unreadTime is how long the write of a part of a response may take before its connection
-// may be closed to make room. A slow caller may take seconds to free a socket's buffer.
-const unreadTime = 3 * time.Second
-
-// expendability is what a connection is used for. Connections are closed to make room in
-// the order of the values, and never with the last one.
-type expendability int
-
-const (
-	idle           expendability = iota
-	stalledRequest               // a part of a request, and nothing more for a while
-	unreadResponse               // the caller reads a response slowly, or nothing of it
-	silent                       // new, and nothing received yet
-	incomplete                   // a request is being received
-	inProgress                   // a request awaits its response, or that is being read
-)
-
 // NewTracked returns a connection without requests.
 func NewTracked(nc net.Conn) *Tracked {
 	t := &Tracked{netConn: nc, address: addressOf(nc), opened: time.Now()}
@@ -144,25 +145,24 @@
 // RecordInput records that bytes were received.
 func (t *Tracked) RecordInput() { t.input.Store(time.Now().UnixNano()) }
 
-// beginWrite records that a part of a response is about to be written, and endWrite that
-// it was.
+// beginWrite records that the write of a part of a response begins.
 func (t *Tracked) beginWrite() { t.blocked.Store(time.Now().UnixNano()) }
 
+// endWrite records that the write has ended, with or without an error.
 func (t *Tracked) endWrite() { t.blocked.Store(0) }
 
-// expendability returns in which order connections of callers with equally many are
-// closed to make room.
-func (t *Tracked) expendability(now time.Time) expendability {
+// evictionClass returns the current class of the connection.
+func (t *Tracked) evictionClass(now time.Time) evictionClass {
 	input, blocked := t.input.Load(), t.blocked.Load()
 	switch {
 	case blocked != 0 && now.UnixNano()-blocked > int64(unreadTime):
 		return unreadResponse
 	case t.pending.Load() > 0:
-		return inProgress
+		return requestPending
 	case t.Idle() && !t.isNew():
 		return idle
 	case input == 0:
-		return silent
+		return awaitingFirst
 	case now.UnixNano()-input > int64(budget.StallTime):
 		return stalledRequest
 	}
--- a/internal/front/fetch.go
+++ b/internal/front/fetch.go
@@ -26,7 +26,7 @@
 	snapshotStallTime = 400 * time.Millisecond
 	// maxSnapshotTime bounds a fetch that makes little progress.
 	maxSnapshotTime  = 10 * time.Second
-	maxSnapshotBytes = 32 << 20
+	maxSnapshotBytes = 32 << 20 // of a snapshot after decompression
 	// firstHostFetchDelay is how long the first host of a data centre waits for
 	// a newer snapshot in its own data centre before it fetches one from another
 	// data centre. The other hosts wait for otherHostFetchDelay, as it is enough
@@ -38,7 +38,7 @@
 	fetchFailureFraction = 0.3
 )
 
-// checkSnapshot wakes fetchSnapshots if a host's heartbeat told of a newer snapshot.
+// checkSnapshot wakes fetchSnapshots if a host's heartbeat reported a newer snapshot.
 func (h *Host) checkSnapshot(now clock.Time, from keys.Host) {
 	config, servers, _ := h.snapshotVersions(now)
 	if !h.members.sentNewer(now, from, config, servers) {
@@ -174,7 +174,7 @@
 	return n, err
 }
 
-// fetchResult returns the result of a fetch for the metrics.
+// fetchResult returns the result label of a fetch in the metrics.
 func fetchResult(err error) string {
 	switch {
 	case err == nil:
@@ -185,7 +185,7 @@
 	return "error"
 }
 
-// recordFetch records whether snapshots can be fetched from other hosts.
+// recordFetch counts the fetch of a snapshot and records whether it failed.
 func (h *Host) recordFetch(now clock.Time, err error) {
 	h.metrics.fetches.WithLabelValues(fetchResult(err)).Inc()
 	h.mu.Lock()
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -65,8 +65,8 @@
 	serversAsOf        clock.Time     // earliest time at which it can have sent that confirmation
 	configConfirmed    bool           // the store has confirmed the configuration at least once
 	serversConfirmed   bool           // and the servers
-	fetchFails         bool           // no snapshot could be fetched from another host
-	fetchFailsSince    clock.Time     // if fetchFails
+	fetchFails         bool           // the last fetch of a snapshot failed
+	fetchFailsSince    clock.Time     // time of the first of the failed fetches in a row
 }
 
 // confirmationAge returns the time since the store last confirmed both the
@@ -90,8 +90,8 @@
 }
 
 // shouldWatch reports whether this host has to watch the store itself: it is one
-// of the watchers (see members.watchState), no other host has a fresh snapshot, or it
-// can't be fetched.
+// of the watchers (see members.watchState), no other host has a fresh snapshot, or
+// none can be fetched.
 func (h *Host) shouldWatch() bool {
 	now := h.clock.Now()
 	if now < h.watchFrom {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -43,7 +43,7 @@
 		Name: "laburnummux_callers_left_total", Help: "Requests whose caller left before the final response, by service and where the request was.",
 	}, []string{"service", "stage"})
 	m.unsigned = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "laburnummux_unsigned_responses_total", Help: "Responses of servers without a signature, which are not passed on, by service and status.",
+		Name: "laburnummux_unsigned_responses_total", Help: "Responses from backend servers without a signature, which are not passed on, by service and status.",
 	}, []string{"service", "status"})
 	m.tickDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "laburnummux_tick_delay_seconds", Help: "How late the process is: the delay of a timer that expires 20 to 100 times a second.", Buckets: prometheus.ExponentialBuckets(0.002, 4, 7),
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -30,8 +30,8 @@
 	err       error
 }
 
-// unsignedError is the error of a response that the server didn't sign: something
-// between it and this host may have sent it. The value is the status.
+// unsignedError is the error of a response that the backend server didn't sign: something
+// between it and this host may have sent it. The value is the HTTP status.
 type unsignedError int
 
 func (e unsignedError) Error() string {
@@ -60,7 +60,7 @@
 	switch {
 	case result.reply.NotRun:
 		result.outcome, result.placement.Shed = notRun, true
-	case !result.reply.Signed || !c.keepsSignature(res):
+	case !result.reply.Signed || !c.signedEndToEnd(res):
 		result.err = unsignedError(res.Status)
 		c.relay.cfg.Metrics.observeUnsigned(c.service, res.Status)
 		result.outcome, result.placement.Failed = mismatched, true
@@ -72,8 +72,8 @@
 	return result
 }
 
-// keepsSignature reports whether a signed response still is when its hop-by-hop headers
-// are removed: its Connection header could list the signature.
-func (c *call) keepsSignature(res link.Result) bool {
+// signedEndToEnd reports whether a response is still signed without its hop-by-hop headers,
+// as the caller receives it: its Connection header may list the signature.
+func (c *call) signedEndToEnd(res link.Result) bool {
 	return len(res.Header["Connection"]) == 0 || c.relay.cfg.Codec.Reply(res.Status, endToEnd(res.Header)).Signed
 }
