--- a/internal/front/fetch_test.go
+++ b/internal/front/fetch_test.go
@@ -115,3 +115,13 @@
 	h.recordFetch(1900, nil)
 	is.True(!h.cannotFetch(5000))
 }
+
+// Guards against a host that goes on reading the store long after its last failed fetch.
+func TestHostFetchesAgainAfterFailure(t *testing.T) {
+	is := is.New(t)
+	h := newTestHost()
+	h.cfg.Settings.DrainTimeout, h.cfg.Settings.ApplyTimeout = 2500, 2500
+	h.recordFetch(1000, errStalled)
+	is.True(h.cannotFetch(2000))
+	is.True(!h.cannotFetch(60_000))
+}
