--- a/internal/front/fetch.go
+++ b/internal/front/fetch.go
@@ -36,6 +36,8 @@
 	// fetchFailureFraction is the fraction of the bound for configurations and draining
 	// servers after which a host whose fetches all fail reads the store itself.
 	fetchFailureFraction = 0.3
+	// fetchRetryFraction is the same for when it relies on other hosts again.
+	fetchRetryFraction = 1.3
 )
 
 // checkSnapshot wakes fetchSnapshots if a host's heartbeat reported a newer snapshot.
@@ -199,9 +201,13 @@
 }
 
 // cannotFetch reports whether the fetches of snapshots have failed for so long that this
-// host has to read the store itself.
+// host has to read the store itself. It does so for a while, and then tries others again.
 func (h *Host) cannotFetch(now clock.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.sync.fetchFails && now.Sub(h.sync.fetchFailsSince) > h.changeDeadline(fetchFailureFraction)
+	failing := now.Sub(h.sync.fetchFailsSince)
+	if failing > h.changeDeadline(fetchRetryFraction) {
+		h.sync.fetchFails = false
+	}
+	return h.sync.fetchFails && failing > h.changeDeadline(fetchFailureFraction)
 }
