link: a response with a malformed head isn't used

What callers saw: a server in trouble sent a response in whose head the name of a field held a blank or a control byte. They got it as a response, with that line in it, or with a body that wasn't the server's.

Cause: link read heads with http.ReadResponse alone and trusted it. The parser of net/http takes blanks within and behind a name and keeps the name, so "Content-Length : 3" isn't a length, and it joins a line that begins with a blank or a tab to the value before it, also to that of the signature. The earlier test of heads (TestResponses) sent none of these, and FuzzResponse took the same parser as its measure.

Change: head.Scanner checks each head by the grammar of RFC 9110 (5.1, 5.5) and RFC 9112 (5.1, 5.2) while it is received, before the parser sees it: also informational heads and those of responses that are skipped. A malformed one ends the attempt as one that may have run, closes the connection, and is logged and counted (laburnummux_malformed_heads_total). Folded lines are refused, as section 5.2 allows a gateway.

TestMalformedHeads (link) covers 9 places of a head.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -39,6 +39,7 @@
 	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/mesh"
@@ -108,6 +109,7 @@
 	callerListener    net.Listener
 	listeners         []net.Listener
 	metrics           *hostMetrics
+	heads             *head.Reporter
 }
 
 // New returns a Host that isn't started.
@@ -121,6 +123,7 @@
 	}
 	cfg.Registry.MustRegister(collectors.NewGoCollector())
 	h.metrics = newHostMetrics(cfg.Registry)
+	h.heads = head.NewReporter(cfg.Registry, cfg.Log)
 	s := cfg.Settings
 	s.registerFeatures(cfg.Registry)
 	h.members = newMembers(s)
@@ -148,7 +151,7 @@
 		Clock: h.clock, Codec: cfg.Codec, DC: s.DC, Log: cfg.Log, LoadChanged: h.triggerHeartbeat,
 		DrainTimeout: s.DrainTimeout, ServerLeaving: h.serverLeaving, WarmupChanged: h.warmupChanged, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
 		RetryBudget: quota.Config{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
-		Metrics:     relay.NewMetrics(cfg.Registry), Admitter: h.admission, Budget: bodies,
+		Metrics:     relay.NewMetrics(cfg.Registry), Heads: h.heads, Admitter: h.admission, Budget: bodies,
 		ColdAdmissionOnly: s.disables(Admission), NoSlowStart: s.disables(SlowStart), IgnoreSlowdown: s.disables(Slowdown),
 	}
 }
--- /dev/null
+++ b/internal/head/scanner.go
@@ -0,0 +1,149 @@
+package head
+
+// tokenChars and valueChars say for each byte whether it may be in a field's name (RFC
+// 9110, section 5.6.2) and in its value (section 5.5).
+var tokenChars, valueChars = charTables()
+
+func charTables() (token, value [256]bool) {
+	for c := range 256 {
+		value[c] = c >= ' ' && c != 0x7f || c == '\t'
+		token[c] = c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
+	}
+	for _, c := range "!#$%&'*+-.^_`|~" {
+		token[c] = true
+	}
+	return token, value
+}
+
+// position is where in a head the next byte is.
+type position int
+
+const (
+	ended position = iota // behind the head, or before one has begun
+	inStartLine
+	inLineBegin // at the first byte of a field or of the empty line
+	inName
+	inValue
+	afterValueCR
+	afterEmptyLineCR
+)
+
+// Scanner checks the bytes of a head as they are received. Lines end with CR and LF, or
+// with LF alone. The first line isn't checked.
+type Scanner struct {
+	at       position
+	line     int // number of the current line, from 1
+	startLen int // length of the first line without CR
+}
+
+// Begin begins a head.
+func (s *Scanner) Begin() { *s = Scanner{at: inStartLine, line: 1} }
+
+// End ends a head that is incomplete.
+func (s *Scanner) End() { s.at = ended }
+
+// Scanning reports whether a head has begun and isn't complete.
+func (s *Scanner) Scanning() bool { return s.at != ended }
+
+// Scan checks the next bytes. It returns how many of them are part of the head, or up to
+// where the head is well-formed and an *Error.
+func (s *Scanner) Scan(p []byte) (n int, err error) {
+	for n < len(p) && s.at != ended {
+		if s.at == inValue && valueChars[p[n]] {
+			n++ // most bytes of a head
+			continue
+		}
+		if f, ok := s.step(p[n]); !ok {
+			return n, &Error{fault: f, line: s.line, char: p[n]}
+		}
+		n++
+	}
+	return n, nil
+}
+
+// step checks one byte. ok is false if it has a fault.
+func (s *Scanner) step(b byte) (f Fault, ok bool) {
+	switch s.at {
+	case inStartLine:
+		s.stepStartLine(b)
+		return 0, true
+	case inLineBegin:
+		return s.stepLineBegin(b)
+	case inName:
+		return s.stepName(b)
+	case inValue:
+		return s.stepValue(b)
+	}
+	return s.stepAfterCR(b)
+}
+
+// stepStartLine takes a byte of the first line. An empty one ends the head.
+func (s *Scanner) stepStartLine(b byte) {
+	switch {
+	case b == '\n' && s.startLen == 0:
+		s.endLine(ended)
+	case b == '\n':
+		s.endLine(inLineBegin)
+	case b != '\r':
+		s.startLen++
+	}
+}
+
+func (s *Scanner) stepLineBegin(b byte) (f Fault, ok bool) {
+	switch {
+	case b == '\r':
+		s.at = afterEmptyLineCR
+	case b == '\n':
+		s.endLine(ended)
+	case b == ' ' || b == '\t':
+		return FaultFold, false
+	default:
+		s.at = inName
+		return FaultName, tokenChars[b]
+	}
+	return 0, true
+}
+
+func (s *Scanner) stepName(b byte) (f Fault, ok bool) {
+	switch b {
+	case ':':
+		s.at = inValue
+		return 0, true
+	case '\r', '\n':
+		return FaultColon, false
+	}
+	return FaultName, tokenChars[b]
+}
+
+func (s *Scanner) stepValue(b byte) (f Fault, ok bool) {
+	switch b {
+	case '\r':
+		s.at = afterValueCR
+	case '\n':
+		s.endLine(inLineBegin)
+	default:
+		return FaultValue, valueChars[b]
+	}
+	return 0, true
+}
+
+// stepAfterCR takes the byte behind a CR, which has to end the line.
+func (s *Scanner) stepAfterCR(b byte) (f Fault, ok bool) {
+	switch {
+	case b != '\n' && s.at == afterValueCR:
+		return FaultValue, false
+	case b != '\n':
+		return FaultName, false
+	case s.at == afterValueCR:
+		s.endLine(inLineBegin)
+	default:
+		s.endLine(ended)
+	}
+	return 0, true
+}
+
+// endLine continues at the next line.
+func (s *Scanner) endLine(next position) {
+	s.line++
+	s.at = next
+}
--- a/internal/link/head.go
+++ b/internal/link/head.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/laburnummux/laburnummux/internal/head"
 )
 
 const (
@@ -25,60 +28,52 @@
 	errNotHTTP     = errors.New("not an HTTP response")
 )
 
-// headReader is the source of a connection's reader. It bounds the heads of
+// headReader is the source of a connection's reader. It checks and bounds the heads of
 // responses, which http.ReadResponse reads without a limit.
 type headReader struct {
 	source  io.Reader
-	inHead  bool
-	lineLen int // bytes of the current line, without CR
+	scanner head.Scanner
 	bytes   int
 	lines   int
 	err     error // last error of source
+	fault   error // of a head that is malformed or too long
 }
 
 // reset begins the count of another request's heads.
-func (h *headReader) reset() { h.inHead, h.bytes, h.lines = false, 0, 0 }
+func (h *headReader) reset() {
+	h.scanner.End()
+	h.bytes, h.lines, h.fault = 0, 0, nil
+}
 
 // begin begins a head. buffered has the bytes that were read before.
 func (h *headReader) begin(buffered []byte) error {
-	h.inHead, h.lineLen = true, 0
-	return h.count(buffered)
+	h.scanner.Begin()
+	return h.check(buffered)
 }
 
-// end ends the head, if it is still open because it is malformed.
-func (h *headReader) end() { h.inHead = false }
+// end ends the head, if it is still incomplete because it is malformed.
+func (h *headReader) end() { h.scanner.End() }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (n int, err error) {
 	n, err = h.source.Read(p)
 	h.err = err
-	if e := h.count(p[:n]); e != nil {
+	if e := h.check(p[:n]); e != nil {
 		return 0, e // with bytes, the reader would return them as a line and drop the error
 	}
 	return n, err
 }
 
-// count counts the bytes up to the empty line that ends the head.
-func (h *headReader) count(p []byte) error {
-	for _, b := range p {
-		if !h.inHead {
-			return nil
-		}
-		h.bytes++
-		switch b {
-		case '\n':
-			h.inHead = h.lineLen > 0
-			h.lines++
-			h.lineLen = 0
-		case '\r':
-		default:
-			h.lineLen++
-		}
-		if h.bytes > maxHeadBytes || h.lines > maxHeadLines {
-			return errHeadTooLong
-		}
+// check checks and counts the bytes up to the end of the head.
+func (h *headReader) check(p []byte) (err error) {
+	n, err := h.scanner.Scan(p)
+	h.bytes += n
+	h.lines += bytes.Count(p[:n], []byte{'\n'})
+	if h.bytes > maxHeadBytes || h.lines > maxHeadLines {
+		err = errHeadTooLong
 	}
-	return nil
+	h.fault = err
+	return err
 }
 
 // readHead reads the head of the next response. Its errors wrap ErrConnLost or
@@ -87,6 +82,8 @@
 	defer func() {
 		switch {
 		case err == nil:
+		case c.head.fault != nil:
+			err = fmt.Errorf("%w: %w", ErrMalformed, c.head.fault)
 		case c.head.err != nil: // http.ReadResponse takes the part of a line for a complete one
 			err = fmt.Errorf("%w: %w", ErrConnLost, c.head.err)
 		default:
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -126,6 +126,11 @@
 // exchange sends a request on a connection and reads its response with a body of
 // at most maxBytes. It reports whether the connection can be reused.
 func (p *Pool) exchange(ctx context.Context, c *conn, r Request, maxBytes int64, res *Result) (reusable bool) {
+	defer func() {
+		if errors.Is(res.Err, ErrMalformed) {
+			p.malformed(r.ID, res.Err)
+		}
+	}()
 	head := r.encodeHead()
 	res.Sent = true
 	wrote := make(chan error, 1)
--- /dev/null
+++ b/internal/link/malformed_test.go
@@ -0,0 +1,104 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
+	"github.com/laburnummux/laburnummux/internal/head"
+)
+
+// watched is a pool with a record of what it observed.
+type watched struct {
+	*Pool
+	observed atomic.Int32 // heads
+	refused  atomic.Int32 // malformed responses
+}
+
+func newWatched(s *rawServer) *watched {
+	w := &watched{Pool: NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))}
+	w.Observe(func(int, http.Header) { w.observed.Add(1) })
+	w.ObserveMalformed(func(string, error) { w.refused.Add(1) })
+	return w
+}
+
+// Guards against a response with a malformed head that is returned as valid, teaches
+// anything or leaves its connection in use, wherever the malformed line is, and against
+// a valid one that is refused.
+func TestMalformedHeads(t *testing.T) {
+	forms := []struct{ name, before, fields, after string }{
+		{"length", "HTTP/1.1 200 OK\r\n", "Id: me\r\nContent-Length: 3\r\n", "\r\nabc"},
+		{"chunked", "HTTP/1.1 200 OK\r\n", "Id: me\r\nTransfer-Encoding: chunked\r\n", "\r\n3\r\nabc\r\n0\r\n\r\n"},
+		{"until the end of the connection", "HTTP/1.1 200 OK\r\n", "Id: me\r\n", "\r\nabc"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n", "Id: me\r\nContent-Length: 3\r\n", "\r\nabc"},
+		{"informational", "HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n", "\r\n" + response("me", "abc")},
+		{"third informational", "HTTP/1.1 100 a\r\n\r\nHTTP/1.1 102 b\r\n\r\nHTTP/1.1 103 c\r\n", "Link: a\r\n", "\r\n" + response("me", "abc")},
+		{"mismatched", "HTTP/1.1 200 OK\r\n", "Id: other\r\nContent-Length: 3\r\n", "\r\nzzz" + response("me", "abc")},
+		{"after a mismatched one", response("other", "zzz") + "HTTP/1.1 200 OK\r\n", "Id: me\r\nContent-Length: 3\r\n", "\r\nabc"},
+		{"after an informational one", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", "Id: me\r\nContent-Length: 3\r\n", "\r\nabc"},
+	}
+	lines := append(heads.Lines(), heads.LinesOf("Content-Length", "3")...)
+	lines = append(lines, heads.LinesOf("Transfer-Encoding", "chunked")...)
+	lines = append(lines, heads.LinesOf("Connection", "close")...)
+	for _, f := range forms {
+		for _, l := range lines {
+			for _, fields := range l.Placed(f.fields) {
+				t.Run(fmt.Sprintf("%s, %.80q", f.name, fields), func(t *testing.T) {
+					is := is.New(t)
+					s := newRawServer(t, f.before+fields+f.after)
+					w := newWatched(s)
+					res := send(w.Pool)
+					is.True(res.Sent)
+					if l.Valid() {
+						is.NoErr(res.Err)
+						is.Equal(res.Body.String(), "abc")
+						is.Equal(w.observed.Load(), int32(1))
+						return
+					}
+					is.True(errors.Is(res.Err, ErrMalformed))
+					_, ok := head.FaultOf(res.Err)
+					is.True(ok)
+					is.Equal(res.Status, 0)
+					is.Equal(res.Body.Len(), int64(0))
+					is.Equal(w.observed.Load(), int32(0))
+					is.Equal(w.refused.Load(), int32(1))
+					is.Equal(w.Idle(), 0)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a connection that is used again after a malformed response although
+// the server keeps it open, and against a malformed health response that keeps it.
+func TestMalformedHeadClosesConnection(t *testing.T) {
+	const bad = "HTTP/1.1 200 OK\r\nId: me\r\nX Foo: 1\r\nContent-Length: 3\r\n\r\nabc"
+	tests := []struct {
+		name      string
+		responses []string
+	}{
+		{"request", []string{bad, response("me", "late")}},
+		{"health", []string{response("me", "abc"), bad, response("me", "late")}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newRawServer(t, tt.responses...)
+			w := newWatched(s)
+			first := send(w.Pool)
+			is.Equal(first.Err == nil, tt.name == "health")
+			w.Sweep(t.Context(), time.Now().Add(defaultIdleTimeout-probeLead/2), "/health")
+			for end := time.Now().Add(time.Second); w.refused.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			is.Equal(w.refused.Load(), int32(1))
+			is.Equal(w.Idle(), 0)
+			is.True(send(w.Pool).NewConn)
+		})
+	}
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -26,12 +26,13 @@
 
 // Pool has the connections to one backend server.
 type Pool struct {
-	cfg     Config
-	observe func(status int, h http.Header)
-	mu      sync.Mutex
-	idle    []*conn
-	inUse   map[uint64]bool // numbers of the connections with a request in progress
-	closed  bool
+	cfg       Config
+	observe   func(status int, h http.Header)
+	malformed func(id string, err error)
+	mu        sync.Mutex
+	idle      []*conn
+	inUse     map[uint64]bool // numbers of the connections with a request in progress
+	closed    bool
 }
 
 // Config configures a Pool.
@@ -50,7 +51,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = Dialer(dialTimeout).DialContext
 	}
-	return &Pool{cfg: cfg, observe: func(int, http.Header) {}, inUse: make(map[uint64]bool)}
+	return &Pool{cfg: cfg, observe: func(int, http.Header) {}, malformed: func(string, error) {}, inUse: make(map[uint64]bool)}
 }
 
 // Observe has the head of each response passed to a function, also that of health
@@ -58,6 +59,10 @@
 // ones. It is called before the first request.
 func (p *Pool) Observe(observe func(status int, h http.Header)) { p.observe = observe }
 
+// ObserveMalformed has the error of each malformed response passed to a function, with the
+// ID of the request, also of health requests. It is called before the first request.
+func (p *Pool) ObserveMalformed(observe func(id string, err error)) { p.malformed = observe }
+
 // Close closes the idle connections. The others are closed after their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/link"
 )
 
@@ -26,6 +27,9 @@
 		r.countLoad(sv.Incarnation(), reply)
 		r.applyNotices(sv.Incarnation(), reply)
 	})
+	p.ObserveMalformed(func(id string, err error) {
+		r.cfg.Heads.Report(head.SourceServer, err, zap.String("server", string(sv.ID)), zap.String("id", id))
+	})
 	return p
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/laburnummux/laburnummux/internal/caller"
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/link"
 	"github.com/laburnummux/laburnummux/internal/owner"
@@ -69,8 +70,9 @@
 	ColdOver, ColdSlack float64
 	Log                 *zap.Logger
 	Metrics             *Metrics
-	LoadChanged         func() // called when the number of requests in flight may have changed
-	ServerLeaving       func() // called when a server is leaving that wasn't before
+	Heads               *head.Reporter // may be nil
+	LoadChanged         func()         // called when the number of requests in flight may have changed
+	ServerLeaving       func()         // called when a server is leaving that wasn't before
 	// WarmupChanged is called when a health response tells that a server is cold, or no
 	// longer is.
 	WarmupChanged func()
