link: a response with a malformed trailer isn't used

What callers saw: the body of a response in chunks behind which a field's name held a blank, as a complete response. The trailer itself isn't passed on.

Cause: as for heads, the parser of net/http takes such names, and nothing else looked at them.

Change: head.CheckTrailer checks the names once the body was read, also behind the body of a response that is skipped. Lines that begin with a blank are still joined to the one before; no trailer is passed on.

Names with control bytes were refused before (connection lost).

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -19,12 +19,16 @@
 //		_, err = s.Scan(p[:n])
 //	}
 //
-// A Reporter logs and counts the errors.
+// The fields behind a chunked body are in http.Response.Trailer or http.Request.Trailer
+// once it was read, where CheckTrailer checks their names. A Reporter logs and counts the
+// errors.
 package head
 
 import (
 	"errors"
 	"fmt"
+	"net/http"
+	"strings"
 )
 
 //go:generate go tool stringer -type=Fault -linecomment -output=fault_string.go
@@ -43,7 +47,7 @@
 // Error is the error of a malformed head.
 type Error struct {
 	fault Fault
-	line  int // from 1
+	line  int // from 1; 0: in the trailer
 	char  byte
 }
 
@@ -52,6 +56,9 @@
 
 // Error implements error.
 func (e *Error) Error() string {
+	if e.line == 0 {
+		return fmt.Sprintf("malformed trailer: %s: byte 0x%02x", e.fault, e.char)
+	}
 	return fmt.Sprintf("malformed head: %s: byte 0x%02x in line %d", e.fault, e.char, e.line)
 }
 
@@ -64,3 +71,15 @@
 	}
 	return e.fault, true
 }
+
+// CheckTrailer returns an *Error if a name of a trailer's fields isn't a token.
+func CheckTrailer(h http.Header) error {
+	for name := range h {
+		if i := strings.IndexFunc(name, isNotToken); i >= 0 {
+			return &Error{fault: FaultName, char: name[i]}
+		}
+	}
+	return nil
+}
+
+func isNotToken(r rune) bool { return r >= 0x80 || !tokenChars[r] }
--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"syscall"
 
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
@@ -34,7 +35,7 @@
 	defer func() {
 		switch {
 		case err == nil:
-		case errors.Is(err, errBodyTooLong), errors.Is(err, errGivenUp) && ctx.Err() == nil:
+		case isMalformed(err), errors.Is(err, errBodyTooLong), errors.Is(err, errGivenUp) && ctx.Err() == nil:
 			err = fmt.Errorf("%w: %w", ErrMalformed, err)
 		default:
 			err = fmt.Errorf("%w: %w", ErrConnLost, err)
@@ -45,6 +46,8 @@
 	}
 	b, err = segment.Read(resp.Body, resp.ContentLength, maxBytes, h.Add)
 	switch {
+	case err == nil:
+		return b, head.CheckTrailer(resp.Trailer)
 	case errors.Is(err, segment.ErrTooLong):
 		return b, errBodyTooLong
 	case errors.Is(err, segment.ErrGivenUp), err != nil && !h.Add(0):
@@ -53,6 +56,11 @@
 	return b, err
 }
 
+func isMalformed(err error) bool {
+	_, ok := head.FaultOf(err)
+	return ok
+}
+
 // delimitedByClose reports whether the end of the connection is that of the body.
 func delimitedByClose(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
@@ -84,5 +92,8 @@
 	case n > maxSkippedBytes:
 		return fmt.Errorf("%w: %w", ErrMismatched, errBodyTooLong)
 	}
+	if err = head.CheckTrailer(resp.Trailer); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
 	return nil
 }
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -102,3 +103,40 @@
 		})
 	}
 }
+
+// Guards against a response that is returned although a line behind its chunks is
+// malformed, also if the response is skipped. Folded lines are joined there, as trailers
+// aren't passed on.
+func TestMalformedTrailers(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n%s\r\n"
+	for _, l := range heads.Lines() {
+		for i, trailer := range l.Placed("A: b\r\n") {
+			folded := i > 0 && strings.HasPrefix(strings.ReplaceAll(string(l), "\t", " "), " ") && heads.Line("A: "+l).Valid()
+			for _, id := range []string{"me", "other"} {
+				t.Run(fmt.Sprintf("%s, %.80q", id, trailer), func(t *testing.T) {
+					is := is.New(t)
+					w := newWatched(newRawServer(t, fmt.Sprintf(chunks, id, trailer)+response("me", "abc")))
+					res := send(w.Pool)
+					is.True(res.Sent)
+					if l.Valid() || folded {
+						is.NoErr(res.Err)
+						is.Equal(res.Body.String(), "abc")
+						return
+					}
+					is.True(res.Err != nil)
+					is.Equal(res.Status, 0)
+					is.Equal(w.Idle(), 0)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a malformed trailer that isn't told apart from a lost connection.
+func TestMalformedTrailerIsReported(t *testing.T) {
+	is := is.New(t)
+	w := newWatched(newRawServer(t, "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Foo: 1\r\n\r\n"))
+	res := send(w.Pool)
+	is.True(errors.Is(res.Err, ErrMalformed))
+	is.Equal(w.refused.Load(), int32(1))
+}
