serve: a response with a malformed head isn't used

What callers saw: hosts of `serve` took a backend server's or another host's response whose head had a blank in a field's name; a body under "Content-Length : 2" was read until the end of the connection, and a 503 with such a line was believed as "not run".

Cause: the one of link: http.Transport uses the parser of net/http, and nothing checked what it took.

Change: head.Transport wraps the connections of an http.Transport and checks the bytes of each head with the scanner of link, before the parser sees them; the trailer's names are checked at the end of the body. A connection with a fault isn't used again, and net/http doesn't send its request again. The pools of internal/proxy use it, for servers and other hosts, and the probes of servers, which include grants. Faults are logged and counted by sender (laburnummux_malformed_heads_total); calls to the store are reported by their errors.

TestTransport* (head) cover connections that are used again, informational heads, status lines, TLS and sound servers under concurrent requests, also with the race detector.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -10,6 +10,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/grant"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/lease"
 	"github.com/laburnummux/laburnummux/internal/limit"
 	"github.com/laburnummux/laburnummux/internal/proxy"
@@ -63,17 +64,17 @@
 
 func newBackend(c *cell, s grant.Server) *backend {
 	srv := c.svc.Server()
-	secure := c.host.security.serverTLS(s.Server, s.Address)
+	secure, report := c.host.security.serverTLS(s.Server, s.Address), c.host.heads.From(head.SourceServer)
 	b := &backend{
 		cell: c, name: s.Server, checksFences: s.ChecksFences, baseURL: scheme(secure) + s.Address,
 		pool: proxy.NewSecurePool(s.Address, proxy.Limits{
 			MaxIdle:     srv.Slots() + 2,
 			MaxConns:    srv.Connections() - config.ConnectionReserve,
 			DialTimeout: srv.ConnectTimeout().Std(),
-		}, secure),
+		}, secure, report),
 		probeClient: &http.Client{
 			Timeout:   probeTimeout,
-			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure},
+			Transport: head.NewTransport(&http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure}, report),
 		},
 		grantPushes: ring.New[lease.Push](1),
 		limiter: limit.New(limit.Config{
--- a/internal/entry/cellstore.go
+++ b/internal/entry/cellstore.go
@@ -154,7 +154,7 @@
 }
 
 func (o *cellStore) read(ctx context.Context) (err error) {
-	defer func() { o.host.metrics.Store("get", err) }()
+	defer func() { o.host.recordStoreCall("get", err) }()
 	ctx, cancel := context.WithTimeout(ctx, cellStoreTimeout)
 	defer cancel()
 	obj, err := o.host.store.Get(ctx, cellObjectName(o.cell))
@@ -174,7 +174,7 @@
 }
 
 func (o *cellStore) write(ctx context.Context, v cellObject, ifVersion uint64) (err error) {
-	defer func() { o.host.metrics.Store("put", err) }()
+	defer func() { o.host.recordStoreCall("put", err) }()
 	b, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("entry.write: %w", err)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -50,6 +50,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/config"
 	"github.com/laburnummux/laburnummux/internal/gossip"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/peers"
 	"github.com/laburnummux/laburnummux/internal/proxy"
 	"github.com/laburnummux/laburnummux/internal/retry"
@@ -88,6 +89,7 @@
 	log         *zap.Logger
 	store       store.Store
 	metrics     *stats.Metrics
+	heads       *head.Reporter
 	peers       *peers.Peers
 	events      *ring.Ring[event]
 	supervisor  *super.Supervisor
@@ -154,10 +156,17 @@
 	h.auditLog = cmp.Or(cfg.Audit, cfg.Log).Named("audit").With(zap.String("host", string(h.self)))
 	h.peers = peers.New(h.self, incarnation, h.receive, h.log)
 	h.metrics.Register(&collector{h})
+	h.heads = head.NewReporter(h.metrics.Registry(), h.log)
 	h.intake = h.newIntake()
 	return h
 }
 
+// recordStoreCall counts a call to the store.
+func (h *Host) recordStoreCall(call string, err error) {
+	h.metrics.Store(call, err)
+	h.heads.Report(head.SourceStore, err)
+}
+
 // newIncarnation returns the ID of a new incarnation of the host, which is higher
 // than those of earlier incarnations.
 func newIncarnation() uint64 {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/proxy"
 	"github.com/laburnummux/laburnummux/internal/retry"
 	"github.com/laburnummux/laburnummux/internal/route"
@@ -184,7 +185,7 @@
 	if p := h.relayPools[to]; p != nil && p.Address() == addr {
 		return p
 	}
-	p := proxy.NewSecurePool(addr, proxy.Limits{MaxIdle: relayIdleConns, DialTimeout: relayConnectTimeout}, h.security.hostTLS(to))
+	p := proxy.NewSecurePool(addr, proxy.Limits{MaxIdle: relayIdleConns, DialTimeout: relayConnectTimeout}, h.security.hostTLS(to), h.heads.From(head.SourceHost))
 	h.relayPools[to] = p
 	return p
 }
--- a/internal/entry/revise.go
+++ b/internal/entry/revise.go
@@ -177,7 +177,7 @@
 	defer cancel()
 	o, err := h.store.Get(ctx, act.Name)
 	if !errors.Is(err, store.ErrNotFound) {
-		h.metrics.Store("get", err)
+		h.recordStoreCall("get", err)
 	}
 	return apply.ReadDone{Object: o, Err: err}
 }
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	_, err := h.store.Put(ctx, act.Name, act.Value, act.IfVersion)
-	h.metrics.Store("put", err)
+	h.recordStoreCall("put", err)
 	return apply.WriteDone{Err: err}
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	members, err := h.store.Hosts(ctx)
-	h.metrics.Store("hosts", err)
+	h.recordStoreCall("hosts", err)
 	if err != nil {
 		return // keeps the previous list
 	}
@@ -197,7 +197,7 @@
 // watchConfig reads the configuration object if since is 0, or else waits for a
 // change after the version since.
 func (h *Host) watchConfig(ctx context.Context, since uint64) (next uint64, err error) {
-	defer func() { h.metrics.Store("watch", err) }()
+	defer func() { h.recordStoreCall("watch", err) }()
 	if since == 0 {
 		cctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		defer cancel()
--- a/internal/head/fault_string.go
+++ b/internal/head/fault_string.go
@@ -12,11 +12,12 @@
 	_ = x[FaultColon-1]
 	_ = x[FaultValue-2]
 	_ = x[FaultFold-3]
+	_ = x[FaultStatus-4]
 }
 
-const _Fault_name = "nameno-colonvaluefolded-line"
+const _Fault_name = "nameno-colonvaluefolded-linestatus-line"
 
-var _Fault_index = [...]uint8{0, 4, 12, 17, 28}
+var _Fault_index = [...]uint8{0, 4, 12, 17, 28, 39}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -19,6 +19,10 @@
 //		_, err = s.Scan(p[:n])
 //	}
 //
+// Transport does that for an http.Client:
+//
+//	c := &http.Client{Transport: head.NewTransport(&http.Transport{}, reporter.From(head.SourceStore))}
+//
 // The fields behind a chunked body are in http.Response.Trailer or http.Request.Trailer
 // once it was read, where CheckTrailer checks their names. A Reporter logs and counts the
 // errors.
@@ -38,10 +42,11 @@
 
 // Faults of heads.
 const (
-	FaultName  Fault = iota // name
-	FaultColon              // no-colon
-	FaultValue              // value
-	FaultFold               // folded-line
+	FaultName   Fault = iota // name
+	FaultColon               // no-colon
+	FaultValue               // value
+	FaultFold                // folded-line
+	FaultStatus              // status-line
 )
 
 // Error is the error of a malformed head.
--- a/internal/head/report.go
+++ b/internal/head/report.go
@@ -32,6 +32,14 @@
 	return r
 }
 
+// ReportFunc reports an error if it is about a malformed head.
+type ReportFunc func(err error, fields ...zap.Field)
+
+// From returns a ReportFunc for the responses of a sender.
+func (r *Reporter) From(from Source) ReportFunc {
+	return func(err error, fields ...zap.Field) { r.Report(from, err, fields...) }
+}
+
 // Report reports an error if it is about a malformed head. The fields say more about the
 // response. r may be nil.
 func (r *Reporter) Report(from Source, err error, fields ...zap.Field) {
--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -28,11 +28,16 @@
 	afterEmptyLineCR
 )
 
+// statusLen is the length of the beginning of a status line up to the status, such as
+// "HTTP/1.1 200".
+const statusLen = 12
+
 // Scanner checks the bytes of a head as they are received. Lines end with CR and LF, or
 // with LF alone. The first line isn't checked.
 type Scanner struct {
 	at       position
 	line     int // number of the current line, from 1
+	start    [statusLen]byte
 	startLen int // length of the first line without CR
 }
 
@@ -85,6 +90,9 @@
 	case b == '\n':
 		s.endLine(inLineBegin)
 	case b != '\r':
+		if s.startLen < statusLen {
+			s.start[s.startLen] = b
+		}
 		s.startLen++
 	}
 }
@@ -147,3 +155,14 @@
 	s.line++
 	s.at = next
 }
+
+// informational reports whether the head that was scanned last is that of an informational
+// response, which another head follows. ok is false if its first line isn't a status line.
+func (s *Scanner) informational() (yes, ok bool) {
+	const switching = "101" // what follows isn't HTTP
+	status := string(s.start[statusLen-len(switching):])
+	if s.startLen < statusLen || s.start[statusLen-len(switching)-1] != ' ' || status[0] < '0' || status[0] > '9' {
+		return false, false
+	}
+	return status[0] == '1' && status != switching, true
+}
--- /dev/null
+++ b/internal/head/transport.go
@@ -0,0 +1,200 @@
+package head
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+)
+
+// Transport is an http.RoundTripper that refuses responses with a malformed head. It
+// checks the bytes on the connections of an http.Transport before that parses them, so
+// such a connection isn't used again. The error of RoundTrip, or of the reading of the body
+// for a trailer, wraps an *Error.
+type Transport struct {
+	base   *http.Transport
+	report ReportFunc
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewTransport returns a Transport with the settings of base, which it takes over. There is
+// no HTTP/2. It calls report, which may be nil, with each error of a malformed head.
+func NewTransport(base *http.Transport, report ReportFunc) *Transport {
+	if report == nil {
+		report = func(error, ...zap.Field) {}
+	}
+	if base.DialContext == nil {
+		base.DialContext = new(net.Dialer).DialContext
+	}
+	if base.DialTLSContext == nil {
+		base.DialTLSContext = dialTLS(base.DialContext, base.TLSClientConfig)
+	}
+	base.DialContext, base.DialTLSContext = checked(base.DialContext), checked(base.DialTLSContext)
+	return &Transport{base: base, report: report}
+}
+
+// dialTLS returns a dialer that adds TLS, as http.Transport does it by itself.
+func dialTLS(dial dialFunc, cfg *tls.Config) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		own := cfg.Clone()
+		if own == nil {
+			own = &tls.Config{}
+		}
+		if own.ServerName == "" {
+			if own.ServerName, _, err = net.SplitHostPort(addr); err != nil {
+				c.Close()
+				return nil, err
+			}
+		}
+		tc := tls.Client(c, own)
+		if err := tc.HandshakeContext(ctx); err != nil {
+			c.Close()
+			return nil, err
+		}
+		return tc, nil
+	}
+}
+
+// checked returns a dialer whose connections check heads.
+func checked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: c}, nil
+	}
+}
+
+// errUnchecked is the error of a response on a connection that doesn't check heads, such as
+// one with TLS through a proxy.
+var errUnchecked = errors.New("head: the head of the response wasn't checked")
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[checkedConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*checkedConn); ok {
+			c.begin()
+			used.Store(c)
+		}
+	}}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	c := used.Load()
+	if err == nil && c == nil {
+		resp.Body.Close()
+		return nil, errUnchecked
+	}
+	if fault := c.fault(); fault != nil {
+		if err == nil {
+			resp.Body.Close()
+		}
+		t.report(fault, zap.String("address", req.URL.Host))
+		return nil, fault
+	}
+	if err == nil && len(resp.TransferEncoding) > 0 {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, conn: c, report: t.report}
+	}
+	return resp, err
+}
+
+// CloseIdleConnections closes the connections without a request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// checkedConn is a connection that checks the heads that are read from it.
+type checkedConn struct {
+	net.Conn
+	mu      sync.Mutex
+	scanner Scanner
+	err     error // of a malformed head
+}
+
+// begin has the next bytes checked as the head of a response. It is called before the
+// request is sent.
+func (c *checkedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner.Begin()
+}
+
+// fault returns the error of a malformed head that was read, or nil. c may be nil.
+func (c *checkedConn) fault() error {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Read implements io.Reader. It returns the bytes before a fault, so that http.Transport
+// knows that a response has begun, and doesn't send the request again.
+func (c *checkedConn) Read(p []byte) (n int, err error) {
+	if err = c.fault(); err != nil {
+		return 0, err
+	}
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if valid, fault := c.check(p[:n]); fault != nil {
+		c.err = fault
+		return valid, fault
+	}
+	return n, err
+}
+
+// check checks the bytes of heads. It returns how many bytes precede a fault.
+func (c *checkedConn) check(p []byte) (n int, err error) {
+	for n < len(p) && c.scanner.Scanning() {
+		k, err := c.scanner.Scan(p[n:])
+		n += k
+		if err != nil {
+			return n, err
+		}
+		if c.scanner.Scanning() {
+			break
+		}
+		more, ok := c.scanner.informational()
+		if !ok {
+			return n - 1, &Error{fault: FaultStatus, line: 1}
+		}
+		if more {
+			c.scanner.Begin()
+		}
+	}
+	return n, nil
+}
+
+// checkedBody is a body in chunks. It checks the trailer behind it.
+type checkedBody struct {
+	io.ReadCloser
+	resp   *http.Response
+	conn   *checkedConn
+	report ReportFunc
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if e := CheckTrailer(b.resp.Trailer); e != nil {
+		b.conn.Close()
+		b.report(e, zap.String("address", b.conn.RemoteAddr().String()))
+		return n, e
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/head/transport_test.go
@@ -0,0 +1,237 @@
+package head
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
+)
+
+// rawServer responds to the requests of each connection with given bytes, in turn, and
+// keeps the connection open.
+type rawServer struct {
+	listener  net.Listener
+	responses []string
+	requests  atomic.Int32
+	conns     atomic.Int32
+}
+
+func newRawServer(t *testing.T, responses ...string) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &rawServer{listener: l, responses: responses}
+	go s.run()
+	return s
+}
+
+func (s *rawServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Add(1)
+		go s.loop(c)
+	}
+}
+
+func (s *rawServer) loop(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		s.requests.Add(1)
+		if _, err := io.WriteString(c, s.responses[min(n, len(s.responses)-1)]); err != nil {
+			return
+		}
+	}
+}
+
+// fetch sends a request and reads its response.
+func fetch(t *testing.T, tr http.RoundTripper, method, url string) (body string, err error) {
+	req, err := http.NewRequestWithContext(t.Context(), method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+// Guards against a malformed head that a client takes, whose request it sends again by
+// itself, or whose connection it goes on using, and against a valid one that it refuses.
+func TestTransport(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+	forms := []struct{ name, before, fields, after string }{
+		{"length", "HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "\r\nabc"},
+		{"chunked", "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n", "\r\n3\r\nabc\r\n0\r\n\r\n"},
+		{"without a body", "HTTP/1.1 204 No Content\r\n", "A: b\r\n", "\r\n"},
+		{"informational", "HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n", "\r\n" + sound},
+		{"after informational ones", "HTTP/1.1 100 a\r\n\r\nHTTP/1.1 103 b\r\n\r\nHTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "\r\nabc"},
+	}
+	lines := append(heads.Lines(), heads.LinesOf("Content-Length", "3")...)
+	lines = append(lines, heads.LinesOf("Transfer-Encoding", "chunked")...)
+	lines = append(lines, heads.LinesOf("Connection", "close")...)
+	for _, f := range forms {
+		for _, l := range lines {
+			for _, fields := range l.Placed(f.fields) {
+				for _, reused := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %v, %.80q", f.name, reused, fields), func(t *testing.T) {
+						is := is.New(t)
+						s := newRawServer(t, f.before+fields+f.after, sound)
+						if reused {
+							s.responses = []string{sound, f.before + fields + f.after}
+						}
+						tr := NewTransport(&http.Transport{}, nil)
+						defer tr.CloseIdleConnections()
+						url := "http://" + s.listener.Addr().String()
+						if reused {
+							_, err := fetch(t, tr, "GET", url)
+							is.NoErr(err)
+						}
+						before := s.requests.Load()
+						body, err := fetch(t, tr, "GET", url)
+						is.Equal(s.requests.Load()-before, int32(1))
+						if l.Valid() {
+							is.NoErr(err)
+							is.Equal(body == "abc", f.name != "without a body")
+							return
+						}
+						_, ok := FaultOf(err)
+						is.True(ok)
+						s.responses = []string{sound}
+						conns := s.conns.Load()
+						_, err = fetch(t, tr, "GET", url)
+						is.NoErr(err)
+						is.Equal(s.conns.Load(), conns+1)
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against the status line of an informational response that is taken for that of
+// the last one, so that the head behind it isn't checked, and against the reverse.
+func TestTransportStatusLine(t *testing.T) {
+	const bad = "HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		response string
+		want     bool // it is valid
+	}{
+		{"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", true},
+		{"HTTP/1.0 200 \r\nContent-Length: 0\r\n\r\n", true},
+		{"HTTP/1.1 103 a\r\n\r\n" + bad, false},
+		{"HTTP/1.1  103 a\r\n\r\n" + bad, false},
+		{"HTTP/1.1 103\r\n\r\n" + bad, false},
+		{"HTTP/1.1\t103 a\r\n\r\n" + bad, false},
+		{"HTTP/1.1 1\r\n\r\n" + bad, false},
+		{"\r\n" + bad, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.response, func(t *testing.T) {
+			s := newRawServer(t, tt.response)
+			_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.listener.Addr().String())
+			is.New(t).Equal(err == nil, tt.want)
+		})
+	}
+}
+
+// Guards against a malformed trailer that a client takes, and against a valid one that it
+// refuses.
+func TestTransportTrailer(t *testing.T) {
+	tests := []struct {
+		line heads.Line
+		want bool
+	}{
+		{"A: b", true},
+		{tokenLine, true},
+		{"X Foo: 1", false},
+		{"X-Foo : 1", false},
+		{"X\x01: 1", false},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.line), func(t *testing.T) {
+			is := is.New(t)
+			s := newRawServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+string(tt.line)+"\r\n\r\n")
+			tr := NewTransport(&http.Transport{}, nil)
+			for range 2 {
+				_, err := fetch(t, tr, "GET", "http://"+s.listener.Addr().String())
+				is.Equal(err == nil, tt.want)
+			}
+			is.Equal(s.conns.Load() == 1, tt.want)
+		})
+	}
+}
+
+const tokenLine = "!#$%&'*+-.^_`|~: 1"
+
+// Guards against responses of a sound server that are refused, by what their requests and
+// connections have in common.
+func TestTransportTakesSoundResponses(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		t.Run(fmt.Sprint("TLS ", secure), func(t *testing.T) {
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.WriteHeader(http.StatusEarlyHints)
+				io.Copy(io.Discard, r.Body)
+				w.Header().Set("Trailer", "T")
+				w.Header().Set("T", "1")
+				io.WriteString(w, strings.Repeat("abc", len(r.URL.Path)*100))
+			}))
+			base := &http.Transport{MaxConnsPerHost: 3}
+			if secure {
+				s.StartTLS()
+				base.TLSClientConfig = s.Client().Transport.(*http.Transport).TLSClientConfig
+			} else {
+				s.Start()
+			}
+			defer s.Close()
+			tr := NewTransport(base, nil)
+			defer tr.CloseIdleConnections()
+			var requests sync.WaitGroup
+			for i := range 20 {
+				requests.Go(func() {
+					for j, method := range []string{"GET", "HEAD", "POST", "PUT"} {
+						body, err := fetch(t, tr, method, s.URL+"/"+strings.Repeat("x", i*j))
+						if want := 300 * (1 + i*j); err != nil || method != "HEAD" && len(body) != want {
+							t.Errorf("%s: %d bytes and not %d, error %v", method, len(body), want, err)
+						}
+					}
+				})
+			}
+			requests.Wait()
+		})
+	}
+}
+
+// Guards against a server without a valid certificate that a client accepts.
+func TestTransportVerifiesCertificate(t *testing.T) {
+	s := httptest.NewTLSServer(http.NotFoundHandler())
+	defer s.Close()
+	_, err := fetch(t, NewTransport(&http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12}}, nil), "GET", s.URL)
+	var invalid *tls.CertificateVerificationError
+	is.New(t).True(errors.As(err, &invalid))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -31,6 +32,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 )
 
@@ -42,7 +44,7 @@
 
 // Results of an attempt. ConnLost means that no valid response header arrived
 // on the connection that the request got, Truncated that the response is
-// incomplete, and Mismatched that it belongs to another attempt.
+// incomplete or has a malformed trailer, and Mismatched that it belongs to another attempt.
 const (
 	OK         Failure = iota // ok
 	DialFailed                // dial-failed
@@ -78,16 +80,18 @@
 type Pool struct {
 	address   string
 	scheme    string
-	transport *http.Transport
+	transport *head.Transport
 	open      atomic.Int64
 	opened    atomic.Uint64
 }
 
 // NewPool returns a pool for the address, given as IP:port.
-func NewPool(address string, l Limits) *Pool {
-	p := &Pool{address: address, scheme: "http"}
+func NewPool(address string, l Limits) *Pool { return NewSecurePool(address, l, nil, nil) }
+
+// newTransport returns the transport of a pool. secure is nil for plain text.
+func (p *Pool) newTransport(l Limits, secure *tls.Config, report head.ReportFunc) *head.Transport {
 	d := net.Dialer{Timeout: l.DialTimeout, KeepAlive: 15 * time.Second}
-	p.transport = &http.Transport{
+	t := &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
@@ -108,7 +112,10 @@
 		WriteBufferSize:        16 << 10,
 		ReadBufferSize:         16 << 10,
 	}
-	return p
+	if secure != nil {
+		t.DialTLSContext = secureDialer(t.DialContext, secure)
+	}
+	return head.NewTransport(t, report)
 }
 
 // Address returns the IP:port that the pool was created for.
--- a/internal/proxy/secure.go
+++ b/internal/proxy/secure.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"time"
+
+	"github.com/laburnummux/laburnummux/internal/head"
 )
 
 // handshakeTimeout bounds a TLS handshake. A key must be served again within
@@ -13,13 +15,13 @@
 const handshakeTimeout = 500 * time.Millisecond
 
 // NewSecurePool returns a pool for the address whose connections use TLS, or
-// plain text if cfg is nil.
-func NewSecurePool(address string, l Limits, cfg *tls.Config) *Pool {
-	p := NewPool(address, l)
+// plain text if cfg is nil. report, which may be nil, is called with each malformed head.
+func NewSecurePool(address string, l Limits, cfg *tls.Config, report head.ReportFunc) *Pool {
+	p := &Pool{address: address, scheme: "http"}
 	if cfg != nil {
 		p.scheme = "https"
-		p.transport.DialTLSContext = secureDialer(p.transport.DialContext, cfg)
 	}
+	p.transport = p.newTransport(l, cfg, report)
 	return p
 }
 
