--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -9,6 +9,7 @@
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
 	"github.com/laburnummux/laburnummux/internal/fleet"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/owner"
 	"github.com/laburnummux/laburnummux/pkg/keys"
 )
@@ -51,7 +52,7 @@
 func (c *grantCall) run(ctx context.Context) {
 	reply, err := c.send(ctx, grantTimeout-c.role.now().Sub(c.sentAt))
 	out := reply.Outcome
-	c.role.applyReply(reply, fleet.Incarnation{ID: c.grant.Server, Born: c.grant.Born})
+	c.role.applyReply(reply, err, fleet.Incarnation{ID: c.grant.Server, Born: c.grant.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("grant", outcomeName(out)).Inc()
 	if out != owner.Done || c.grant.LastConn == 0 {
 		c.role.host.log.Info("grant", zap.String("server", string(c.grant.Server)), zap.Uint16("from", uint16(c.grant.From)),
@@ -90,7 +91,7 @@
 	defer cancel()
 	reply, err := c.role.host.cfg.Granter.Release(call, c.release, c.health)
 	out := reply.Outcome
-	c.role.applyReply(reply, fleet.Incarnation{ID: c.release.Server, Born: c.release.Born})
+	c.role.applyReply(reply, err, fleet.Incarnation{ID: c.release.Server, Born: c.release.Born})
 	c.role.host.metrics.keyCalls.WithLabelValues("release", outcomeName(out)).Inc()
 	c.role.host.log.Info("release", zap.String("server", string(c.release.Server)), zap.Uint16("from", uint16(c.release.From)),
 		zap.Uint16("to", uint16(c.release.To)), zap.Uint64("fence", uint64(c.release.Fence)), zap.String("outcome", outcomeName(out)), zap.Error(err))
@@ -108,8 +109,10 @@
 	return svc.Health
 }
 
-// applyReply applies what a reply says about the process that sent it.
-func (r *assignerRole) applyReply(reply GrantReply, in fleet.Incarnation) {
+// applyReply applies what a reply says about the process that sent it, and reports a
+// malformed one.
+func (r *assignerRole) applyReply(reply GrantReply, err error, in fleet.Incarnation) {
+	r.host.heads.Report(head.SourceServer, err, zap.String("server", string(in.ID)))
 	if reply.Leaving {
 		r.host.relay.ServerLeaves(in)
 	}
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -116,9 +116,8 @@
 // checkedConn is a connection that checks the heads that are read from it.
 type checkedConn struct {
 	net.Conn
-	mu      sync.Mutex
-	scanner Scanner
-	err     error // of a malformed head
+	mu     sync.Mutex
+	reader Reader
 }
 
 // begin has the next bytes checked as the head of a response. It is called before the
@@ -126,7 +125,7 @@
 func (c *checkedConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.Begin()
+	c.reader.Begin()
 }
 
 // fault returns the error of a malformed head that was read, or nil. c may be nil.
@@ -136,11 +135,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.err
+	return c.reader.Fault()
 }
 
-// Read implements io.Reader. It returns the bytes before a fault, so that http.Transport
-// knows that a response has begun, and doesn't send the request again.
+// Read implements io.Reader.
 func (c *checkedConn) Read(p []byte) (n int, err error) {
 	if err = c.fault(); err != nil {
 		return 0, err
@@ -148,35 +146,12 @@
 	n, err = c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if valid, fault := c.check(p[:n]); fault != nil {
-		c.err = fault
+	if valid, fault := c.reader.check(p[:n]); fault != nil {
 		return valid, fault
 	}
 	return n, err
 }
 
-// check checks the bytes of heads. It returns how many bytes precede a fault.
-func (c *checkedConn) check(p []byte) (n int, err error) {
-	for n < len(p) && c.scanner.Scanning() {
-		k, err := c.scanner.Scan(p[n:])
-		n += k
-		if err != nil {
-			return n, err
-		}
-		if c.scanner.Scanning() {
-			break
-		}
-		more, ok := c.scanner.informational()
-		if !ok {
-			return n - 1, &Error{fault: FaultStatus, line: 1}
-		}
-		if more {
-			c.scanner.Begin()
-		}
-	}
-	return n, nil
-}
-
 // checkedBody is a body in chunks. It checks the trailer behind it.
 type checkedBody struct {
 	io.ReadCloser
