--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/laburnummux/laburnummux/internal/caller"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/listen"
 	"github.com/laburnummux/laburnummux/internal/mesh"
 )
@@ -59,6 +60,7 @@
 		result = "error"
 	}
 	h.metrics.storeCalls.WithLabelValues(call, result).Inc()
+	h.heads.Report(head.SourceStore, err, zap.String("call", call))
 }
 
 // httpServer serves one of the host's HTTP addresses other than the callers'.
