--- a/internal/front/fetch.go
+++ b/internal/front/fetch.go
@@ -14,6 +14,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/clock"
 	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/intent"
 	"github.com/laburnummux/laburnummux/internal/link"
 	"github.com/laburnummux/laburnummux/pkg/keys"
@@ -127,9 +128,9 @@
 
 // newSnapshotClient returns the client that fetches snapshots.
 func newSnapshotClient() *http.Client {
-	return &http.Client{Timeout: maxSnapshotTime, Transport: &http.Transport{
+	return &http.Client{Timeout: maxSnapshotTime, Transport: head.NewTransport(&http.Transport{
 		DialContext: link.Dialer(snapshotStallTime / 2).DialContext, IdleConnTimeout: time.Minute,
-	}}
+	}, nil)} // recordFetch reports the errors
 }
 
 // errStalled ends a download without progress.
@@ -190,6 +191,7 @@
 // recordFetch counts the fetch of a snapshot and records whether it failed.
 func (h *Host) recordFetch(now clock.Time, err error) {
 	h.metrics.fetches.WithLabelValues(fetchResult(err)).Inc()
+	h.heads.Report(head.SourceHost, err)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
--- a/internal/front/fetch_test.go
+++ b/internal/front/fetch_test.go
@@ -1,7 +1,10 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/laburnummux/laburnummux/internal/epoch"
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
 	"github.com/laburnummux/laburnummux/internal/intent"
 )
 
@@ -125,3 +129,45 @@
 	is.True(h.cannotFetch(2000))
 	is.True(!h.cannotFetch(60_000))
 }
+
+// Guards against a malformed response of another host whose snapshot is applied, and
+// against a valid one that isn't.
+func TestMalformedHeadOfSnapshot(t *testing.T) {
+	body, err := cbor.Marshal(snapshot{Config: &intent.Document{Version: 6}})
+	is.New(t).NoErr(err)
+	for _, l := range heads.Lines() {
+		for _, fields := range l.Placed(fmt.Sprintf("Content-Length: %d\r\n", len(body))) {
+			t.Run(fmt.Sprintf("%.80q", fields), func(t *testing.T) {
+				is := is.New(t)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer ln.Close()
+				s := &rawHost{listener: ln, response: "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + string(body)}
+				go s.run()
+				h := newTestHost()
+				err = h.fetchSnapshot(t.Context(), newSnapshotClient(), ln.Addr().String(), 0, epoch.Revision{})
+				is.Equal(err == nil, l.Valid())
+				is.Equal(h.ConfigVersion() == 6, l.Valid())
+			})
+		}
+	}
+}
+
+// rawHost responds with the same bytes to the first request of each connection.
+type rawHost struct {
+	listener net.Listener
+	response string
+}
+
+func (s *rawHost) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, s.response)
+		}
+		c.Close()
+	}
+}
