store: a malformed response isn't used

What it could do: `serve` took a response of its store whose head had a blank in a field's name: a write counted as done, a read as current.

Change: the client uses head.Transport; a write has an unknown result then, a read fails. entry logs and counts the error with each call (recordStoreCall).

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/head"
 )
 
 const (
@@ -69,14 +70,14 @@
 		base:  strings.TrimSuffix(cfg.URL, "/"),
 		token: cfg.Token,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: head.NewTransport(&http.Transport{
 				DialContext:         (&net.Dialer{}).DialContext,
 				MaxConnsPerHost:     conns,
 				MaxIdleConnsPerHost: conns,
 				IdleConnTimeout:     idleTimeout,
 				TLSClientConfig:     cfg.TLS,
 				DisableCompression:  true, // a small response must not expand beyond maxResponse
-			},
+			}, nil), // callers report the errors
 			// Redirects are not followed: a redirected write could run twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -1,12 +1,18 @@
 package store
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
 )
 
 // Guards against taking a gateway's 5xx response, a redirect or a response
@@ -54,3 +60,49 @@
 		})
 	}
 }
+
+// Guards against a write that counts as done, or as not done, after a response with a
+// malformed head, and against a valid response that isn't used.
+func TestMalformedHead(t *testing.T) {
+	for _, l := range append(heads.Lines(), heads.LinesOf("ETag", `"8"`)...) {
+		for _, fields := range l.Placed("ETag: \"7\"\r\nContent-Length: 0\r\n") {
+			t.Run(fmt.Sprintf("%.80q", fields), func(t *testing.T) {
+				is := is.New(t)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer ln.Close()
+				s := &rawStore{listener: ln, response: "HTTP/1.1 200 OK\r\n" + fields + "\r\n"}
+				go s.run()
+				c, err := New(Config{URL: "http://" + ln.Addr().String()})
+				is.NoErr(err)
+				defer c.Close()
+				version, err := c.Put(t.Context(), "a", nil, 0)
+				if l.Valid() {
+					is.NoErr(err)
+					is.Equal(version, uint64(7))
+					return
+				}
+				is.True(errors.Is(err, ErrIndeterminate))
+			})
+		}
+	}
+}
+
+// rawStore responds to the first request of each connection with the same bytes.
+type rawStore struct {
+	listener net.Listener
+	response string
+}
+
+func (s *rawStore) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, s.response)
+		}
+		c.Close()
+	}
+}
