cmd: operators' commands refuse malformed responses

What operators saw: a command that succeeded after a response whose head had a blank in a field's name.

Cause: as for the other clients, http.Transport alone.

Change: the client uses head.Transport, with the settings that it had. The command ends with an error that names the fault.

--- a/cmd/laburnummux/connect.go
+++ b/cmd/laburnummux/connect.go
@@ -17,6 +17,7 @@
 	"github.com/laburnummux/laburnummux/internal/auth"
 	"github.com/laburnummux/laburnummux/internal/certs"
 	"github.com/laburnummux/laburnummux/internal/config"
+	"github.com/laburnummux/laburnummux/internal/head"
 )
 
 // connectFlags returns the flags of all commands that call an entry host.
@@ -45,6 +46,7 @@
 func newOperatorClient(cmd *cli.Command) (c *operatorClient, err error) {
 	address := cmd.String("operators")
 	c = &operatorClient{base: "http://" + address, http: &http.Client{
+		Transport: head.NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil),
 		// Redirects are not followed: they could send the token to another host.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -76,7 +78,7 @@
 		return nil, err
 	}
 	c.base = "https://" + address
-	c.http.Transport = &http.Transport{TLSClientConfig: src.Client(tls.VersionTLS13, host)}
+	c.http.Transport = head.NewTransport(&http.Transport{TLSClientConfig: src.Client(tls.VersionTLS13, host)}, nil)
 	return c, nil
 }
 
