caller: a request with a malformed header is rejected

What servers got: requests with "X Foo: 1", "X-Foo : 1" or "Transfer-Encoding : chunked", as their callers had sent them. A server that takes the last one for a transfer encoding sees the end of the request at another place than the host.

Cause: http.ReadRequest alone, whose parser takes blanks in names. The server of net/http, which `serve` and the operators' addresses use, rejects such names itself; package caller doesn't use it.

Change: the bytes of each header are checked with head.Scanner before the parser sees them. A fault is 400 with the reason "header", as RFC 9112, section 5.1, asks; the line "request rejected" names the fault. Folded lines are rejected, too, which section 5.2 allows: they changed the value of the field before them, for example the attempt's ID.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/laburnummux/laburnummux/internal/budget"
 	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/segment"
 )
 
@@ -44,6 +45,8 @@
 	window    Window            // of run
 	inRequest bool              // a request is being read; of run
 	inHead    bool              // its header is being read; of run
+	scanner   head.Scanner      // checks that header; of run
+	fault     error             // of that header; of run
 	received  int64             // bytes of that request that were read from the socket; of run
 	readErr   error             // last error of the socket; of run
 	hasConfig bool              // the limits of that request are those of a configuration; of run
@@ -232,6 +235,8 @@
 // error doesn't show that the input has ended.
 func (c *conn) headerError(err error) error {
 	switch {
+	case c.fault != nil:
+		return &protocolError{reason: rejectedHeader, err: c.fault}
 	case c.readErr != nil:
 		return c.incompleteError(rejectedSlowHeader)
 	case c.limited.N <= 0:
--- /dev/null
+++ b/internal/caller/malformed_test.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/laburnummux/laburnummux/internal/clock"
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
+	"github.com/laburnummux/laburnummux/internal/intent"
+)
+
+// countingServer is a server that counts the requests that it handles.
+type countingServer struct {
+	addr    string
+	handled atomic.Int32
+}
+
+func newCountingServer(t *testing.T) *countingServer {
+	limits := intent.Limits{HeaderBytes: 8000, BodyBytes: 1000, HeaderWait: 5 * clock.Second, Idle: 5 * clock.Second}
+	c := &countingServer{}
+	s := New(Config{Limits: func() intent.Limits { return limits }, Log: zap.NewNop(), Handle: func(context.Context, *Request) Response {
+		c.handled.Add(1)
+		return Response{Status: http.StatusOK}
+	}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go (&acceptor{server: s, listener: l}).run()
+	c.addr = l.Addr().String()
+	return c
+}
+
+// send sends bytes in one piece and returns the statuses of the responses until the server
+// closes the connection, at most n.
+func (s *countingServer) send(t *testing.T, p string, n int) (statuses []int) {
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err = io.WriteString(c, p); err != nil {
+		t.Fatal(err)
+	}
+	for reader := bufio.NewReader(c); len(statuses) < n; {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		statuses = append(statuses, resp.StatusCode)
+	}
+	return statuses
+}
+
+// Guards against a request with a malformed head that is handled, as servers and hosts
+// may differ in where it ends, or that is followed by others, and against a valid one that
+// is rejected.
+func TestMalformedHead(t *testing.T) {
+	forms := []struct{ name, before, fields, after string }{
+		{"without a body", "GET /a HTTP/1.1\r\n", "Host: h\r\n", "\r\n"},
+		{"length", "POST /a HTTP/1.1\r\n", "Host: h\r\nContent-Length: 3\r\n", "\r\nabc"},
+		{"chunked", "POST /a HTTP/1.1\r\n", "Host: h\r\nTransfer-Encoding: chunked\r\n", "\r\n3\r\nabc\r\n0\r\n\r\n"},
+		{"after an empty line", "\r\nGET /a HTTP/1.1\r\n", "Host: h\r\n", "\r\n"},
+	}
+	const next = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+	lines := append(heads.Lines(), heads.LinesOf("Content-Length", "3")...)
+	lines = append(lines, heads.LinesOf("Transfer-Encoding", "chunked")...)
+	lines = append(lines, heads.LinesOf("Laburnummux-Attempt-Id", "1")...)
+	s := newCountingServer(t)
+	for _, f := range forms {
+		for _, l := range lines {
+			for _, fields := range l.Placed(f.fields) {
+				for _, pipelined := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %v, %.80q", f.name, pipelined, fields), func(t *testing.T) {
+						is := is.New(t)
+						s.handled.Store(0)
+						request, want, count := f.before+fields+f.after+next, []int{200, 200}, int32(2)
+						if pipelined {
+							request, want, count = next+request, []int{200, 200, 200}, 3
+						}
+						if !l.Valid() {
+							want, count = append(want[:len(want)-2], 400), count-2
+						}
+						is.Equal(s.send(t, request, len(want)), want)
+						is.Equal(s.handled.Load(), count)
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -90,8 +90,8 @@
 	switch {
 	case !c.inRequest || n == 0:
 	case c.inHead:
-		if !c.count(HeadCost(p[:n])) {
-			return 0, ErrGivenUp
+		if err := c.receiveHead(p[:n]); err != nil {
+			return 0, err
 		}
 	case c.hold != nil:
 		c.hold.Progress()
@@ -112,17 +112,31 @@
 	return c.netConn.Read(p)
 }
 
-// beginRequest begins to count the memory of a request. Its first bytes are buffered.
+// beginRequest begins to count the memory of a request and to check its header. Its first
+// bytes are buffered.
 func (c *conn) beginRequest() error {
-	c.inRequest, c.inHead, c.counted = true, true, 0
+	c.inRequest, c.inHead, c.counted, c.fault = true, true, 0, nil
+	c.scanner.Begin()
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	c.received, c.readErr = int64(len(buffered)), nil
-	if err == nil && !c.count(HeadCost(buffered)) {
-		err = ErrGivenUp
+	if err != nil {
+		return err
+	}
+	if err = c.receiveHead(buffered); c.fault != nil {
+		return c.headerError(err)
 	}
 	return err
 }
 
+// receiveHead counts and checks bytes of a header. Those behind its end are counted, too.
+func (c *conn) receiveHead(p []byte) error {
+	if !c.count(HeadCost(p)) {
+		return ErrGivenUp
+	}
+	_, c.fault = c.scanner.Scan(p)
+	return c.fault
+}
+
 // count counts bytes of the request that is being read. It returns false if the
 // request was given up.
 func (c *conn) count(n int64) bool {
