caller: a request with a malformed trailer is rejected

What servers got: the body of a request in chunks behind which a field's name held a blank. The trailer itself isn't passed on.

Cause: as for headers.

Change: head.CheckTrailer; 400 with the reason "body".

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -355,7 +355,7 @@
 	b, err = segment.Read(r.Body, r.ContentLength, maxBytes, c.count)
 	switch {
 	case err == nil:
-		return b, nil
+		return b, checkTrailer(r)
 	case errors.Is(err, segment.ErrTooLong):
 		return b, c.limitError(rejectedLongBody, fmt.Errorf("body exceeds the limit of %d bytes", maxBytes))
 	case c.readErr != nil:
@@ -365,3 +365,11 @@
 	}
 	return b, &protocolError{reason: rejectedBody, err: err}
 }
+
+// checkTrailer returns an error if the trailer behind a body is malformed.
+func checkTrailer(r *http.Request) error {
+	if err := head.CheckTrailer(r.Trailer); err != nil {
+		return &protocolError{reason: rejectedBody, err: err}
+	}
+	return nil
+}
--- a/internal/caller/malformed_test.go
+++ b/internal/caller/malformed_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// Guards against a request that is handled although a name of its trailer is malformed.
+func TestMalformedTrailer(t *testing.T) {
+	tests := []struct {
+		trailer string
+		status  int
+	}{
+		{"X-Foo: 1", 200},
+		{"X Foo: 1", 400},
+		{"X-Foo : 1", 400},
+		{"X\x01: 1", 400},
+	}
+	for _, tt := range tests {
+		t.Run(tt.trailer, func(t *testing.T) {
+			is := is.New(t)
+			s := newCountingServer(t)
+			statuses := s.send(t, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+tt.trailer+"\r\n\r\n", 1)
+			is.Equal(statuses, []int{tt.status})
+			is.Equal(s.handled.Load() == 1, tt.status == 200)
+		})
+	}
+}
