caller: test that net/http's server rejects malformed headers

Already handled: the callers' addresses of `serve` and the operators' addresses are served by net/http, which rejects a name that isn't a token with 400; the product relied on it without a test.

Folded lines are joined there, which RFC 9112, section 5.2, allows, and are left out.

--- a/internal/caller/malformed_test.go
+++ b/internal/caller/malformed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,3 +124,29 @@
 		})
 	}
 }
+
+// Guards against a malformed header that net/http's server accepts, which serves the
+// requests of `serve` and of operators. It joins folded lines.
+func TestMalformedHeadOfNetHTTP(t *testing.T) {
+	const maxBytes = 1 << 20
+	var handled atomic.Int32
+	bounded := startBoundedServer(t, 0, maxBytes, Requests, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
+	s := &countingServer{addr: bounded.addr}
+	for _, l := range heads.Lines() {
+		for i, fields := range l.Placed("Host: h\r\nX: y\r\n") {
+			if i > 0 && strings.HasPrefix(strings.ReplaceAll(string(l), "\t", " "), " ") {
+				continue
+			}
+			t.Run(fmt.Sprintf("%.80q", fields), func(t *testing.T) {
+				is := is.New(t)
+				handled.Store(0)
+				want := http.StatusOK
+				if !l.Valid() {
+					want = http.StatusBadRequest
+				}
+				is.Equal(s.send(t, "GET / HTTP/1.1\r\n"+fields+"\r\n", 1), []int{want})
+				is.Equal(handled.Load() == 1, l.Valid())
+			})
+		}
+	}
+}
