link, head: a response of HTTP/1.0 in chunks isn't used

What callers saw, in a test of ours: to a response of HTTP/1.0 with "Transfer-Encoding: chunked" they got the frames of the chunks as a part of the body, as a complete response.

Cause: net/http ignores the field in HTTP/1.0 and drops it, so the body lasts until the end of the connection, or for the length beside it. RFC 9112, section 6.1, has such framing treated as faulty. Found while looking for other forms that the parser takes.

Change: the scanner notes the field in responses of HTTP/1.0. link refuses the response once its body was read, so that one that is broken off still counts as a lost connection; the clients with head.Transport refuse its head.

Requests of HTTP/1.0 aren't checked for this.

--- a/internal/head/fault_string.go
+++ b/internal/head/fault_string.go
@@ -13,11 +13,12 @@
 	_ = x[FaultValue-2]
 	_ = x[FaultFold-3]
 	_ = x[FaultStatus-4]
+	_ = x[FaultFraming-5]
 }
 
-const _Fault_name = "nameno-colonvaluefolded-linestatus-line"
+const _Fault_name = "nameno-colonvaluefolded-linestatus-lineframing"
 
-var _Fault_index = [...]uint8{0, 4, 12, 17, 28, 39}
+var _Fault_index = [...]uint8{0, 4, 12, 17, 28, 39, 46}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -42,11 +42,12 @@
 
 // Faults of heads.
 const (
-	FaultName   Fault = iota // name
-	FaultColon               // no-colon
-	FaultValue               // value
-	FaultFold                // folded-line
-	FaultStatus              // status-line
+	FaultName    Fault = iota // name
+	FaultColon                // no-colon
+	FaultValue                // value
+	FaultFold                 // folded-line
+	FaultStatus               // status-line
+	FaultFraming              // framing
 )
 
 // Error is the error of a malformed head.
@@ -61,7 +62,10 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	if e.line == 0 {
+	switch {
+	case e.fault == FaultStatus || e.fault == FaultFraming:
+		return "malformed head: " + e.fault.String()
+	case e.line == 0:
 		return fmt.Sprintf("malformed trailer: %s: byte 0x%02x", e.fault, e.char)
 	}
 	return fmt.Sprintf("malformed head: %s: byte 0x%02x in line %d", e.fault, e.char, e.line)
--- a/internal/head/reader.go
+++ b/internal/head/reader.go
@@ -42,17 +42,29 @@
 	for n < len(p) && r.scanner.Scanning() {
 		k, err := r.scanner.Scan(p[n:])
 		n += k
-		switch more, ok := r.scanner.informational(); {
-		case err != nil:
+		if err == nil && !r.scanner.Scanning() {
+			if err = r.endHead(); err != nil {
+				n-- // without the end of the head
+			}
+		}
+		if err != nil {
 			r.fault = err
 			return n, err
-		case r.scanner.Scanning():
-		case !ok:
-			r.fault = &Error{fault: FaultStatus, line: 1}
-			return n - 1, r.fault // without the end of the head
-		case more:
-			r.scanner.Begin()
 		}
 	}
 	return n, nil
 }
+
+// endHead checks a head as a whole and begins the next one behind that of an informational
+// response.
+func (r *Reader) endHead() error {
+	more, ok := r.scanner.informational()
+	switch {
+	case !ok:
+		return &Error{fault: FaultStatus, line: 1}
+	case more:
+		r.scanner.Begin()
+		return nil
+	}
+	return r.scanner.CheckFraming()
+}
--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -1,5 +1,7 @@
 package head
 
+import "strings"
+
 // tokenChars and valueChars say for each byte whether it may be in a field's name (RFC
 // 9110, section 5.6.2) and in its value (section 5.5).
 var tokenChars, valueChars = charTables()
@@ -32,13 +34,21 @@
 // "HTTP/1.1 200".
 const statusLen = 12
 
+const (
+	http10           = "HTTP/1.0"
+	transferEncoding = "Transfer-Encoding"
+)
+
 // Scanner checks the bytes of a head as they are received. Lines end with CR and LF, or
 // with LF alone. The first line isn't checked.
 type Scanner struct {
 	at       position
 	line     int // number of the current line, from 1
 	start    [statusLen]byte
-	startLen int // length of the first line without CR
+	startLen int    // length of the first line without CR
+	name     []byte // of the field in a response of HTTP/1.0, at most a little longer than those that matter
+	// ignoredEncoding is set if the head has one, see CheckFraming.
+	ignoredEncoding bool
 }
 
 // Begin begins a head.
@@ -50,13 +60,25 @@
 // Scanning reports whether a head has begun and isn't complete.
 func (s *Scanner) Scanning() bool { return s.at != ended }
 
+// CheckFraming returns an *Error if the end of the response whose head was scanned last isn't
+// known, although that is well-formed: it is one of HTTP/1.0 and has a transfer encoding,
+// which net/http ignores, so that it takes chunks for the body (RFC 9112, section 6.1).
+func (s *Scanner) CheckFraming() error {
+	if s.ignoredEncoding {
+		return &Error{fault: FaultFraming, line: 1}
+	}
+	return nil
+}
+
 // Scan checks the next bytes. It returns how many of them are part of the head, or up to
 // where the head is well-formed and an *Error.
 func (s *Scanner) Scan(p []byte) (n int, err error) {
 	for s.at != ended {
 		switch s.at { // most bytes of a head
 		case inName:
-			n += span(p[n:], &tokenChars)
+			k := span(p[n:], &tokenChars)
+			s.addName(p[n : n+k])
+			n += k
 		case inValue:
 			n += span(p[n:], &valueChars)
 		}
@@ -122,15 +144,25 @@
 		return FaultFold, false
 	default:
 		s.at = inName
+		s.name = s.name[:0]
+		s.addName([]byte{b})
 		return FaultName, tokenChars[b]
 	}
 	return 0, true
 }
 
+// addName adds bytes to the name of the field in a response of HTTP/1.0.
+func (s *Scanner) addName(p []byte) {
+	if string(s.start[:len(http10)]) == http10 && len(s.name) <= len(transferEncoding) {
+		s.name = append(s.name, p...)
+	}
+}
+
 func (s *Scanner) stepName(b byte) (f Fault, ok bool) {
 	switch b {
 	case ':':
 		s.at = inValue
+		s.ignoredEncoding = s.ignoredEncoding || strings.EqualFold(string(s.name), transferEncoding)
 		return 0, true
 	case '\r', '\n':
 		return FaultColon, false
--- a/internal/head/transport_test.go
+++ b/internal/head/transport_test.go
@@ -135,7 +135,8 @@
 }
 
 // Guards against the status line of an informational response that is taken for that of
-// the last one, so that the head behind it isn't checked, and against the reverse.
+// the last one, so that the head behind it isn't checked, against the reverse, and against a
+// transfer encoding that isn't one.
 func TestTransportStatusLine(t *testing.T) {
 	const bad = "HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 0\r\n\r\n"
 	tests := []struct {
@@ -144,6 +145,8 @@
 	}{
 		{"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", true},
 		{"HTTP/1.0 200 \r\nContent-Length: 0\r\n\r\n", true},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", false},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\nContent-Length: 0\r\n\r\n", true},
 		{"HTTP/1.1 103 a\r\n\r\n" + bad, false},
 		{"HTTP/1.1  103 a\r\n\r\n" + bad, false},
 		{"HTTP/1.1 103\r\n\r\n" + bad, false},
--- a/internal/link/head.go
+++ b/internal/link/head.go
@@ -54,6 +54,15 @@
 // end ends the head, if it is still incomplete because it is malformed.
 func (h *headReader) end() { h.scanner.End() }
 
+// checkFraming returns an error that wraps ErrMalformed if the end of the response isn't
+// known, although its body was read.
+func (h *headReader) checkFraming() error {
+	if err := h.scanner.CheckFraming(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
+
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (n int, err error) {
 	n, err = h.source.Read(p)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -158,6 +158,9 @@
 	if err == nil && delimitedByClose(resp) {
 		err = c.checkEnd(wrote)
 	}
+	if err == nil {
+		err = c.head.checkFraming()
+	}
 	if err == nil && r.KeepHold {
 		if !h.keep() {
 			err = fmt.Errorf("%w: %w", ErrMalformed, errGivenUp)
