--- a/internal/fakes/heads/heads.go
+++ b/internal/fakes/heads/heads.go
@@ -48,11 +48,11 @@
 // Lines returns the lines of all forms.
 func Lines() (lines []Line) {
 	lines = []Line{
-		"X-Foo: 1", "X-Foo:1", "X-Foo:", "X-Foo: \t ", "X-Foo: \t a  b\tc \t", "X-Foo: a:b", "X-Foo: \x80\xff", "X-Foo: caf\u00e9", "x: y", "1: 2",
+		"X-Foo: 1", "X-Foo:1", "X-Foo:", "X-Foo: \t ", "X-Foo: \t a  b\tc \t", "X-Foo: a:b", "X-Foo: !\"(),/:;<=>?@[\\]{|}~", "X-Foo: \x80\xff", "X-Foo: caf\u00e9", "x: y", "1: 2",
 		tokenChars + ": 1", "X-Long: " + Line(strings.Repeat("v", 3000)),
 		"X Foo: 1", "X-Foo : 1", "X-Foo  : 1", "X  Foo: 1", " X-Foo: 1", "\tX-Foo: 1", " ", "\t", " : 1", ": 1", "X-Foo", "X-Foo 1",
 		"X(Foo): 1", "X/Foo: 1", "X\"Foo\": 1", "X\u00e9: 1", "\x80X-Foo: 1",
-		"X-Foo: a\x00b", "X-Foo: a\rb", "X-Foo: \r", "\rX-Foo: 1", "X-Foo\r: 1", "\r\r",
+		"X-Foo: a\x00b", "X-Foo: a\x01b", "X-Foo: a\x1f", "X-Foo: \x7fb", "X-Foo: a\rb", "X-Foo: \r", "\rX-Foo: 1", "X-Foo\r: 1", "\r\r",
 	}
 	for _, c := range []byte{0x00, 0x01, 0x07, 0x08, '\t', 0x0b, 0x0c, 0x1b, 0x1f, 0x7f} {
 		for _, form := range []string{"%cX-Foo: 1", "X%cFoo: 1", "X-Foo%c: 1"} {
@@ -65,8 +65,8 @@
 // LinesOf returns lines with a blank within, before and behind a name that the protocol
 // of a test uses.
 func LinesOf(name, value string) []Line {
-	within := strings.Replace(name, "-", " ", 1)
-	return []Line{Line(name + " : " + value), Line(name + "  : " + value), Line(" " + name + ": " + value), Line(within + " : " + value)}
+	within := name[:len(name)/2] + " " + name[len(name)/2:]
+	return []Line{Line(name + " : " + value), Line(name + "  : " + value), Line(" " + name + ": " + value), Line(within + ": " + value)}
 }
 
 // Placed returns fields with a line in front of them and behind them.
