link: a malformed head that is received in pieces ends the reading

What callers could see on, in a test of ours: where the malformed line came in another piece than the beginning of its head, and the rest in a third, that piece was dropped and the response was taken without it.

Cause: net/http takes the part of a line that precedes an error for a complete one and drops the error, which was returned once only. The reading went on behind it. The parts of a head that were tested came in one piece.

--- a/internal/link/head.go
+++ b/internal/link/head.go
@@ -65,6 +65,9 @@
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (n int, err error) {
+	if h.fault != nil {
+		return 0, h.fault // the parser may have dropped it, and would go on behind the fault
+	}
 	n, err = h.source.Read(p)
 	h.err = err
 	if e := h.check(p[:n]); e != nil {
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -1,8 +1,12 @@
 package link
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -140,3 +144,58 @@
 	is.True(errors.Is(res.Err, ErrMalformed))
 	is.Equal(w.refused.Load(), int32(1))
 }
+
+// pieceServer sends a response in pieces with a pause between them, and keeps the
+// connection open.
+type pieceServer struct {
+	listener net.Listener
+	pieces   []string
+}
+
+func (s *pieceServer) run() {
+	c, err := s.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	if _, err := http.ReadRequest(br); err != nil {
+		return
+	}
+	for _, p := range s.pieces {
+		if _, err := io.WriteString(c, p); err != nil {
+			return
+		}
+		time.Sleep(2 * time.Millisecond) // usually enough for the client to read the piece
+	}
+	br.Peek(1) // until the client closes the connection
+}
+
+// Guards against a malformed head that is received in pieces: net/http takes the part of a
+// line for a complete one and drops the error, so that reading could go on behind the
+// malformed line, or wait for more.
+func TestMalformedHeadInPieces(t *testing.T) {
+	const (
+		bad   = "HTTP/1.1 200 OK\r\nA: b\r\nX Foo: 1\r\n"
+		rest  = "Id: me\r\nContent-Length: 3\r\n\r\nabc"
+		limit = 5 * time.Second
+	)
+	for n := range len(bad) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			s := &pieceServer{listener: l, pieces: []string{bad[:n], bad[n:], rest}}
+			go s.run()
+			p := NewPool(l.Addr().String(), NewBudget(maxBodyBytes*2))
+			ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
+			defer cancel()
+			began := time.Now()
+			res := sendID(ctx, p, "me")
+			is.True(errors.Is(res.Err, ErrMalformed))
+			is.True(time.Since(began) < limit)
+		})
+	}
+}
