caller: a malformed header that is received in parts is rejected at once

What callers saw on, in a test of ours: 400 only after the header timeout, where the malformed line came in another part than the beginning of its header.

Change: the error stays while the header is read. It doesn't end the reading of what follows the rejected request, which would cancel earlier ones.

--- a/internal/caller/earlier_test.go
+++ b/internal/caller/earlier_test.go
@@ -40,6 +40,7 @@
 		{"slow end of header", "GET /a/9999 HTTP/1.1\r\nHost: h\r\n\r", "\n", http.StatusRequestTimeout},
 		{"long body", post + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body, "", http.StatusRequestEntityTooLarge},
 		{"long header", post + "X: " + strings.Repeat("x", 2*validHeaderBytes) + "\r\n\r\n", "", http.StatusRequestHeaderFieldsTooLarge},
+		{"malformed header", post + "X Foo: 1\r\n\r\n", "", http.StatusBadRequest},
 		{"invalid chunk", post + "Transfer-Encoding: chunked\r\n\r\nz\r\n", "", http.StatusBadRequest},
 	}
 	for _, tt := range tests {
--- a/internal/caller/malformed_test.go
+++ b/internal/caller/malformed_test.go
@@ -150,3 +150,30 @@
 		}
 	}
 }
+
+// Guards against a rejection whose line doesn't name the fault, also if the line of the
+// header is received in two parts.
+func TestMalformedHeadIsReported(t *testing.T) {
+	const request = "GET /a HTTP/1.1\r\nHost: h\r\nX Foo: 1\r\n\r\n"
+	limits := intent.Limits{HeaderBytes: 1000, BodyBytes: 100, HeaderWait: 5 * clock.Second, Idle: 5 * clock.Second}
+	for n := range len(request) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			r := newRejecting(t, limits)
+			c, err := net.Dial("tcp", r.listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, request[:n])
+			is.NoErr(err)
+			time.Sleep(5 * time.Millisecond) // usually enough for the host to read the first part
+			_, err = io.WriteString(c, request[n:])
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadRequest)
+			is.Equal(r.rejections(t), map[string]int{"header 400": 1})
+			m := r.logs.FilterMessage("request rejected").All()[0].ContextMap()
+			is.Equal(m["error"], "malformed head: name: byte 0x20 in line 3")
+		})
+	}
+}
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -78,6 +78,9 @@
 // Read implements io.Reader.
 func (s source) Read(p []byte) (n int, err error) {
 	c := s.conn
+	if c.inRequest && c.inHead && c.fault != nil {
+		return 0, c.fault // the parser may have dropped it, and would go on behind the fault
+	}
 	n, err = c.netConn.Read(p)
 	if c.inRequest && c.inHead && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readLate(p)
