head: test of heads that clients receive in pieces

Cause of the gap: as in link, only heads in one piece were tested.

Change: each place of the cut of three heads, one of them valid, behind an informational one.

--- a/internal/head/transport_test.go
+++ b/internal/head/transport_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -60,12 +61,20 @@
 		}
 		io.Copy(io.Discard, r.Body)
 		s.requests.Add(1)
-		if _, err := io.WriteString(c, s.responses[min(n, len(s.responses)-1)]); err != nil {
-			return
+		for i, piece := range strings.Split(s.responses[min(n, len(s.responses)-1)], cut) {
+			if i > 0 {
+				time.Sleep(2 * time.Millisecond) // usually enough for the client to read the piece before
+			}
+			if _, err := io.WriteString(c, piece); err != nil {
+				return
+			}
 		}
 	}
 }
 
+// cut is where a response is divided into pieces.
+const cut = "<cut>"
+
 // fetch sends a request and reads its response.
 func fetch(t *testing.T, tr http.RoundTripper, method, url string) (body string, err error) {
 	req, err := http.NewRequestWithContext(t.Context(), method, url, nil)
@@ -163,6 +172,33 @@
 	}
 }
 
+// Guards against a malformed head that is received in pieces, and behind which the reading
+// goes on, and against a valid one that is refused.
+func TestTransportHeadInPieces(t *testing.T) {
+	const rest = "Content-Length: 3\r\n\r\nabc"
+	tests := []struct {
+		head string
+		want bool // it is valid
+	}{
+		{"HTTP/1.1 200 OK\r\nA: b\r\nX Foo: 1\r\n", false},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n X-Foo: 1\r\n", false},
+		{"HTTP/1.1 103 OK\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nX-Foo: 1\r\n", true},
+	}
+	for _, tt := range tests {
+		for n := range len(tt.head) {
+			t.Run(fmt.Sprintf("%q, %d", tt.head, n), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newRawServer(t, tt.head[:n]+cut+tt.head[n:]+cut+rest)
+				_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.listener.Addr().String())
+				is.Equal(err == nil, tt.want)
+				_, ok := FaultOf(err)
+				is.Equal(ok, !tt.want)
+			})
+		}
+	}
+}
+
 // Guards against a malformed trailer that a client takes, and against a valid one that it
 // refuses.
 func TestTransportTrailer(t *testing.T) {
