head: bytes before the first request of a connection are checked, too

Cause, by reading: http.Transport reads from a new connection before it has a request for it, and the checks began with the request. Bytes that a server sends in between were not checked; http.Transport drops the connection then, unless the request comes at the same moment.

Change: a connection checks from its beginning, and a request doesn't begin the check anew within a head.

Result: TestEarlyBytesAreChecked fails without the change and passes with it; the tests of head and proxy pass, also with the race detector.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -71,7 +71,7 @@
 			MaxIdle:     srv.Slots() + 2,
 			MaxConns:    srv.Connections() - config.ConnectionReserve,
 			DialTimeout: srv.ConnectTimeout().Std(),
-		}, secure, report),
+		}, secure),
 		probeClient: &http.Client{
 			Timeout:   probeTimeout,
 			Transport: head.NewTransport(&http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure}, report),
@@ -82,6 +82,7 @@
 		}),
 		queued: make(map[uint64]*queuedCall), running: make(map[uint64]runningCall), attemptEnded: make(chan struct{}),
 	}
+	b.pool.ObserveMalformed(report)
 	ctx, cancel := context.WithCancel(c.ctx)
 	b.cancel = cancel
 	go b.loop(ctx)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -185,7 +185,8 @@
 	if p := h.relayPools[to]; p != nil && p.Address() == addr {
 		return p
 	}
-	p := proxy.NewSecurePool(addr, proxy.Limits{MaxIdle: relayIdleConns, DialTimeout: relayConnectTimeout}, h.security.hostTLS(to), h.heads.From(head.SourceHost))
+	p := proxy.NewSecurePool(addr, proxy.Limits{MaxIdle: relayIdleConns, DialTimeout: relayConnectTimeout}, h.security.hostTLS(to))
+	p.ObserveMalformed(h.heads.From(head.SourceHost))
 	h.relayPools[to] = p
 	return p
 }
--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -45,9 +45,10 @@
 	at       position
 	line     int // number of the current line, from 1
 	start    [statusLen]byte
-	startLen int    // length of the first line without CR
-	name     []byte // of the field in a response of HTTP/1.0, at most a little longer than those that matter
-	// ignoredEncoding is set if the head has one, see CheckFraming.
+	startLen int // length of the first line without CR
+	// name has the beginning of the field's name, in responses of HTTP/1.0 only, and
+	// ignoredEncoding is set once it was that of a transfer encoding, see CheckFraming.
+	name            []byte
 	ignoredEncoding bool
 }
 
@@ -151,7 +152,8 @@
 	return 0, true
 }
 
-// addName adds bytes to the name of the field in a response of HTTP/1.0.
+// addName adds bytes to the name of the field in a response of HTTP/1.0, until it is longer
+// than the one that matters.
 func (s *Scanner) addName(p []byte) {
 	if string(s.start[:len(http10)]) == http10 && len(s.name) <= len(transferEncoding) {
 		s.name = append(s.name, p...)
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -74,7 +74,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: c}, nil
+		cc := &checkedConn{Conn: c}
+		cc.begin() // a server may send bytes before it gets a request
+		return cc, nil
 	}
 }
 
@@ -127,12 +129,14 @@
 	reader Reader
 }
 
-// begin has the next bytes checked as the head of a response. It is called before the
-// request is sent.
+// begin has the next bytes checked as the head of a response, unless that of one is being
+// checked. It is called before each request is sent.
 func (c *checkedConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reader.Begin()
+	if !c.reader.scanner.Scanning() {
+		c.reader.Begin()
+	}
 }
 
 // fault returns the error of a malformed head that was read, or nil. c may be nil.
--- a/internal/head/transport_test.go
+++ b/internal/head/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -274,3 +275,24 @@
 	var invalid *tls.CertificateVerificationError
 	is.New(t).True(errors.As(err, &invalid))
 }
+
+// Guards against bytes that a server sends on a new connection before it gets a request,
+// and that aren't checked if http.Transport takes them for the response.
+func TestEarlyBytesAreChecked(t *testing.T) {
+	is := is.New(t)
+	client, server := net.Pipe()
+	defer server.Close()
+	dial := checked(func(context.Context, string, string) (net.Conn, error) { return client, nil })
+	c, err := dial(t.Context(), "tcp", "")
+	is.NoErr(err)
+	defer c.Close()
+	go io.WriteString(server, "HTTP/1.1 200 OK\r\nX Foo: 1\r\n")
+	b := make([]byte, 100)
+	_, err = c.Read(b)
+	_, ok := FaultOf(err)
+	is.True(ok)
+	c.(*checkedConn).begin() // the connection gets a request
+	_, err = c.Read(b)
+	_, ok = FaultOf(err)
+	is.True(ok)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/pkg/answer"
 )
@@ -80,15 +82,16 @@
 	address   string
 	scheme    string
 	transport *head.Transport
+	malformed head.ReportFunc // see ObserveMalformed
 	open      atomic.Int64
 	opened    atomic.Uint64
 }
 
 // NewPool returns a pool for the address, given as IP:port.
-func NewPool(address string, l Limits) *Pool { return NewSecurePool(address, l, nil, nil) }
+func NewPool(address string, l Limits) *Pool { return NewSecurePool(address, l, nil) }
 
 // newTransport returns the transport of a pool. secure is nil for plain text.
-func (p *Pool) newTransport(l Limits, secure *tls.Config, report head.ReportFunc) *head.Transport {
+func (p *Pool) newTransport(l Limits, secure *tls.Config) *head.Transport {
 	d := net.Dialer{Timeout: l.DialTimeout, KeepAlive: 15 * time.Second}
 	t := &http.Transport{
 		Proxy: nil,
@@ -114,9 +117,13 @@
 	if secure != nil {
 		t.DialTLSContext = secureDialer(t.DialContext, secure)
 	}
-	return head.NewTransport(t, report)
+	return head.NewTransport(t, func(err error, fields ...zap.Field) { p.malformed(err, fields...) })
 }
 
+// ObserveMalformed has the error of each malformed response passed to a function. It is
+// called before the first request.
+func (p *Pool) ObserveMalformed(observe head.ReportFunc) { p.malformed = observe }
+
 // Address returns the IP:port that the pool was created for.
 func (p *Pool) Address() string { return p.address }
 
--- a/internal/proxy/secure.go
+++ b/internal/proxy/secure.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"github.com/laburnummux/laburnummux/internal/head"
+	"go.uber.org/zap"
 )
 
 // handshakeTimeout bounds a TLS handshake. A key must be served again within
@@ -15,13 +15,13 @@
 const handshakeTimeout = 500 * time.Millisecond
 
 // NewSecurePool returns a pool for the address whose connections use TLS, or
-// plain text if cfg is nil. report, which may be nil, is called with each malformed head.
-func NewSecurePool(address string, l Limits, cfg *tls.Config, report head.ReportFunc) *Pool {
-	p := &Pool{address: address, scheme: "http"}
+// plain text if cfg is nil.
+func NewSecurePool(address string, l Limits, cfg *tls.Config) *Pool {
+	p := &Pool{address: address, scheme: "http", malformed: func(error, ...zap.Field) {}}
 	if cfg != nil {
 		p.scheme = "https"
 	}
-	p.transport = p.newTransport(l, cfg, report)
+	p.transport = p.newTransport(l, cfg)
 	return p
 }
 
--- a/internal/proxy/secure_test.go
+++ b/internal/proxy/secure_test.go
@@ -43,7 +43,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			runs.Store(0)
-			p := NewSecurePool(tt.address, limits, tt.cfg, nil)
+			p := NewSecurePool(tt.address, limits, tt.cfg)
 			res := p.Send(t.Context(), newRequest(t, "GET", ""))
 			res.Close()
 			is.Equal(res.Failure(), tt.want)
