--- a/internal/front/fetch_test.go
+++ b/internal/front/fetch_test.go
@@ -1,10 +1,7 @@
 package front
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -139,35 +136,12 @@
 		for _, fields := range l.Placed(fmt.Sprintf("Content-Length: %d\r\n", len(body))) {
 			t.Run(fmt.Sprintf("%.80q", fields), func(t *testing.T) {
 				is := is.New(t)
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				defer ln.Close()
-				s := &rawHost{listener: ln, response: "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + string(body)}
-				go s.run()
+				s := heads.NewServer(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+string(body))
 				h := newTestHost()
-				err = h.fetchSnapshot(t.Context(), newSnapshotClient(), ln.Addr().String(), 0, epoch.Revision{})
+				err := h.fetchSnapshot(t.Context(), newSnapshotClient(), s.Addr(), 0, epoch.Revision{})
 				is.Equal(err == nil, l.Valid())
 				is.Equal(h.ConfigVersion() == 6, l.Valid())
 			})
 		}
 	}
 }
-
-// rawHost responds with the same bytes to the first request of each connection.
-type rawHost struct {
-	listener net.Listener
-	response string
-}
-
-func (s *rawHost) run() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			io.WriteString(c, s.response)
-		}
-		c.Close()
-	}
-}
--- a/internal/head/transport_test.go
+++ b/internal/head/transport_test.go
@@ -1,7 +1,6 @@
 package head
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -12,70 +11,13 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/laburnummux/laburnummux/internal/fakes/heads"
 )
 
-// rawServer responds to the requests of each connection with given bytes, in turn, and
-// keeps the connection open.
-type rawServer struct {
-	listener  net.Listener
-	responses []string
-	requests  atomic.Int32
-	conns     atomic.Int32
-}
-
-func newRawServer(t *testing.T, responses ...string) *rawServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	s := &rawServer{listener: l, responses: responses}
-	go s.run()
-	return s
-}
-
-func (s *rawServer) run() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.conns.Add(1)
-		go s.loop(c)
-	}
-}
-
-func (s *rawServer) loop(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for n := 0; ; n++ {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		s.requests.Add(1)
-		for i, piece := range strings.Split(s.responses[min(n, len(s.responses)-1)], cut) {
-			if i > 0 {
-				time.Sleep(2 * time.Millisecond) // usually enough for the client to read the piece before
-			}
-			if _, err := io.WriteString(c, piece); err != nil {
-				return
-			}
-		}
-	}
-}
-
-// cut is where a response is divided into pieces.
-const cut = "<cut>"
-
 // fetch sends a request and reads its response.
 func fetch(t *testing.T, tr http.RoundTripper, method, url string) (body string, err error) {
 	req, err := http.NewRequestWithContext(t.Context(), method, url, nil)
@@ -111,20 +53,20 @@
 				for _, reused := range []bool{false, true} {
 					t.Run(fmt.Sprintf("%s, %v, %.80q", f.name, reused, fields), func(t *testing.T) {
 						is := is.New(t)
-						s := newRawServer(t, f.before+fields+f.after, sound)
+						s := heads.NewServer(t, f.before+fields+f.after, sound)
 						if reused {
-							s.responses = []string{sound, f.before + fields + f.after}
+							s.Respond(sound, f.before+fields+f.after)
 						}
 						tr := NewTransport(&http.Transport{}, nil)
 						defer tr.CloseIdleConnections()
-						url := "http://" + s.listener.Addr().String()
+						url := "http://" + s.Addr()
 						if reused {
 							_, err := fetch(t, tr, "GET", url)
 							is.NoErr(err)
 						}
-						before := s.requests.Load()
+						before := s.Requests()
 						body, err := fetch(t, tr, "GET", url)
-						is.Equal(s.requests.Load()-before, int32(1))
+						is.Equal(s.Requests()-before, 1)
 						if l.Valid() {
 							is.NoErr(err)
 							is.Equal(body == "abc", f.name != "without a body")
@@ -132,11 +74,11 @@
 						}
 						_, ok := FaultOf(err)
 						is.True(ok)
-						s.responses = []string{sound}
-						conns := s.conns.Load()
+						s.Respond(sound)
+						conns := s.Conns()
 						_, err = fetch(t, tr, "GET", url)
 						is.NoErr(err)
-						is.Equal(s.conns.Load(), conns+1)
+						is.Equal(s.Conns(), conns+1)
 					})
 				}
 			}
@@ -166,8 +108,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.response, func(t *testing.T) {
-			s := newRawServer(t, tt.response)
-			_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.listener.Addr().String())
+			s := heads.NewServer(t, tt.response)
+			_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.Addr())
 			is.New(t).Equal(err == nil, tt.want)
 		})
 	}
@@ -190,8 +132,8 @@
 			t.Run(fmt.Sprintf("%q, %d", tt.head, n), func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				s := newRawServer(t, tt.head[:n]+cut+tt.head[n:]+cut+rest)
-				_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.listener.Addr().String())
+				s := heads.NewServer(t, tt.head[:n]+heads.Cut+tt.head[n:]+heads.Cut+rest)
+				_, err := fetch(t, NewTransport(&http.Transport{}, nil), "GET", "http://"+s.Addr())
 				is.Equal(err == nil, tt.want)
 				_, ok := FaultOf(err)
 				is.Equal(ok, !tt.want)
@@ -216,13 +158,13 @@
 	for _, tt := range tests {
 		t.Run(string(tt.line), func(t *testing.T) {
 			is := is.New(t)
-			s := newRawServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+string(tt.line)+"\r\n\r\n")
+			s := heads.NewServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+string(tt.line)+"\r\n\r\n")
 			tr := NewTransport(&http.Transport{}, nil)
 			for range 2 {
-				_, err := fetch(t, tr, "GET", "http://"+s.listener.Addr().String())
+				_, err := fetch(t, tr, "GET", "http://"+s.Addr())
 				is.Equal(err == nil, tt.want)
 			}
-			is.Equal(s.conns.Load() == 1, tt.want)
+			is.Equal(s.Conns() == 1, tt.want)
 		})
 	}
 }
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -1,12 +1,9 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -145,32 +142,6 @@
 	is.Equal(w.refused.Load(), int32(1))
 }
 
-// pieceServer sends a response in pieces with a pause between them, and keeps the
-// connection open.
-type pieceServer struct {
-	listener net.Listener
-	pieces   []string
-}
-
-func (s *pieceServer) run() {
-	c, err := s.listener.Accept()
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	br := bufio.NewReader(c)
-	if _, err := http.ReadRequest(br); err != nil {
-		return
-	}
-	for _, p := range s.pieces {
-		if _, err := io.WriteString(c, p); err != nil {
-			return
-		}
-		time.Sleep(2 * time.Millisecond) // usually enough for the client to read the piece
-	}
-	br.Peek(1) // until the client closes the connection
-}
-
 // Guards against a malformed head that is received in pieces: net/http takes the part of a
 // line for a complete one and drops the error, so that reading could go on behind the
 // malformed line, or wait for more.
@@ -184,12 +155,8 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer l.Close()
-			s := &pieceServer{listener: l, pieces: []string{bad[:n], bad[n:], rest}}
-			go s.run()
-			p := NewPool(l.Addr().String(), NewBudget(maxBodyBytes*2))
+			s := heads.NewServer(t, bad[:n]+heads.Cut+bad[n:]+heads.Cut+rest)
+			p := NewPool(s.Addr(), NewBudget(maxBodyBytes*2))
 			ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
 			defer cancel()
 			began := time.Now()
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -12,28 +9,12 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/laburnummux/laburnummux/internal/fakes/heads"
 	"github.com/laburnummux/laburnummux/internal/fleet"
 	"github.com/laburnummux/laburnummux/internal/head"
 	"github.com/laburnummux/laburnummux/internal/link"
 )
 
-// oneResponse is a server that responds to one request.
-type oneResponse struct {
-	listener net.Listener
-	response string
-}
-
-func (s *oneResponse) run() {
-	c, err := s.listener.Accept()
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-		io.WriteString(c, s.response)
-	}
-}
-
 // Guards against a malformed response that neither the log nor a counter explains.
 func TestMalformedHeadIsReported(t *testing.T) {
 	tests := []struct{ line, fault string }{
@@ -44,16 +25,12 @@
 	for _, tt := range tests {
 		t.Run(tt.line, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer l.Close()
-			s := &oneResponse{listener: l, response: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + tt.line + "\r\n\r\n"}
-			go s.run()
+			s := heads.NewServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+tt.line+"\r\n\r\n")
 			core, logs := observer.New(zap.InfoLevel)
 			reg := prometheus.NewRegistry()
 			r := newRelay()
 			r.cfg.Heads = head.NewReporter(reg, zap.New(core))
-			p := r.newPool(fleet.Server{ID: "s-1", Addr: l.Addr().String()})
+			p := r.newPool(fleet.Server{ID: "s-1", Addr: s.Addr()})
 			yes := func(int, http.Header) bool { return true }
 			p.Do(t.Context(), link.Request{Method: "GET", Target: "/", Host: "h", ID: "a", Matches: yes, Confusable: yes})
 			families, err := reg.Gather() // without the metric until it counts
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -1,11 +1,8 @@
 package store
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -68,12 +65,8 @@
 		for _, fields := range l.Placed("ETag: \"7\"\r\nContent-Length: 0\r\n") {
 			t.Run(fmt.Sprintf("%.80q", fields), func(t *testing.T) {
 				is := is.New(t)
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				defer ln.Close()
-				s := &rawStore{listener: ln, response: "HTTP/1.1 200 OK\r\n" + fields + "\r\n"}
-				go s.run()
-				c, err := New(Config{URL: "http://" + ln.Addr().String()})
+				s := heads.NewServer(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\n")
+				c, err := New(Config{URL: "http://" + s.Addr()})
 				is.NoErr(err)
 				defer c.Close()
 				version, err := c.Put(t.Context(), "a", nil, 0)
@@ -87,22 +80,3 @@
 		}
 	}
 }
-
-// rawStore responds to the first request of each connection with the same bytes.
-type rawStore struct {
-	listener net.Listener
-	response string
-}
-
-func (s *rawStore) run() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			io.WriteString(c, s.response)
-		}
-		c.Close()
-	}
-}
