link: a response that is refused for its framing teaches nothing

What it could do: a response of HTTP/1.0 with a transfer encoding isn't used since, but what its head says of load and leaving was; and if it belonged to another request, it was skipped by its length and the one behind it was used.

Cause: the framing is checked after the body, so that a response that is broken off counts as a lost connection; the head was observed before.

Change: such a head isn't observed, and such a response isn't skipped.

Result: the four cases of TestUnknownFraming fail before and pass now; the other tests of link pass.

--- a/internal/link/exchange.go
+++ b/internal/link/exchange.go
@@ -29,7 +29,9 @@
 		res.Err = err
 		return false
 	}
-	p.observe(resp.StatusCode, resp.Header)
+	if c.head.checkFraming() == nil {
+		p.observe(resp.StatusCode, resp.Header)
+	}
 	// The body isn't closed: that would read it to its end.
 	h := newHold(ctx, p, func() { c.Close() })
 	defer func() {
@@ -131,6 +133,9 @@
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
+		if err := c.head.checkFraming(); err != nil {
+			return nil, err
+		}
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrMismatched
 		}
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -166,3 +166,26 @@
 		})
 	}
 }
+
+// Guards against a response that is refused for its framing and teaches something, or whose
+// connection is used for the response behind it.
+func TestUnknownFraming(t *testing.T) {
+	const chunks = "HTTP/1.0 200 OK\r\nId: %s\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n%s\r\n3\r\nabc\r\n0\r\n\r\n"
+	tests := []struct{ id, length string }{
+		{"me", ""},
+		{"me", "Content-Length: 13\r\n"},
+		{"other", ""},
+		{"other", "Content-Length: 13\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt), func(t *testing.T) {
+			is := is.New(t)
+			w := newWatched(newRawServer(t, fmt.Sprintf(chunks, tt.id, tt.length)+response("me", "abc")))
+			res := send(w.Pool)
+			is.True(errors.Is(res.Err, ErrMalformed))
+			is.Equal(w.observed.Load(), int32(0))
+			is.Equal(w.refused.Load(), int32(1))
+			is.Equal(w.Idle(), 0)
+		})
+	}
+}
