caller: a request of HTTP/1.0 with a transfer encoding is rejected

What servers got: such a request without its body, so with another body than its caller had sent; the chunks were taken for the next request.

Cause: as for responses, net/http ignores the field before HTTP/1.1 and drops it.

Change: the scanner notes the field for requests, too, whose version is at the end of their first line, and for HTTP/0.9. 400 with the reason "header", as RFC 9112, section 6.1, has such framing treated as faulty.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -194,7 +194,10 @@
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.reader)
-	if err != nil {
+	if err == nil {
+		c.fault = c.scanner.CheckFraming()
+	}
+	if err != nil || c.fault != nil {
 		return nil, c.headerError(err)
 	}
 	c.inHead = false
--- a/internal/caller/malformed_test.go
+++ b/internal/caller/malformed_test.go
@@ -177,3 +177,28 @@
 		})
 	}
 }
+
+// Guards against a request of HTTP/1.0 with a transfer encoding that is handled without its
+// body: net/http ignores the field, and takes the chunks for the next request.
+func TestTransferEncodingOfHTTP10(t *testing.T) {
+	tests := []struct {
+		line, fields, body string
+		status             int
+	}{
+		{"POST /a HTTP/1.0", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n", 400},
+		{"POST /a HTTP/1.0", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "abc", 400},
+		{"POST /a HTTP/1.0", "transfer-encoding: chunked\r\nConnection: keep-alive\r\n", "3\r\nabc\r\n0\r\n\r\n", 400},
+		{"POST /a HTTP/0.9", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n", 400},
+		{"POST /a HTTP/1.0", "Content-Length: 3\r\n", "abc", 200},
+		{"POST /a HTTP/1.1", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n", 200},
+		{"POST /HTTP/1.0 HTTP/1.1", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n", 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.line+" "+tt.fields, func(t *testing.T) {
+			is := is.New(t)
+			s := newCountingServer(t)
+			is.Equal(s.send(t, tt.line+"\r\nHost: h\r\n"+tt.fields+"\r\n"+tt.body, 1), []int{tt.status})
+			is.Equal(s.handled.Load() == 1, tt.status == 200)
+		})
+	}
+}
--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -30,23 +30,26 @@
 	afterEmptyLineCR
 )
 
-// statusLen is the length of the beginning of a status line up to the status, such as
-// "HTTP/1.1 200".
-const statusLen = 12
-
 const (
-	http10           = "HTTP/1.0"
+	// statusLen is the length of the beginning of a status line up to the status, such as
+	// "HTTP/1.1 200", and versionLen that of its version.
+	statusLen  = 12
+	versionLen = 8
+
+	versionPrefix    = "HTTP/"
 	transferEncoding = "Transfer-Encoding"
 )
 
 // Scanner checks the bytes of a head as they are received. Lines end with CR and LF, or
 // with LF alone. The first line isn't checked.
 type Scanner struct {
-	at       position
-	line     int // number of the current line, from 1
-	start    [statusLen]byte
-	startLen int // length of the first line without CR
-	// name has the beginning of the field's name, in responses of HTTP/1.0 only, and
+	at         position
+	line       int              // number of the current line, from 1
+	start      [statusLen]byte  // of the first line
+	last       [versionLen]byte // bytes of the first line
+	startLen   int              // length of the first line without CR
+	oldVersion bool             // before HTTP/1.1
+	// name has the beginning of the field's name, if the version is old, and
 	// ignoredEncoding is set once it was that of a transfer encoding, see CheckFraming.
 	name            []byte
 	ignoredEncoding bool
@@ -61,9 +64,10 @@
 // Scanning reports whether a head has begun and isn't complete.
 func (s *Scanner) Scanning() bool { return s.at != ended }
 
-// CheckFraming returns an *Error if the end of the response whose head was scanned last isn't
-// known, although that is well-formed: it is one of HTTP/1.0 and has a transfer encoding,
-// which net/http ignores, so that it takes chunks for the body (RFC 9112, section 6.1).
+// CheckFraming returns an *Error if the end of the message whose head was scanned last isn't
+// known, although that is well-formed: it is one of HTTP/1.0 and has a transfer encoding.
+// net/http ignores that, so it takes the chunks of a response for its body, and those of a
+// request for another request (RFC 9112, section 6.1).
 func (s *Scanner) CheckFraming() error {
 	if s.ignoredEncoding {
 		return &Error{fault: FaultFraming, line: 1}
@@ -126,15 +130,31 @@
 	case b == '\n' && s.startLen == 0:
 		s.endLine(ended)
 	case b == '\n':
+		s.oldVersion = isBefore11(s.version())
 		s.endLine(inLineBegin)
 	case b != '\r':
 		if s.startLen < statusLen {
 			s.start[s.startLen] = b
 		}
 		s.startLen++
+		copy(s.last[:], s.last[1:])
+		s.last[versionLen-1] = b
 	}
 }
 
+// version returns the protocol's version, with which a status line begins and a request line
+// ends.
+func (s *Scanner) version() string {
+	if v := string(s.start[:versionLen]); strings.HasPrefix(v, versionPrefix) {
+		return v
+	}
+	return string(s.last[:])
+}
+
+func isBefore11(version string) bool {
+	return version == versionPrefix+"1.0" || strings.HasPrefix(version, versionPrefix+"0.")
+}
+
 func (s *Scanner) stepLineBegin(b byte) (f Fault, ok bool) {
 	switch {
 	case b == '\r':
@@ -152,10 +172,10 @@
 	return 0, true
 }
 
-// addName adds bytes to the name of the field in a response of HTTP/1.0, until it is longer
-// than the one that matters.
+// addName adds bytes to the name of the field if the version is before HTTP/1.1, until it is
+// longer than the one that matters.
 func (s *Scanner) addName(p []byte) {
-	if string(s.start[:len(http10)]) == http10 && len(s.name) <= len(transferEncoding) {
+	if s.oldVersion && len(s.name) <= len(transferEncoding) {
 		s.name = append(s.name, p...)
 	}
 }
--- a/internal/head/transport_test.go
+++ b/internal/head/transport_test.go
@@ -98,6 +98,8 @@
 		{"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", true},
 		{"HTTP/1.0 200 \r\nContent-Length: 0\r\n\r\n", true},
 		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", false},
+		{"HTTP/1.1 200 HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		{"HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", false},
 		{"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\nContent-Length: 0\r\n\r\n", true},
 		{"HTTP/1.1 103 a\r\n\r\n" + bad, false},
 		{"HTTP/1.1  103 a\r\n\r\n" + bad, false},
