link: a response with unknown framing is refused at once

What callers saw: to a response of HTTP/1.0 in chunks from a server that keeps the connection open, 504 at their deadline, as before; the response was refused only once its body had ended.

Cause: checked the framing after the body, so that a response that is broken off counts as a lost connection, which TestEarlyResponse asks.

Change: the head is refused. The error wraps ErrMalformed and ErrConnLost, as such a response can't be told from one that is broken off; it counts as one that may have run. The checks after the body and before a skipped response are gone.

Result: with the server that keeps the connection open, TestUnknownFraming fails in one of its four cases before (1.0 s, connection lost), and passes in all now. The tests of link pass, TestEarlyResponse unchanged.

--- a/internal/link/exchange.go
+++ b/internal/link/exchange.go
@@ -29,9 +29,7 @@
 		res.Err = err
 		return false
 	}
-	if c.head.checkFraming() == nil {
-		p.observe(resp.StatusCode, resp.Header)
-	}
+	p.observe(resp.StatusCode, resp.Header)
 	// The body isn't closed: that would read it to its end.
 	h := newHold(ctx, p, func() { c.Close() })
 	defer func() {
@@ -68,15 +66,12 @@
 	return done
 }
 
-// receiveBody reads the body of a response, whose end is known then.
+// receiveBody reads the body of a response to its end.
 func (c *conn) receiveBody(ctx context.Context, resp *http.Response, wrote <-chan error, maxBytes int64, h *hold) (body segment.Body, err error) {
 	body, err = readBody(ctx, resp, maxBytes, h)
 	if err == nil && delimitedByClose(resp) {
 		err = c.checkEnd(wrote)
 	}
-	if err == nil {
-		err = c.head.checkFraming()
-	}
 	return body, err
 }
 
@@ -133,9 +128,6 @@
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if err := c.head.checkFraming(); err != nil {
-			return nil, err
-		}
 		if res.MismatchedResponses++; res.MismatchedResponses > maxMismatched || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrMismatched
 		}
--- a/internal/link/head.go
+++ b/internal/link/head.go
@@ -54,15 +54,6 @@
 // end ends the head, if it is still incomplete because it is malformed.
 func (h *headReader) end() { h.scanner.End() }
 
-// checkFraming returns an error that wraps ErrMalformed if the end of the response isn't
-// known, although its body was read.
-func (h *headReader) checkFraming() error {
-	if err := h.scanner.CheckFraming(); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
-	}
-	return nil
-}
-
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (n int, err error) {
 	if h.fault != nil {
@@ -89,10 +80,14 @@
 }
 
 // readHead reads the head of the next response. Its errors wrap ErrConnLost or
-// ErrMalformed.
+// ErrMalformed, and both if the end of the response couldn't be told from a loss of the
+// connection.
 func (c *conn) readHead(req *http.Request) (resp *http.Response, err error) {
 	defer func() {
+		framing := c.head.scanner.CheckFraming()
 		switch {
+		case err == nil && framing != nil:
+			resp, err = nil, fmt.Errorf("%w: %w, so its end isn't known: %w", ErrMalformed, framing, ErrConnLost)
 		case err == nil:
 		case c.head.fault != nil:
 			err = fmt.Errorf("%w: %w", ErrMalformed, c.head.fault)
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -23,8 +23,8 @@
 	refused  atomic.Int32 // malformed responses
 }
 
-func newWatched(s *rawServer) *watched {
-	w := &watched{Pool: NewPool(s.listener.Addr().String(), NewBudget(maxBodyBytes*2))}
+func newWatched(addr string) *watched {
+	w := &watched{Pool: NewPool(addr, NewBudget(maxBodyBytes*2))}
 	w.Observe(func(int, http.Header) { w.observed.Add(1) })
 	w.ObserveMalformed(func(string, error) { w.refused.Add(1) })
 	return w
@@ -54,7 +54,7 @@
 				t.Run(fmt.Sprintf("%s, %.80q", f.name, fields), func(t *testing.T) {
 					is := is.New(t)
 					s := newRawServer(t, f.before+fields+f.after)
-					w := newWatched(s)
+					w := newWatched(s.listener.Addr().String())
 					res := send(w.Pool)
 					is.True(res.Sent)
 					if l.Valid() {
@@ -92,7 +92,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newRawServer(t, tt.responses...)
-			w := newWatched(s)
+			w := newWatched(s.listener.Addr().String())
 			first := send(w.Pool)
 			is.Equal(first.Err == nil, tt.name == "health")
 			w.Sweep(t.Context(), time.Now().Add(defaultIdleTimeout-probeLead/2), "/health")
@@ -116,7 +116,7 @@
 			for _, id := range []string{"me", "other"} {
 				t.Run(fmt.Sprintf("%s, %.80q", id, trailer), func(t *testing.T) {
 					is := is.New(t)
-					w := newWatched(newRawServer(t, fmt.Sprintf(chunks, id, trailer)+response("me", "abc")))
+					w := newWatched(newRawServer(t, fmt.Sprintf(chunks, id, trailer)+response("me", "abc")).listener.Addr().String())
 					res := send(w.Pool)
 					is.True(res.Sent)
 					if l.Valid() || folded {
@@ -136,7 +136,7 @@
 // Guards against a malformed trailer that isn't told apart from a lost connection.
 func TestMalformedTrailerIsReported(t *testing.T) {
 	is := is.New(t)
-	w := newWatched(newRawServer(t, "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Foo: 1\r\n\r\n"))
+	w := newWatched(newRawServer(t, "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Foo: 1\r\n\r\n").listener.Addr().String())
 	res := send(w.Pool)
 	is.True(errors.Is(res.Err, ErrMalformed))
 	is.Equal(w.refused.Load(), int32(1))
@@ -167,8 +167,8 @@
 	}
 }
 
-// Guards against a response that is refused for its framing and teaches something, or whose
-// connection is used for the response behind it.
+// Guards against a response with unknown framing that is awaited to the end of a connection
+// that stays open, that teaches something, or behind which another one is used.
 func TestUnknownFraming(t *testing.T) {
 	const chunks = "HTTP/1.0 200 OK\r\nId: %s\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n%s\r\n3\r\nabc\r\n0\r\n\r\n"
 	tests := []struct{ id, length string }{
@@ -180,7 +180,7 @@
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt), func(t *testing.T) {
 			is := is.New(t)
-			w := newWatched(newRawServer(t, fmt.Sprintf(chunks, tt.id, tt.length)+response("me", "abc")))
+			w := newWatched(heads.NewServer(t, fmt.Sprintf(chunks, tt.id, tt.length)+response("me", "abc")).Addr())
 			res := send(w.Pool)
 			is.True(errors.Is(res.Err, ErrMalformed))
 			is.Equal(w.observed.Load(), int32(0))
