--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math"
 	"net/http"
@@ -72,10 +73,7 @@
 			MaxConns:    srv.Connections() - config.ConnectionReserve,
 			DialTimeout: srv.ConnectTimeout().Std(),
 		}, secure),
-		probeClient: &http.Client{
-			Timeout:   probeTimeout,
-			Transport: head.NewTransport(&http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure}, report),
-		},
+		probeClient: newProbeClient(secure, report),
 		grantPushes: ring.New[lease.Push](1),
 		limiter: limit.New(limit.Config{
 			Slots: srv.Slots(), QueuePerSlot: c.svc.QueuePerSlot(), BulkShare: c.svc.Share(config.Bulk), Warmup: srv.Warmup(),
@@ -89,6 +87,13 @@
 	return b
 }
 
+// newProbeClient returns the client for probes and grants, which uses plain text if secure is
+// nil.
+func newProbeClient(secure *tls.Config, report head.ReportFunc) *http.Client {
+	t := &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, DisableCompression: true, TLSClientConfig: secure}
+	return &http.Client{Timeout: probeTimeout, Transport: head.NewTransport(t, report)}
+}
+
 // stop stops the worker and closes the idle connections. It ends the lost
 // attempts, since no later probe will: if they stayed in flight, the server would
 // still be reserved when this host dispatches to it again. The caller must hold
